--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,721 @@
+// Package choice decides where sessions go: which server each dial tries, what is answered when none will do, how
+// the list of servers is followed, and when an open session is moved.
+//
+// How it is called: New makes one Balancer for one proxy. Whoever owns the sockets calls its exported methods, one
+// at a time, each with the time since New; List comes first. The Balancer answers through the Front in types.go,
+// which also has the types of all that goes in. Nothing here reads a clock, starts a goroutine or ranges over a map.
+//
+// The ordinary path: pick takes the ready server with the highest x * g(key, server). A round of load samples may
+// lower (above full load: raise) the x of some servers by one common factor: adapt. A server that started a short
+// while ago ramps up: multiplier. All else is an exception, and docs/design.md says when each acts.
+package choice
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+)
+
+const (
+	roundSpan    = 2 * time.Second // rounds of load samples
+	beats        = 4               // of a round; held sessions and late dials are looked at on each
+	smoothing    = 3               // r: a new sample counts for one r-th
+	hysteresis   = 0.1             // eps
+	samplesKept  = 8               // per server; smoothing forgets what is older
+	landingsKept = 64              // to know the usual rate of sessions
+	coldKept     = 8               // last dials to a cold server
+	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
+	assumedLoad  = 0.5             // of a server about which nothing is told
+)
+
+const (
+	tokenBeat Token = iota
+	tokenAsk
+)
+
+type state int
+
+const (
+	arrived state = iota // placed nowhere; an answer is owed
+	dialing              // one dial is out
+	open                 // a server holds it
+	moving               // sent away in good order; the end of its dial is awaited
+	left                 // the client has gone, a dial is out
+	over                 // nothing more is sent
+)
+
+var mayEnter = [...][]state{
+	arrived: {dialing, open, over},
+	dialing: {arrived, open, left, over},
+	open:    {moving, left, over},
+	moving:  {over},
+	left:    {over},
+	over:    {},
+}
+
+type session struct {
+	Arrival
+	state    state
+	deadline time.Duration
+	dials    int
+	tried    [8]*server
+	server   *server       // of the dial that is out, or the holder
+	slot     int           // place among the server's sessions
+	dialedAt time.Duration // of the dial that is out
+	mayRun   bool          // some dial may have run
+	first    *server       // of the first dial that may have run
+	firstAt  time.Duration
+}
+
+func (s *session) key() Key {
+	if s.Group != 0 {
+		return s.Group
+	}
+	return s.Client
+}
+
+type server struct {
+	Entry
+	toldAt     time.Duration // when its standing was told
+	base       float64       // multiplier from the listed sizes
+	factor     float64       // what adapting made of it
+	samples    [samplesKept]float64
+	sampled    int
+	fresh      bool // sampled in this round
+	delay      time.Duration
+	delayAt    time.Duration
+	dialing    []*session
+	held       []*session
+	missed     int // dials unanswered since the last answer
+	avoidUntil time.Duration
+	coldDials  [coldKept]time.Duration
+	coldDialed int
+}
+
+// Balancer decides for one proxy.
+type Balancer struct {
+	front     Front
+	chance    *rand.Rand
+	listeners []Listener
+	dials     DialLimits
+	list      ListRules
+	cold      ColdRule
+	load      LoadSight
+	quota     Quota
+
+	now           time.Duration
+	servers       []*server // in the order of their ids, gone ones too
+	byID          map[ServerID]*server
+	ready         []*server
+	sizes         float64 // of all ready servers together
+	meanFactor    float64
+	sessions      map[SessionID]*session
+	landings      [landingsKept]time.Duration
+	landed        int
+	beat          int
+	watching      bool
+	askFails      int
+	longestWait   time.Duration // dial timeout of the most patient listener
+	shortTarget   time.Duration // shortest handshake target
+	messageTarget time.Duration // shortest
+}
+
+// New makes a balancer and starts following the list.
+func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules, cold ColdRule,
+	load LoadSight, quota Quota) *Balancer {
+	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
+		load: load, quota: quota, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
+		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
+	for _, l := range listeners {
+		b.longestWait = max(b.longestWait, l.DialTimeout)
+		b.shortTarget = min(b.shortTarget, l.HandshakeTarget)
+		if l.MessageTarget > 0 {
+			b.messageTarget = min(b.messageTarget, l.MessageTarget)
+		}
+	}
+	b.front.Timer(roundSpan/beats, tokenBeat)
+	b.ask()
+	return b
+}
+
+// The ordinary path.
+
+// draw is g: a fixed mix of key and server into (0,1), the same at all proxies.
+func draw(key Key, id ServerID) float64 {
+	z := uint64(key) ^ (uint64(id)+1)*0x9e3779b97f4a7c15
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	z ^= z >> 31
+	z = (z + 0x9e3779b97f4a7c15) * 0xd6e8feb86659fd93
+	z ^= z >> 32
+	return (float64(z>>11) + 0.5) / (1 << 53)
+}
+
+// multiplier is x. A cold server's share of keys grows with what it can do, so x follows the root of the share.
+func (b *Balancer) multiplier(srv *server) float64 {
+	m := len(b.ready)
+	if warmth := b.warmth(srv); warmth < 1 && m > 1 {
+		return srv.base * b.meanFactor * math.Pow(warmth, 1/float64(m-1))
+	}
+	return srv.base * srv.factor
+}
+
+// pick returns the top score for the key among the ready servers that may pass, or nil.
+func (b *Balancer) pick(s *session, may func(*Balancer, *session, *server) bool) *server {
+	var best *server
+	top, key := 0.0, s.key()
+	for _, srv := range b.ready {
+		if score := b.multiplier(srv) * draw(key, srv.ID); score > top && may(b, s, srv) {
+			best, top = srv, score
+		}
+	}
+	return best
+}
+
+// multipliers sets base from the listed sizes, which are shares: Ross's recursion, from the smallest share up.
+func multipliers(ready []*server) {
+	total := 0.0
+	for _, srv := range ready {
+		total += srv.Size
+	}
+	if total <= 0 {
+		for _, srv := range ready {
+			srv.base = 1
+		}
+		return
+	}
+	bySize := slices.Clone(ready)
+	slices.SortStableFunc(bySize, func(a, c *server) int { return cmp.Compare(a.Size, c.Size) })
+	product, before, x := 1.0, 0.0, 0.0
+	for i, srv := range bySize {
+		rest, share := float64(len(bySize)-i), srv.Size/total
+		x = math.Pow(rest*(share-before)/product+math.Pow(x, rest), 1/rest)
+		product *= x
+		before = share
+		srv.base = x
+	}
+}
+
+// smoothed is rho-bar over the kept samples.
+func (srv *server) smoothed() float64 {
+	n := min(srv.sampled, samplesKept)
+	rho := srv.samples[(srv.sampled-n)%samplesKept]
+	for i := srv.sampled - n + 1; i < srv.sampled; i++ {
+		rho = srv.samples[i%samplesKept]/smoothing + rho*(smoothing-1)/smoothing
+	}
+	return rho
+}
+
+func (srv *server) last() float64 { return srv.samples[(srv.sampled-1)%samplesKept] }
+
+func (srv *server) sample(rho float64) {
+	srv.samples[srv.sampled%samplesKept] = rho
+	srv.sampled++
+	srv.fresh = true
+}
+
+// threshold is the load beyond which adapting acts, for a mean load rho.
+func threshold(rho float64) float64 {
+	if rho <= 1 {
+		return max((1+rho)/2, (1+hysteresis)*rho)
+	}
+	return min((1+rho)/2, (1-hysteresis)*rho)
+}
+
+// adapt multiplies the weights of all servers beyond the threshold by one factor.
+func (b *Balancer) adapt() {
+	seen, sum := 0, 0.0
+	for _, srv := range b.ready {
+		if srv.sampled > 0 {
+			seen++
+			sum += srv.smoothed()
+		}
+	}
+	if seen < 2 {
+		return
+	}
+	rho := sum / float64(seen)
+	limit := threshold(rho)
+	beyond := func(srv *server) bool {
+		return srv.sampled > 0 && (rho <= 1 && srv.smoothed() > limit || rho > 1 && srv.smoothed() < limit)
+	}
+	nearest := 0.0
+	for _, srv := range b.ready {
+		if beyond(srv) && (nearest == 0 || (srv.smoothed() < nearest) == (rho <= 1)) {
+			nearest = srv.smoothed()
+		}
+	}
+	if nearest <= 0 {
+		return
+	}
+	m := float64(len(b.ready))
+	c := math.Pow(limit/nearest, 1/math.Log2(m))
+	least := math.Pow(leastShare, 1/(m-1))
+	for _, srv := range b.ready {
+		if beyond(srv) {
+			srv.factor = max(srv.factor*c, least*b.meanFactor)
+		}
+	}
+	b.means()
+}
+
+func (b *Balancer) means() {
+	sum := 0.0
+	for _, srv := range b.ready {
+		sum += srv.factor
+	}
+	b.meanFactor = 1
+	if sum > 0 {
+		b.meanFactor = sum / float64(len(b.ready))
+	}
+}
+
+// Cold servers.
+
+// warmth is the share of its work that a server can surely do: it never warms slower than evenly over the span.
+func (b *Balancer) warmth(srv *server) float64 {
+	if !srv.Started || b.now-srv.Since >= b.cold.Span {
+		return 1
+	}
+	age := max(b.now-srv.Since, 0)
+	return b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.Span)
+}
+
+// overBudget guards against pushing a cold server over. What the server could do warm is not told: the sessions
+// that it would carry by its size are surely within it. Each proxy keeps to its part for itself.
+func (b *Balancer) overBudget(srv *server) bool {
+	warmth := b.warmth(srv)
+	if warmth >= 1 || srv.coldDialed == 0 {
+		return false
+	}
+	n := min(b.landed, landingsKept)
+	if n == 0 {
+		return true
+	}
+	oldest := b.landings[(b.landed-n)%landingsKept]
+	perSecond := float64(n) / max(b.now-oldest, b.cold.Span).Seconds()
+	part := 1 / float64(len(b.ready))
+	if b.sizes > 0 {
+		part = srv.Size / b.sizes
+	}
+	budget := b.cold.Multiple * warmth * perSecond * part * b.cold.Window.Seconds()
+	dials := min(max(int(budget), 1), coldKept)
+	if srv.coldDialed < dials {
+		return false
+	}
+	window := time.Duration(float64(b.cold.Window) * max(1, 1/budget))
+	return b.now-srv.coldDials[(srv.coldDialed-dials)%coldKept] < window
+}
+
+// The list of servers.
+
+func (b *Balancer) ask() {
+	if !b.list.MustWatch {
+		return
+	}
+	b.front.Watch()
+	b.front.Timer(b.list.MustAskIn/2, tokenAsk) // guards against a call that is never answered
+}
+
+// List takes what discovery tells.
+func (b *Balancer) List(now time.Duration, kind ListKind, entries []Entry) {
+	b.now = now
+	if kind == ListFailed {
+		b.watching = false
+		b.askFails++
+		span := b.list.MustAskIn / 32 << min(b.askFails, 3)
+		b.front.Timer(span+time.Duration(b.chance.Int63n(int64(span)+1)), tokenAsk)
+		return
+	}
+	if kind != ListCached {
+		b.watching = true
+		b.askFails = 0
+	}
+	if kind != ListDelta {
+		for _, srv := range b.servers {
+			if !slices.ContainsFunc(entries, func(e Entry) bool { return e.ID == srv.ID }) {
+				b.stand(srv, Gone)
+			}
+		}
+	}
+	for _, e := range entries {
+		b.entry(e)
+	}
+	b.ready = b.ready[:0]
+	b.sizes = 0
+	for _, srv := range b.servers {
+		if srv.Standing == Ready {
+			b.ready = append(b.ready, srv)
+			b.sizes += srv.Size
+		}
+	}
+	multipliers(b.ready)
+	b.means()
+}
+
+func (b *Balancer) stand(srv *server, standing Standing) {
+	if srv.Standing != standing {
+		srv.Standing = standing
+		srv.toldAt = b.now
+	}
+}
+
+func (b *Balancer) entry(e Entry) {
+	srv := b.byID[e.ID]
+	if srv == nil {
+		srv = &server{Entry: e, toldAt: b.now, factor: 1}
+		b.byID[e.ID] = srv
+		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int { return cmp.Compare(s.ID, id) })
+		b.servers = slices.Insert(b.servers, at, srv)
+		if b.meanFactor > 0 {
+			srv.factor = b.meanFactor
+		}
+		return
+	}
+	restarted := e.Started && (!srv.Started || e.Since > srv.Since)
+	standing := srv.Standing
+	toldAt := srv.toldAt
+	srv.Entry = e
+	srv.Standing, srv.toldAt = standing, toldAt
+	if e.Standing == Ready && (restarted || standing == Gone) {
+		srv.factor = b.meanFactor
+		srv.sampled, srv.missed, srv.avoidUntil, srv.coldDialed, srv.delay = 0, 0, 0, 0, 0
+	}
+	b.stand(srv, e.Standing)
+}
+
+// Sessions.
+
+// enter is the one place where a session changes its state.
+func (b *Balancer) enter(s *session, next state, srv *server) {
+	if !slices.Contains(mayEnter[s.state], next) {
+		panic(fmt.Sprintf("session %d goes from state %d to %d", s.ID, s.state, next))
+	}
+	if was := s.place(); was != nil {
+		last := len(*was) - 1
+		(*was)[s.slot] = (*was)[last]
+		(*was)[s.slot].slot = s.slot
+		*was = (*was)[:last]
+	}
+	s.state, s.server = next, srv
+	if is := s.place(); is != nil {
+		s.slot = len(*is)
+		*is = append(*is, s)
+	}
+	if next == over {
+		delete(b.sessions, s.ID)
+	}
+}
+
+// place is the server's list in which the session stands in its present state.
+func (s *session) place() *[]*session {
+	switch {
+	case s.state == dialing || s.state == left && s.dialedAt >= 0:
+		return &s.server.dialing
+	case s.state == open:
+		return &s.server.held
+	}
+	return nil
+}
+
+// Arrive takes a session that is owed an answer.
+func (b *Balancer) Arrive(now time.Duration, a Arrival) error {
+	s, err := b.admit(now, a)
+	if err != nil {
+		return err
+	}
+	b.landings[b.landed%landingsKept] = now
+	b.landed++
+	b.place(s)
+	return nil
+}
+
+// Hold takes a session that a server holds already.
+func (b *Balancer) Hold(now time.Duration, a Arrival, at ServerID) error {
+	srv := b.byID[at]
+	if srv == nil {
+		return fmt.Errorf("session %d is held by server %d, which no list has named", a.ID, at)
+	}
+	s, err := b.admit(now, a)
+	if err != nil {
+		return err
+	}
+	s.dials = 1
+	s.mayRun = true
+	b.enter(s, open, srv)
+	return nil
+}
+
+func (b *Balancer) admit(now time.Duration, a Arrival) (*session, error) {
+	b.now = now
+	if int(a.Listener) >= len(b.listeners) {
+		return nil, fmt.Errorf("session %d names listener %d of %d", a.ID, a.Listener, len(b.listeners))
+	}
+	if b.sessions[a.ID] != nil {
+		return nil, fmt.Errorf("session %d comes twice", a.ID)
+	}
+	s := &session{Arrival: a, deadline: now + a.Left}
+	b.sessions[a.ID] = s
+	return s, nil
+}
+
+// place dials the best server for a session, or gives the session up.
+func (b *Balancer) place(s *session) {
+	l := &b.listeners[s.Listener]
+	wait := s.deadline - b.now
+	if s.dials >= b.dials.MostDials || wait < l.HandshakeTarget/16 || !b.mayRerun(s) {
+		b.giveUp(s)
+		return
+	}
+	srv := b.pick(s, (*Balancer).ordinary)
+	if srv == nil {
+		srv = b.pick(s, (*Balancer).untried)
+	}
+	if srv == nil {
+		srv = b.pick(s, (*Balancer).anyAllowed)
+	}
+	if srv == nil {
+		b.giveUp(s)
+		return
+	}
+	if l.Effect == Repeatable {
+		wait = max(wait/time.Duration(b.dials.MostDials-s.dials), min(wait, l.HandshakeTarget/2))
+	}
+	if b.warmth(srv) < 1 {
+		srv.coldDials[srv.coldDialed%coldKept] = b.now
+		srv.coldDialed++
+	}
+	s.tried[s.dials%len(s.tried)] = srv
+	s.dials++
+	s.dialedAt = b.now
+	b.enter(s, dialing, srv)
+	b.front.Dial(s.ID, srv.ID, wait)
+}
+
+// allowed holds the rules that no exception may break.
+func (b *Balancer) allowed(s *session, srv *server) bool {
+	if s.mayRun && b.listeners[s.Listener].Effect == Referenced {
+		switch b.listeners[s.Listener].Group {
+		case GroupZone:
+			if srv.Zone != s.first.Zone {
+				return false
+			}
+		case GroupCell:
+			if srv.Cell != s.first.Cell {
+				return false
+			}
+		}
+	}
+	return !b.overBudget(srv)
+}
+
+func (b *Balancer) anyAllowed(s *session, srv *server) bool { return b.allowed(s, srv) }
+
+func (b *Balancer) untried(s *session, srv *server) bool {
+	return !slices.Contains(s.tried[:min(s.dials, len(s.tried))], srv) && b.allowed(s, srv)
+}
+
+// ordinary leaves out servers that have not answered, for a while: a hung server passes probes and the list.
+func (b *Balancer) ordinary(s *session, srv *server) bool {
+	return !b.avoided(srv) && b.untried(s, srv)
+}
+
+func (b *Balancer) avoided(srv *server) bool {
+	if b.now < srv.avoidUntil {
+		return true
+	}
+	if len(srv.dialing) == 0 {
+		return false
+	}
+	return srv.missed > 0 // one trial at a time
+}
+
+// mayRerun tells whether another dial may go out after those that may have run.
+func (b *Balancer) mayRerun(s *session) bool {
+	l := &b.listeners[s.Listener]
+	if !s.mayRun || l.Effect == Repeatable {
+		return true
+	}
+	return l.Effect == Referenced && b.now-s.firstAt < l.RepeatWindow
+}
+
+// giveUp answers at once what no server will take.
+func (b *Balancer) giveUp(s *session) {
+	l := &b.listeners[s.Listener]
+	b.enter(s, over, nil)
+	if s.mayRun && (l.Effect == OnceOnly || l.Effect == Referenced && l.Group != GroupAll) {
+		b.front.TearDown(s.ID)
+		return
+	}
+	var comeBack time.Duration
+	if b.dials.MaxComeBack > 0 {
+		comeBack = min(time.Duration(float64(l.HandshakeTarget)*(1+b.chance.Float64())), b.dials.MaxComeBack)
+	}
+	b.front.Refuse(s.ID, comeBack)
+}
+
+// Opened tells that a dial's session stands.
+func (b *Balancer) Opened(now time.Duration, id SessionID, _ ServerID, no DialNo, _ time.Duration) {
+	b.now = now
+	s := b.sessions[id]
+	if s == nil || s.state != dialing || int(no) != s.dials-1 {
+		return
+	}
+	s.mayRun = true
+	s.server.missed, s.server.avoidUntil = 0, 0
+	b.enter(s, open, s.server)
+}
+
+// Settled tells how a dial ended.
+func (b *Balancer) Settled(now time.Duration, id SessionID, no DialNo, at ServerID, outcome Outcome,
+	_ time.Duration, isOver bool, report []float64) {
+	b.now = now
+	srv := b.byID[at]
+	if srv != nil && b.load.WithDials {
+		b.reported(srv, report)
+	}
+	s := b.sessions[id]
+	if s == nil || srv == nil || int(no) != s.dials-1 {
+		return
+	}
+	was := s.state
+	if isOver || was != dialing {
+		if was == dialing && outcome == Accepted {
+			srv.missed, srv.avoidUntil = 0, 0
+		}
+		b.enter(s, over, nil)
+		return
+	}
+	if !outcome.ProvesNotRun() && !s.mayRun {
+		s.mayRun, s.first, s.firstAt = true, srv, s.dialedAt
+	}
+	b.enter(s, arrived, nil)
+	switch outcome {
+	case Unanswered, Unreachable:
+		srv.missed++
+		srv.avoidUntil = now + b.longestWait*time.Duration(min(srv.missed, 4))
+		if srv.missed == 2 {
+			b.front.Log(fmt.Sprintf("server %d: two dials in a row without an answer, avoided", srv.ID))
+		}
+	case Full:
+		srv.avoidUntil = max(srv.avoidUntil, now+b.shortTarget/4)
+	}
+	b.place(s)
+}
+
+// Left tells that a client has gone, or that its answer is overdue.
+func (b *Balancer) Left(now time.Duration, id SessionID) {
+	b.now = now
+	s := b.sessions[id]
+	if s == nil {
+		return
+	}
+	switch s.state {
+	case dialing:
+		b.enter(s, left, s.server)
+	case open:
+		s.dialedAt = -1
+		b.enter(s, left, s.server)
+	}
+}
+
+// What is seen of load.
+
+// LoadNoted tells a held session's load in cores.
+func (b *Balancer) LoadNoted(now time.Duration, id SessionID, _ DialNo, load float64) {
+	b.now = now
+	if s := b.sessions[id]; s != nil {
+		s.Load = load
+	}
+}
+
+// DelayNoted tells how long a message takes at a server.
+func (b *Balancer) DelayNoted(now time.Duration, at ServerID, delay time.Duration) {
+	b.now = now
+	if srv := b.byID[at]; srv != nil {
+		srv.delay, srv.delayAt = delay, now
+	}
+}
+
+// Probed tells what came of a probe.
+func (b *Balancer) Probed(now time.Duration, at ServerID, outcome Outcome, _ time.Duration, report []float64) {
+	b.now = now
+	if srv := b.byID[at]; srv != nil && outcome == Accepted {
+		b.reported(srv, report)
+	}
+}
+
+func (b *Balancer) reported(srv *server, report []float64) {
+	if b.load.Field >= 0 && b.load.Field < len(report) {
+		srv.sample(report[b.load.Field])
+	}
+}
+
+// seen is a server's load as far as slow messages tell it: late messages mean more than full load.
+func (b *Balancer) seen(srv *server) float64 {
+	if srv.delayAt == 0 || b.now-srv.delayAt > roundSpan*3/2 {
+		return assumedLoad
+	}
+	return assumedLoad + min(float64(srv.delay)/float64(b.messageTarget), 2)
+}
+
+// Tick tells that the time asked for with Timer has come.
+func (b *Balancer) Tick(now time.Duration, token Token) {
+	b.now = now
+	switch token {
+	case tokenAsk:
+		if !b.watching {
+			b.ask()
+		}
+	case tokenBeat:
+		b.front.Timer(roundSpan/beats, tokenBeat)
+		b.beat++
+		if b.beat%beats == 0 {
+			b.round()
+		}
+	}
+}
+
+// round ends one round of load samples and starts the next.
+func (b *Balancer) round() {
+	anyFresh := false
+	for _, srv := range b.ready {
+		if !b.load.OnProbe && !b.load.WithDials {
+			srv.sample(b.seen(srv))
+		}
+		anyFresh = anyFresh || srv.fresh
+	}
+	if anyFresh {
+		b.adapt()
+		for _, srv := range b.ready {
+			if srv.fresh && srv.last() > 1 {
+				b.relieve(srv)
+			}
+			srv.fresh = false
+		}
+	}
+	if b.load.OnProbe {
+		for _, srv := range b.ready {
+			b.front.Probe(srv.ID)
+		}
+	}
+}
+
+// relieve moves sessions that the weights now place elsewhere off a server asked for more than it can do, no more
+// of them than the excess.
+func (b *Balancer) relieve(srv *server) {
+	most := int(math.Ceil(float64(len(srv.held)) * (1 - 1/srv.last())))
+	for i := len(srv.held) - 1; i >= 0 && most > 0; i-- {
+		s := srv.held[i]
+		if to := b.pick(s, (*Balancer).ordinaryMove); to != nil && to != srv {
+			b.enter(s, moving, srv)
+			b.front.Move(s.ID)
+			most--
+		}
+	}
+}
+
+func (b *Balancer) ordinaryMove(_ *session, srv *server) bool { return !b.avoided(srv) }
--- /dev/null
+++ b/choice/types.go
@@ -0,0 +1,160 @@
+package choice
+
+import "time"
+
+type (
+	SessionID  uint32
+	ServerID   uint32
+	DialNo     uint16
+	ListenerID uint16
+	TenantID   uint32
+	ZoneID     uint16
+	CellID     uint16
+	Token      uint32
+	// Key is a client key or a group key; 0 stands for none.
+	Key uint64
+)
+
+// Front is what the module asks of the world around it. All calls take effect at once and return
+// without calling the module back.
+type Front interface {
+	// Dial starts the session's next dial, numbered from 0, and gives it limit to be answered.
+	Dial(id SessionID, to ServerID, limit time.Duration)
+	// Refuse is a final answer: trying again is harmless, best after comeBack (0: no advice).
+	Refuse(id SessionID, comeBack time.Duration)
+	// TearDown is a final answer that promises nothing.
+	TearDown(id SessionID)
+	// Move ends an open session in good order; its client comes again.
+	Move(id SessionID)
+	Probe(id ServerID)
+	// Timer asks for a call of Tick with the token.
+	Timer(after time.Duration, token Token)
+	// Watch opens the subscription to the list of servers.
+	Watch()
+	Log(line string)
+}
+
+// Effect says what a second run of a session's work would do.
+type Effect int
+
+const (
+	Repeatable Effect = iota
+	Referenced
+	OnceOnly
+)
+
+// Group names the servers that drop repeats of a referenced session.
+type Group int
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Listener is one kind of session.
+type Listener struct {
+	HandshakeTarget time.Duration
+	DialTimeout     time.Duration
+	MessageTarget   time.Duration // 0 where messages have none
+	Effect          Effect
+	Group           Group
+	RepeatWindow    time.Duration
+	Utility         float64
+}
+
+// DialLimits are the bounds on dials and on advice to clients.
+type DialLimits struct {
+	MostDials    int
+	MaxComeBack  time.Duration // 0 where clients take no advice
+	ConnectLimit time.Duration
+}
+
+// ListRules say how the list of servers is followed and how soon dials must stop.
+type ListRules struct {
+	MustWatch bool          // the list comes only to those who asked
+	MustAskIn time.Duration // without a subscription, ask at least this often
+	Grace     time.Duration // dials end this long after word of a drain
+}
+
+// ColdRule is the budget of a server that has just started.
+type ColdRule struct {
+	Span     time.Duration // warm after this at the latest
+	From     float64       // share of its capacity at the start
+	Multiple float64       // falls over when sent more than this times its present capacity
+	Window   time.Duration // for this long
+	Proxies  int           // all proxies together keep the budget
+}
+
+// LoadSight says where the load of a server can be seen.
+type LoadSight struct {
+	OnProbe   bool
+	WithDials bool // reports come with the outcomes of dials
+	Field     int  // place of the load in a report, -1 without one
+}
+
+// Standing is a server's state in the list.
+type Standing int
+
+const (
+	Gone Standing = iota
+	Ready
+	Draining
+)
+
+// ListKind says how to read the entries of the list.
+type ListKind int
+
+const (
+	ListDelta ListKind = iota
+	ListFull
+	ListCached
+	ListFailed
+)
+
+// Entry is one line of the list of servers.
+type Entry struct {
+	ID       ServerID
+	Size     float64
+	Zone     ZoneID
+	Cell     CellID
+	Standing Standing
+	Started  bool // whether Since is known
+	Since    time.Duration
+}
+
+// Arrival is a session that asks to be placed.
+type Arrival struct {
+	ID       SessionID
+	Listener ListenerID
+	Tenant   TenantID
+	Left     time.Duration
+	Load     float64 // in cores; 0 if not told
+	Group    Key
+	Client   Key
+	MidFlow  bool
+	Returned bool
+}
+
+// Outcome is how a dial ended.
+type Outcome int
+
+const (
+	Accepted Outcome = iota + 1
+	Failed
+	Full
+	Unanswered
+	Unreachable
+	Broken
+	Cancelled
+	NotSent
+)
+
+// ProvesNotRun reports whether the outcome shows that the dial never ran.
+func (o Outcome) ProvesNotRun() bool { return o == Full || o == Unreachable || o == NotSent }
+
+// Quota is each tenant's share of open sessions over all proxies, and what sessions beyond it are worth.
+type Quota struct {
+	Connections []float64
+	OverUtility float64
+}
--- /dev/null
+++ b/internal/benchwire/start.go
@@ -0,0 +1,105 @@
+package benchwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"chalkferry/choice"
+)
+
+// ReadStart takes from the text of a start message what the named parts of the module want.
+func ReadStart(text []byte, listeners *[]choice.Listener, dials *choice.DialLimits, list *choice.ListRules,
+	cold *choice.ColdRule, load *choice.LoadSight, quota *choice.Quota) error {
+	var told struct {
+		Discovery string `json:"discovery"`
+		Listeners []struct {
+			DialTimeout     float64 `json:"dialTimeout"`
+			HandshakeTarget float64 `json:"handshakeTarget"`
+			RepeatWindow    float64 `json:"repeatWindow"`
+			Effect          string  `json:"effect"`
+			Group           string  `json:"group"`
+			Utility         float64 `json:"utility"`
+		} `json:"listeners"`
+		Ceilings struct {
+			MostDials      int     `json:"mostDials"`
+			MaxRetryAfter  float64 `json:"maxRetryAfter"`
+			ConnectTimeout float64 `json:"connectTimeout"`
+			RetryAfter     bool    `json:"retryAfter"`
+			Probes         bool    `json:"probes"`
+		} `json:"ceilings"`
+		Invariants struct {
+			Cold              float64 `json:"cold"`
+			ColdFrom          float64 `json:"coldFrom"`
+			FallMultiple      float64 `json:"fallMultiple"`
+			TipAfter          float64 `json:"tipAfter"`
+			MustAskIn         float64 `json:"mustAskIn"`
+			StopSendingWithin float64 `json:"stopSendingWithin"`
+		} `json:"invariants"`
+		Domain struct {
+			MessageAim             []float64 `json:"messageAim"`
+			TenantQuotaConnections []float64 `json:"tenantQuotaConnections"`
+		} `json:"domain"`
+		Telemetry struct {
+			Fields []string `json:"fields"`
+			How    string   `json:"how"`
+		} `json:"telemetry"`
+		OverageUtility float64 `json:"overageUtility"`
+		GroupSize      int     `json:"groupSize"`
+	}
+	if err := json.Unmarshal(text, &told); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	var bad error
+	span := func(ms float64) time.Duration {
+		d, err := millis(ms)
+		if err != nil || d < 0 {
+			bad = fmt.Errorf("settings: time %v is out of range", ms)
+		}
+		return d
+	}
+	for i, l := range told.Listeners {
+		next := choice.Listener{HandshakeTarget: span(l.HandshakeTarget), DialTimeout: span(l.DialTimeout),
+			RepeatWindow: span(l.RepeatWindow), Utility: l.Utility}
+		if i < len(told.Domain.MessageAim) {
+			next.MessageTarget = span(told.Domain.MessageAim[i])
+		}
+		switch l.Effect {
+		case "read_like":
+		case "idempotency_key":
+			next.Effect = choice.Referenced
+		case "non_idempotent":
+			next.Effect = choice.OnceOnly
+		default:
+			return fmt.Errorf("settings: unknown effect %q", l.Effect)
+		}
+		switch l.Group {
+		case "", "all":
+		case "zone":
+			next.Group = choice.GroupZone
+		case "cell":
+			next.Group = choice.GroupCell
+		default:
+			return fmt.Errorf("settings: unknown group %q", l.Group)
+		}
+		*listeners = append(*listeners, next)
+	}
+	if len(*listeners) == 0 {
+		return fmt.Errorf("settings: no listeners")
+	}
+	*dials = choice.DialLimits{MostDials: max(told.Ceilings.MostDials, 1),
+		ConnectLimit: span(told.Ceilings.ConnectTimeout)}
+	if told.Ceilings.RetryAfter {
+		dials.MaxComeBack = span(told.Ceilings.MaxRetryAfter)
+	}
+	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span(told.Invariants.MustAskIn),
+		Grace: span(told.Invariants.StopSendingWithin)}
+	*cold = choice.ColdRule{Span: span(told.Invariants.Cold), From: told.Invariants.ColdFrom,
+		Multiple: told.Invariants.FallMultiple, Window: span(told.Invariants.TipAfter),
+		Proxies: max(told.GroupSize, 1)}
+	*load = choice.LoadSight{OnProbe: told.Telemetry.How == "on_probe" && told.Ceilings.Probes,
+		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0")}
+	*quota = choice.Quota{Connections: told.Domain.TenantQuotaConnections, OverUtility: told.OverageUtility}
+	return bad
+}
