--- a/choice/choice.go
+++ b/choice/choice.go
@@ -382,7 +382,7 @@
 	srv.Standing, srv.toldAt = standing, toldAt
 	if e.Standing == Ready && (restarted || standing == Gone) {
 		srv.factor = b.meanFactor
-		srv.sampled, srv.missed, srv.avoidUntil, srv.coldDialed, srv.delay = 0, 0, 0, 0, 0
+		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil, srv.coldDialed, srv.delayAt = 0, false, 0, 0, 0, 0
 	}
 	b.stand(srv, e.Standing)
 }
