Avoid a server that drops sessions for a round and count that as load

Cause: a server with too much piled up drops sessions, their clients come back by the same key and keep it full.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -89,7 +89,8 @@
 	delayAt    time.Duration
 	dialing    []*session
 	held       []*session
-	missed     int // dials unanswered since the last answer
+	droppedAt  time.Duration // when it last dropped a session
+	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
 	coldDials  [coldKept]time.Duration
 	coldDialed int
@@ -582,6 +583,12 @@
 		return
 	}
 	was := s.state
+	if outcome == Broken {
+		// A server that drops sessions has too much piled up, or is lost; clients that come back by the same key
+		// would keep it so.
+		srv.droppedAt = now
+		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
+	}
 	if isOver || was != dialing {
 		if was == dialing && outcome == Accepted {
 			srv.missed, srv.avoidUntil = 0, 0
@@ -656,6 +663,9 @@
 
 // seen is a server's load as far as slow messages tell it: late messages mean more than full load.
 func (b *Balancer) seen(srv *server) float64 {
+	if srv.droppedAt > 0 && b.now-srv.droppedAt <= roundSpan {
+		return 3 * assumedLoad
+	}
 	if srv.delayAt == 0 || b.now-srv.delayAt > roundSpan*3/2 {
 		return assumedLoad
 	}
