Pass servers loaded beyond the threshold to the next score

Change: the ordinary pick leaves out servers loaded beyond the trigger's own threshold; without load reports, load is the proxy's sessions there over what the size would give. A mid-flow session still goes by the score alone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -90,6 +90,7 @@
 	dialing    []*session
 	held       []*session
 	droppedAt  time.Duration // when it last dropped a session
+	landed     int           // sessions opened since the last sample
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
 	coldDials  [coldKept]time.Duration
@@ -113,6 +114,8 @@
 	ready         []*server
 	sizes         float64 // of all ready servers together
 	meanFactor    float64
+	limit         float64 // the threshold of the last round
+	placed        int     // sessions dialing or held
 	sessions      map[SessionID]*session
 	landings      [landingsKept]time.Duration
 	landed        int
@@ -129,6 +132,7 @@
 	load LoadSight, quota Quota) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
 		load: load, quota: quota, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
+		limit:       threshold(assumedLoad),
 		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
 	for _, l := range listeners {
 		b.longestWait = max(b.longestWait, l.DialTimeout)
@@ -215,6 +219,7 @@
 func (srv *server) sample(rho float64) {
 	srv.samples[srv.sampled%samplesKept] = rho
 	srv.sampled++
+	srv.landed = 0
 	srv.fresh = true
 }
 
@@ -240,6 +245,7 @@
 	}
 	rho := sum / float64(seen)
 	limit := threshold(rho)
+	b.limit = max(limit, rho)
 	beyond := func(srv *server) bool {
 		return srv.sampled > 0 && (rho <= 1 && srv.smoothed() > limit || rho > 1 && srv.smoothed() < limit)
 	}
@@ -263,6 +269,25 @@
 	b.means()
 }
 
+// loaded is a server's load as far as it can be told now.
+func (b *Balancer) loaded(srv *server) float64 {
+	mine := float64(len(srv.held) + len(srv.dialing))
+	if srv.sampled > 0 && (b.load.OnProbe || b.load.WithDials) {
+		since := float64(srv.landed * b.cold.Proxies)
+		return srv.last() * (1 + since/max(mine*float64(b.cold.Proxies)-since, 1))
+	}
+	fair := float64(b.placed) * b.part(srv)
+	return assumedLoad * mine / max(fair, 1)
+}
+
+// part is a server's share of the fleet by the listed sizes.
+func (b *Balancer) part(srv *server) float64 {
+	if b.sizes > 0 {
+		return srv.Size / b.sizes
+	}
+	return 1 / float64(len(b.ready))
+}
+
 func (b *Balancer) means() {
 	sum := 0.0
 	for _, srv := range b.ready {
@@ -298,11 +323,7 @@
 	}
 	oldest := b.landings[(b.landed-n)%landingsKept]
 	perSecond := float64(n) / max(b.now-oldest, b.cold.Span).Seconds()
-	part := 1 / float64(len(b.ready))
-	if b.sizes > 0 {
-		part = srv.Size / b.sizes
-	}
-	budget := b.cold.Multiple * warmth * perSecond * part * b.cold.Window.Seconds()
+	budget := b.cold.Multiple * warmth * perSecond * b.part(srv) * b.cold.Window.Seconds()
 	dials := min(max(int(budget), 1), coldKept)
 	if srv.coldDialed < dials {
 		return false
@@ -396,6 +417,7 @@
 		panic(fmt.Sprintf("session %d goes from state %d to %d", s.ID, s.state, next))
 	}
 	if was := s.place(); was != nil {
+		b.placed--
 		last := len(*was) - 1
 		(*was)[s.slot] = (*was)[last]
 		(*was)[s.slot].slot = s.slot
@@ -403,6 +425,7 @@
 	}
 	s.state, s.server = next, srv
 	if is := s.place(); is != nil {
+		b.placed++
 		s.slot = len(*is)
 		*is = append(*is, s)
 	}
@@ -471,12 +494,15 @@
 		b.giveUp(s)
 		return
 	}
-	srv := b.pick(s, (*Balancer).ordinary)
-	if srv == nil {
-		srv = b.pick(s, (*Balancer).untried)
+	var srv *server
+	if s.MidFlow && s.dials == 0 {
+		srv = b.pick(s, (*Balancer).allowed) // only its holder can go on with it
 	}
-	if srv == nil {
-		srv = b.pick(s, (*Balancer).anyAllowed)
+	for _, may := range [...]func(*Balancer, *session, *server) bool{
+		(*Balancer).roomy, (*Balancer).answering, (*Balancer).untried, (*Balancer).allowed} {
+		if srv == nil {
+			srv = b.pick(s, may)
+		}
 	}
 	if srv == nil {
 		b.giveUp(s)
@@ -513,17 +539,21 @@
 	return !b.overBudget(srv)
 }
 
-func (b *Balancer) anyAllowed(s *session, srv *server) bool { return b.allowed(s, srv) }
-
 func (b *Balancer) untried(s *session, srv *server) bool {
 	return !slices.Contains(s.tried[:min(s.dials, len(s.tried))], srv) && b.allowed(s, srv)
 }
 
-// ordinary leaves out servers that have not answered, for a while: a hung server passes probes and the list.
-func (b *Balancer) ordinary(s *session, srv *server) bool {
+// answering leaves out servers that have not answered, for a while: a hung server passes probes and the list.
+func (b *Balancer) answering(s *session, srv *server) bool {
 	return !b.avoided(srv) && b.untried(s, srv)
 }
 
+// roomy leaves out servers loaded beyond the threshold as well: a hot group, whose key always scores highest at
+// one server, would fill it while others idle.
+func (b *Balancer) roomy(s *session, srv *server) bool {
+	return b.loaded(srv) <= b.limit && b.answering(s, srv)
+}
+
 func (b *Balancer) avoided(srv *server) bool {
 	if b.now < srv.avoidUntil {
 		return true
@@ -567,6 +597,7 @@
 	}
 	s.mayRun = true
 	s.server.missed, s.server.avoidUntil = 0, 0
+	s.server.landed++
 	b.enter(s, open, s.server)
 }
 
@@ -720,7 +751,7 @@
 	most := int(math.Ceil(float64(len(srv.held)) * (1 - 1/srv.last())))
 	for i := len(srv.held) - 1; i >= 0 && most > 0; i-- {
 		s := srv.held[i]
-		if to := b.pick(s, (*Balancer).ordinaryMove); to != nil && to != srv {
+		if to := b.pick(s, (*Balancer).mayTake); to != nil && to != srv {
 			b.enter(s, moving, srv)
 			b.front.Move(s.ID)
 			most--
@@ -728,4 +759,6 @@
 	}
 }
 
-func (b *Balancer) ordinaryMove(_ *session, srv *server) bool { return !b.avoided(srv) }
+func (b *Balancer) mayTake(_ *session, srv *server) bool {
+	return !b.avoided(srv) && !b.overBudget(srv) && b.loaded(srv) <= b.limit
+}
