Learn what a server carries from its late messages; refuse what finds all full

Change: late messages or drops set what a server carries to 0.9 of its load then, regained by 5% a quiet round; what finds all servers full is refused at once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,8 @@
 	landingsKept = 64              // to know the usual rate of sessions
 	coldKept     = 8               // last dials to a cold server
 	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
+	backOff      = 0.9             // of what a late server carries, for the next time
+	regain       = 1.05            // a round without lateness
 	assumedLoad  = 0.5             // of a server about which nothing is told
 )
 
@@ -63,6 +65,7 @@
 	dials    int
 	tried    [8]*server
 	server   *server       // of the dial that is out, or the holder
+	weighed  float64       // its load as counted in
 	slot     int           // place among the server's sessions
 	dialedAt time.Duration // of the dial that is out
 	mayRun   bool          // some dial may have run
@@ -85,12 +88,13 @@
 	samples    [samplesKept]float64
 	sampled    int
 	fresh      bool // sampled in this round
-	delay      time.Duration
-	delayAt    time.Duration
 	dialing    []*session
 	held       []*session
-	droppedAt  time.Duration // when it last dropped a session
 	landed     int           // sessions opened since the last sample
+	carried    float64       // load of this proxy's sessions there
+	full       float64       // what it could carry of them, 0 while never seen late
+	lateAt     time.Duration // when it was last seen late
+	loweredAt  time.Duration // when full was last lowered
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
 	coldDials  [coldKept]time.Duration
@@ -114,8 +118,10 @@
 	ready         []*server
 	sizes         float64 // of all ready servers together
 	meanFactor    float64
-	limit         float64 // the threshold of the last round
-	placed        int     // sessions dialing or held
+	limit         float64               // the threshold of the last round
+	carried       float64               // load of all sessions dialing or held
+	loads         [landingsKept]float64 // of sessions, as noted last
+	noted         int
 	sessions      map[SessionID]*session
 	landings      [landingsKept]time.Duration
 	landed        int
@@ -271,13 +277,27 @@
 
 // loaded is a server's load as far as it can be told now.
 func (b *Balancer) loaded(srv *server) float64 {
-	mine := float64(len(srv.held) + len(srv.dialing))
 	if srv.sampled > 0 && (b.load.OnProbe || b.load.WithDials) {
-		since := float64(srv.landed * b.cold.Proxies)
-		return srv.last() * (1 + since/max(mine*float64(b.cold.Proxies)-since, 1))
+		before := max(len(srv.held)-srv.landed, 1)
+		return srv.last() * float64(before+srv.landed) / float64(before)
+	}
+	if b.carried == 0 {
+		return 0
+	}
+	rho := assumedLoad * srv.carried / (b.carried * max(b.part(srv), 1/float64(len(b.sessions))))
+	if srv.full > 0 {
+		rho = max(rho, srv.carried/srv.full)
+	}
+	return rho
+}
+
+// late learns from slow messages and dropped sessions how much a server can carry.
+func (b *Balancer) late(srv *server) {
+	srv.lateAt = b.now
+	if carried := backOff * srv.carried; srv.full == 0 || b.now-srv.loweredAt >= roundSpan && carried < srv.full {
+		srv.full = carried
+		srv.loweredAt = b.now
 	}
-	fair := float64(b.placed) * b.part(srv)
-	return assumedLoad * mine / max(fair, 1)
 }
 
 // part is a server's share of the fleet by the listed sizes.
@@ -404,7 +424,7 @@
 	srv.Standing, srv.toldAt = standing, toldAt
 	if e.Standing == Ready && (restarted || standing == Gone) {
 		srv.factor = b.meanFactor
-		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil, srv.coldDialed, srv.delayAt = 0, false, 0, 0, 0, 0
+		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil, srv.coldDialed, srv.full, srv.lateAt = 0, false, 0, 0, 0, 0, 0
 	}
 	b.stand(srv, e.Standing)
 }
@@ -417,7 +437,7 @@
 		panic(fmt.Sprintf("session %d goes from state %d to %d", s.ID, s.state, next))
 	}
 	if was := s.place(); was != nil {
-		b.placed--
+		b.weigh(s, 0)
 		last := len(*was) - 1
 		(*was)[s.slot] = (*was)[last]
 		(*was)[s.slot].slot = s.slot
@@ -425,7 +445,7 @@
 	}
 	s.state, s.server = next, srv
 	if is := s.place(); is != nil {
-		b.placed++
+		b.weigh(s, b.usual(s))
 		s.slot = len(*is)
 		*is = append(*is, s)
 	}
@@ -434,6 +454,29 @@
 	}
 }
 
+// weigh counts a session's load in for its server.
+func (b *Balancer) weigh(s *session, load float64) {
+	s.server.carried += load - s.weighed
+	b.carried += load - s.weighed
+	s.weighed = load
+}
+
+// usual is a session's load, or the mean of those noted last where its own is not told.
+func (b *Balancer) usual(s *session) float64 {
+	if s.Load > 0 {
+		return s.Load
+	}
+	n := min(b.noted, landingsKept)
+	if n == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, load := range b.loads[:n] {
+		sum += load
+	}
+	return sum / float64(n)
+}
+
 // place is the server's list in which the session stands in its present state.
 func (s *session) place() *[]*session {
 	switch {
@@ -499,7 +542,7 @@
 		srv = b.pick(s, (*Balancer).allowed) // only its holder can go on with it
 	}
 	for _, may := range [...]func(*Balancer, *session, *server) bool{
-		(*Balancer).roomy, (*Balancer).answering, (*Balancer).untried, (*Balancer).allowed} {
+		(*Balancer).roomy, (*Balancer).able, (*Balancer).untried, (*Balancer).allowed} {
 		if srv == nil {
 			srv = b.pick(s, may)
 		}
@@ -536,7 +579,7 @@
 			}
 		}
 	}
-	return !b.overBudget(srv)
+	return !b.overBudget(srv) && (s.MidFlow || !b.isFull(srv))
 }
 
 func (b *Balancer) untried(s *session, srv *server) bool {
@@ -554,6 +597,14 @@
 	return b.loaded(srv) <= b.limit && b.answering(s, srv)
 }
 
+func (b *Balancer) able(s *session, srv *server) bool { return !b.isFull(srv) && b.answering(s, srv) }
+
+// isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full is
+// refused at once.
+func (b *Balancer) isFull(srv *server) bool {
+	return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan/2 || b.loaded(srv) >= 1
+}
+
 func (b *Balancer) avoided(srv *server) bool {
 	if b.now < srv.avoidUntil {
 		return true
@@ -617,7 +668,7 @@
 	if outcome == Broken {
 		// A server that drops sessions has too much piled up, or is lost; clients that come back by the same key
 		// would keep it so.
-		srv.droppedAt = now
+		b.late(srv)
 		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
 	}
 	if isOver || was != dialing {
@@ -667,6 +718,11 @@
 	b.now = now
 	if s := b.sessions[id]; s != nil {
 		s.Load = load
+		b.loads[b.noted%landingsKept] = load
+		b.noted++
+		if s.place() != nil {
+			b.weigh(s, load)
+		}
 	}
 }
 
@@ -674,7 +730,9 @@
 func (b *Balancer) DelayNoted(now time.Duration, at ServerID, delay time.Duration) {
 	b.now = now
 	if srv := b.byID[at]; srv != nil {
-		srv.delay, srv.delayAt = delay, now
+		if delay >= b.messageTarget {
+			b.late(srv)
+		}
 	}
 }
 
@@ -694,13 +752,10 @@
 
 // seen is a server's load as far as slow messages tell it: late messages mean more than full load.
 func (b *Balancer) seen(srv *server) float64 {
-	if srv.droppedAt > 0 && b.now-srv.droppedAt <= roundSpan {
+	if srv.lateAt > 0 && b.now-srv.lateAt <= roundSpan {
 		return 3 * assumedLoad
 	}
-	if srv.delayAt == 0 || b.now-srv.delayAt > roundSpan*3/2 {
-		return assumedLoad
-	}
-	return assumedLoad + min(float64(srv.delay)/float64(b.messageTarget), 2)
+	return b.loaded(srv)
 }
 
 // Tick tells that the time asked for with Timer has come.
@@ -724,6 +779,9 @@
 func (b *Balancer) round() {
 	anyFresh := false
 	for _, srv := range b.ready {
+		if b.now-srv.lateAt > roundSpan {
+			srv.full *= regain
+		}
 		if !b.load.OnProbe && !b.load.WithDials {
 			srv.sample(b.seen(srv))
 		}
