Act on a late message when it is told; move the heaviest sessions that fit first

Change: late messages start the moves at once, slow ones count as load, the heaviest sessions within the excess go first.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,6 +66,7 @@
 	tried    [8]*server
 	server   *server       // of the dial that is out, or the holder
 	weighed  float64       // its load as counted in
+	stuckAt  time.Duration // when no other server had room for it
 	slot     int           // place among the server's sessions
 	dialedAt time.Duration // of the dial that is out
 	mayRun   bool          // some dial may have run
@@ -93,6 +94,8 @@
 	landed     int           // sessions opened since the last sample
 	carried    float64       // load of this proxy's sessions there
 	full       float64       // what it could carry of them, 0 while never seen late
+	delay      time.Duration // of messages, as noted last
+	delayAt    time.Duration
 	lateAt     time.Duration // when it was last seen late
 	loweredAt  time.Duration // when full was last lowered
 	missed     int           // dials unanswered since the last answer
@@ -288,16 +291,23 @@
 	if srv.full > 0 {
 		rho = max(rho, srv.carried/srv.full)
 	}
+	if b.now-srv.delayAt < roundSpan*3/4 {
+		rho = max(rho, (1+min(float64(srv.delay)/float64(b.messageTarget), 3))/2)
+	}
 	return rho
 }
 
 // late learns from slow messages and dropped sessions how much a server can carry.
 func (b *Balancer) late(srv *server) {
 	srv.lateAt = b.now
-	if carried := backOff * srv.carried; srv.full == 0 || b.now-srv.loweredAt >= roundSpan && carried < srv.full {
+	if srv.loweredAt > 0 && b.now-srv.loweredAt < roundSpan/2 {
+		return
+	}
+	srv.loweredAt = b.now
+	if carried := backOff * srv.carried; srv.full == 0 || carried < srv.full {
 		srv.full = carried
-		srv.loweredAt = b.now
 	}
+	b.relieve(srv)
 }
 
 // part is a server's share of the fleet by the listed sizes.
@@ -424,7 +434,7 @@
 	srv.Standing, srv.toldAt = standing, toldAt
 	if e.Standing == Ready && (restarted || standing == Gone) {
 		srv.factor = b.meanFactor
-		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil, srv.coldDialed, srv.full, srv.lateAt = 0, false, 0, 0, 0, 0, 0
+		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil, srv.coldDialed, srv.full, srv.lateAt, srv.delayAt = 0, false, 0, 0, 0, 0, 0, 0
 	}
 	b.stand(srv, e.Standing)
 }
@@ -730,6 +740,7 @@
 func (b *Balancer) DelayNoted(now time.Duration, at ServerID, delay time.Duration) {
 	b.now = now
 	if srv := b.byID[at]; srv != nil {
+		srv.delay, srv.delayAt = delay, now
 		if delay >= b.messageTarget {
 			b.late(srv)
 		}
@@ -803,17 +814,27 @@
 	}
 }
 
-// relieve moves sessions that the weights now place elsewhere off a server asked for more than it can do, no more
-// of them than the excess.
+// relieve moves sessions off a server asked for more than it can do: no more than the excess, the heaviest within
+// it first, and only what another server has room for.
 func (b *Balancer) relieve(srv *server) {
-	most := int(math.Ceil(float64(len(srv.held)) * (1 - 1/srv.last())))
-	for i := len(srv.held) - 1; i >= 0 && most > 0; i-- {
-		s := srv.held[i]
-		if to := b.pick(s, (*Balancer).mayTake); to != nil && to != srv {
-			b.enter(s, moving, srv)
-			b.front.Move(s.ID)
-			most--
+	excess := srv.carried * (1 - b.limit/b.loaded(srv))
+	for excess > 0 {
+		var heaviest *session
+		for _, s := range srv.held {
+			if s.weighed <= excess && s.stuckAt != b.now && (heaviest == nil || s.weighed > heaviest.weighed) {
+				heaviest = s
+			}
+		}
+		if heaviest == nil {
+			return
+		}
+		if to := b.pick(heaviest, (*Balancer).mayTake); to == nil || to == srv {
+			heaviest.stuckAt = b.now
+			continue
 		}
+		excess -= heaviest.weighed
+		b.enter(heaviest, moving, srv)
+		b.front.Move(heaviest.ID)
 	}
 }
 
