Measure what a server carries by how fast its message delay grows

Change: with work piled up, the delay grows by the load beyond capacity, so two notes give the load itself.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,7 +97,6 @@
 	delay      time.Duration // of messages, as noted last
 	delayAt    time.Duration
 	lateAt     time.Duration // when it was last seen late
-	loweredAt  time.Duration // when full was last lowered
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
 	coldDials  [coldKept]time.Duration
@@ -297,16 +296,11 @@
 	return rho
 }
 
-// late learns from slow messages and dropped sessions how much a server can carry.
-func (b *Balancer) late(srv *server) {
+// late learns from late messages and dropped sessions how much a server can carry. While work is piled up the
+// delay of messages grows by the load beyond capacity, and shrinks by what is short of it.
+func (b *Balancer) late(srv *server, growth float64) {
 	srv.lateAt = b.now
-	if srv.loweredAt > 0 && b.now-srv.loweredAt < roundSpan/2 {
-		return
-	}
-	srv.loweredAt = b.now
-	if carried := backOff * srv.carried; srv.full == 0 || carried < srv.full {
-		srv.full = carried
-	}
+	srv.full = backOff * srv.carried / min(max(1+growth, 0.5), 2)
 	b.relieve(srv)
 }
 
@@ -678,7 +672,7 @@
 	if outcome == Broken {
 		// A server that drops sessions has too much piled up, or is lost; clients that come back by the same key
 		// would keep it so.
-		b.late(srv)
+		b.late(srv, 0)
 		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
 	}
 	if isOver || was != dialing {
@@ -740,9 +734,13 @@
 func (b *Balancer) DelayNoted(now time.Duration, at ServerID, delay time.Duration) {
 	b.now = now
 	if srv := b.byID[at]; srv != nil {
+		was, span := b.messageTarget/3, roundSpan/2
+		if now-srv.delayAt < roundSpan*3/4 {
+			was, span = srv.delay, max(now-srv.delayAt, roundSpan/beats)
+		}
 		srv.delay, srv.delayAt = delay, now
 		if delay >= b.messageTarget {
-			b.late(srv)
+			b.late(srv, float64(delay-was)/float64(span))
 		}
 	}
 }
