Take a message delay beyond any dial timeout for a hang; try such servers one dial at a time

Change: all its sessions with room elsewhere move, it is avoided, then tried with one dial at a time; servers not trusted are dialed only when none is trusted.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -304,6 +304,11 @@
 	b.relieve(srv)
 }
 
+// hung guards against servers that take sessions and answer none: a message there waits longer than any client.
+func (b *Balancer) hung(srv *server) bool {
+	return b.now-srv.delayAt < roundSpan*3/4 && srv.delay > b.longestWait
+}
+
 // part is a server's share of the fleet by the listed sizes.
 func (b *Balancer) part(srv *server) float64 {
 	if b.sizes > 0 {
@@ -545,11 +550,14 @@
 	if s.MidFlow && s.dials == 0 {
 		srv = b.pick(s, (*Balancer).allowed) // only its holder can go on with it
 	}
-	for _, may := range [...]func(*Balancer, *session, *server) bool{
-		(*Balancer).roomy, (*Balancer).able, (*Balancer).untried, (*Balancer).allowed} {
-		if srv == nil {
-			srv = b.pick(s, may)
-		}
+	if srv == nil {
+		srv = b.pick(s, (*Balancer).roomy)
+	}
+	if srv == nil {
+		srv = b.pick(s, (*Balancer).able)
+	}
+	if srv == nil && !slices.ContainsFunc(b.ready, b.trusted) {
+		srv = b.pick(s, (*Balancer).untried) // with no server left to trust, the fault may be this proxy's
 	}
 	if srv == nil {
 		b.giveUp(s)
@@ -592,7 +600,7 @@
 
 // answering leaves out servers that have not answered, for a while: a hung server passes probes and the list.
 func (b *Balancer) answering(s *session, srv *server) bool {
-	return !b.avoided(srv) && b.untried(s, srv)
+	return b.trusted(srv) && b.untried(s, srv)
 }
 
 // roomy leaves out servers loaded beyond the threshold as well: a hot group, whose key always scores highest at
@@ -609,14 +617,10 @@
 	return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan/2 || b.loaded(srv) >= 1
 }
 
-func (b *Balancer) avoided(srv *server) bool {
-	if b.now < srv.avoidUntil {
-		return true
-	}
-	if len(srv.dialing) == 0 {
-		return false
-	}
-	return srv.missed > 0 // one trial at a time
+// trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but one
+// dial at a time until one is answered.
+func (b *Balancer) trusted(srv *server) bool {
+	return b.now >= srv.avoidUntil && (srv.missed == 0 || len(srv.dialing) == 0)
 }
 
 // mayRerun tells whether another dial may go out after those that may have run.
@@ -673,6 +677,7 @@
 		// A server that drops sessions has too much piled up, or is lost; clients that come back by the same key
 		// would keep it so.
 		b.late(srv, 0)
+		srv.missed = max(srv.missed, 1)
 		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
 	}
 	if isOver || was != dialing {
@@ -739,6 +744,10 @@
 			was, span = srv.delay, max(now-srv.delayAt, roundSpan/beats)
 		}
 		srv.delay, srv.delayAt = delay, now
+		if b.hung(srv) {
+			srv.missed = max(srv.missed, 1)
+			srv.avoidUntil = now + b.longestWait
+		}
 		if delay >= b.messageTarget {
 			b.late(srv, float64(delay-was)/float64(span))
 		}
@@ -816,6 +825,9 @@
 // it first, and only what another server has room for.
 func (b *Balancer) relieve(srv *server) {
 	excess := srv.carried * (1 - b.limit/b.loaded(srv))
+	if b.hung(srv) {
+		excess = srv.carried
+	}
 	for excess > 0 {
 		var heaviest *session
 		for _, s := range srv.held {
@@ -837,5 +849,5 @@
 }
 
 func (b *Balancer) mayTake(_ *session, srv *server) bool {
-	return !b.avoided(srv) && !b.overBudget(srv) && b.loaded(srv) <= b.limit
+	return b.trusted(srv) && !b.overBudget(srv) && b.loaded(srv) <= b.limit
 }
