Relieve by the measured growth of the delay, not while a backlog drains

Change: slow messages count as load where reports come too; the growth of the delay gives the load to relieve from; a told load relieves at most once a round.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -96,6 +96,7 @@
 	full       float64       // what it could carry of them, 0 while never seen late
 	delay      time.Duration // of messages, as noted last
 	delayAt    time.Duration
+	relievedAt time.Duration
 	lateAt     time.Duration // when it was last seen late
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
@@ -279,16 +280,16 @@
 
 // loaded is a server's load as far as it can be told now.
 func (b *Balancer) loaded(srv *server) float64 {
-	if srv.sampled > 0 && (b.load.OnProbe || b.load.WithDials) {
+	rho := 0.0
+	switch {
+	case srv.sampled > 0 && (b.load.OnProbe || b.load.WithDials):
 		before := max(len(srv.held)-srv.landed, 1)
-		return srv.last() * float64(before+srv.landed) / float64(before)
-	}
-	if b.carried == 0 {
-		return 0
-	}
-	rho := assumedLoad * srv.carried / (b.carried * max(b.part(srv), 1/float64(len(b.sessions))))
-	if srv.full > 0 {
-		rho = max(rho, srv.carried/srv.full)
+		rho = srv.last() * float64(before+srv.landed) / float64(before)
+	case b.carried > 0:
+		rho = assumedLoad * srv.carried / (b.carried * max(b.part(srv), 1/float64(len(b.sessions))))
+		if srv.full > 0 {
+			rho = max(rho, srv.carried/srv.full)
+		}
 	}
 	if b.now-srv.delayAt < roundSpan*3/4 {
 		rho = max(rho, (1+min(float64(srv.delay)/float64(b.messageTarget), 3))/2)
@@ -300,8 +301,9 @@
 // delay of messages grows by the load beyond capacity, and shrinks by what is short of it.
 func (b *Balancer) late(srv *server, growth float64) {
 	srv.lateAt = b.now
-	srv.full = backOff * srv.carried / min(max(1+growth, 0.5), 2)
-	b.relieve(srv)
+	rho := min(max(1+growth, 0.5), 2)
+	srv.full = backOff * srv.carried / rho
+	b.relieve(srv, rho)
 }
 
 // hung guards against servers that take sessions and answer none: a message there waits longer than any client.
@@ -808,8 +810,8 @@
 	if anyFresh {
 		b.adapt()
 		for _, srv := range b.ready {
-			if srv.fresh && srv.last() > 1 {
-				b.relieve(srv)
+			if srv.fresh && srv.last() > 1 && b.now-srv.relievedAt >= roundSpan {
+				b.relieve(srv, srv.last())
 			}
 			srv.fresh = false
 		}
@@ -823,8 +825,9 @@
 
 // relieve moves sessions off a server asked for more than it can do: no more than the excess, the heaviest within
 // it first, and only what another server has room for.
-func (b *Balancer) relieve(srv *server) {
-	excess := srv.carried * (1 - b.limit/b.loaded(srv))
+func (b *Balancer) relieve(srv *server, rho float64) {
+	excess := srv.carried * (1 - b.limit/rho)
+	srv.relievedAt = b.now
 	if b.hung(srv) {
 		excess = srv.carried
 	}
