--- a/choice/choice.go
+++ b/choice/choice.go
@@ -122,6 +122,7 @@
 	sizes         float64 // of all ready servers together
 	meanFactor    float64
 	limit         float64               // the threshold of the last round
+	ofTenant      []int                 // sessions dialing or held
 	carried       float64               // load of all sessions dialing or held
 	loads         [landingsKept]float64 // of sessions, as noted last
 	noted         int
@@ -142,6 +143,7 @@
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
 		load: load, quota: quota, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
 		limit:       threshold(assumedLoad),
+		ofTenant:    make([]int, len(quota.Connections)),
 		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
 	for _, l := range listeners {
 		b.longestWait = max(b.longestWait, l.DialTimeout)
@@ -449,6 +451,7 @@
 	}
 	if was := s.place(); was != nil {
 		b.weigh(s, 0)
+		b.count(s, -1)
 		last := len(*was) - 1
 		(*was)[s.slot] = (*was)[last]
 		(*was)[s.slot].slot = s.slot
@@ -457,6 +460,7 @@
 	s.state, s.server = next, srv
 	if is := s.place(); is != nil {
 		b.weigh(s, b.usual(s))
+		b.count(s, 1)
 		s.slot = len(*is)
 		*is = append(*is, s)
 	}
@@ -465,6 +469,12 @@
 	}
 }
 
+func (b *Balancer) count(s *session, by int) {
+	if int(s.Tenant) < len(b.ofTenant) {
+		b.ofTenant[s.Tenant] += by
+	}
+}
+
 // weigh counts a session's load in for its server.
 func (b *Balancer) weigh(s *session, load float64) {
 	s.server.carried += load - s.weighed
@@ -823,32 +833,56 @@
 	}
 }
 
-// relieve moves sessions off a server asked for more than it can do: no more than the excess, the heaviest within
-// it first, and only what another server has room for.
+// relieve moves sessions off a server asked for rho of what it can do: no more than the excess, the heaviest within
+// it first, and only what another server has room for. Above full load no session is served in time, so what is
+// then still too much goes as well, the least utility for its load first; it is refused until there is room.
 func (b *Balancer) relieve(srv *server, rho float64) {
-	excess := srv.carried * (1 - b.limit/rho)
+	full := srv.carried / rho
 	srv.relievedAt = b.now
+	spare := srv.carried - b.limit*full
 	if b.hung(srv) {
-		excess = srv.carried
+		spare = srv.carried
 	}
-	for excess > 0 {
-		var heaviest *session
+	b.send(srv, spare, func(s *session) float64 { return s.weighed }, (*Balancer).mayTake)
+	b.send(srv, srv.carried-full, func(s *session) float64 { return s.weighed / b.worth(s) }, nil)
+}
+
+// send moves sessions of up to the given load off a server, those that rank highest first. With may given, another
+// server must have room for them.
+func (b *Balancer) send(srv *server, load float64, rank func(*session) float64, may func(*Balancer, *session, *server) bool) {
+	for load > 0 {
+		var next *session
 		for _, s := range srv.held {
-			if s.weighed <= excess && s.stuckAt != b.now && (heaviest == nil || s.weighed > heaviest.weighed) {
-				heaviest = s
+			if s.weighed <= load && s.stuckAt != b.now && (next == nil || rank(s) > rank(next)) {
+				next = s
 			}
 		}
-		if heaviest == nil {
-			return
+		if next == nil {
+			break
 		}
-		if to := b.pick(heaviest, (*Balancer).mayTake); to == nil || to == srv {
-			heaviest.stuckAt = b.now
-			continue
+		if may != nil {
+			if to := b.pick(next, may); to == nil || to == srv {
+				next.stuckAt = b.now
+				continue
+			}
 		}
-		excess -= heaviest.weighed
-		b.enter(heaviest, moving, srv)
-		b.front.Move(heaviest.ID)
+		load -= next.weighed
+		b.enter(next, moving, srv)
+		b.front.Move(next.ID)
+	}
+	for _, s := range srv.held {
+		s.stuckAt = 0
+	}
+}
+
+// worth is a session's utility, little beyond its tenant's share.
+func (b *Balancer) worth(s *session) float64 {
+	worth := max(b.listeners[s.Listener].Utility, 1e-9)
+	if int(s.Tenant) < len(b.quota.Connections) &&
+		float64(b.ofTenant[s.Tenant]*b.cold.Proxies) > b.quota.Connections[s.Tenant] {
+		worth *= max(b.quota.OverUtility, 1e-9)
 	}
+	return worth
 }
 
 func (b *Balancer) mayTake(_ *session, srv *server) bool {
