--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	coldKept     = 8               // last dials to a cold server
 	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
 	backOff      = 0.9             // of what a late server carries, for the next time
+	mostDrain    = 0.4             // of what a server can do, kept free for what is piled up
 	regain       = 1.05            // a round without lateness
 	assumedLoad  = 0.5             // of a server about which nothing is told
 )
@@ -300,12 +301,13 @@
 }
 
 // late learns from late messages and dropped sessions how much a server can carry. While work is piled up the
-// delay of messages grows by the load beyond capacity, and shrinks by what is short of it.
-func (b *Balancer) late(srv *server, growth float64) {
+// delay of messages grows by the load beyond capacity, and shrinks by what is short of it. What is piled up keeps
+// all its sessions late, so the server is relieved of more until that has gone.
+func (b *Balancer) late(srv *server, growth float64, piledUp time.Duration) {
 	srv.lateAt = b.now
-	rho := min(max(1+growth, 0.5), 2)
-	srv.full = backOff * srv.carried / rho
-	b.relieve(srv, rho)
+	able := srv.carried / min(max(1+growth, 0.5), 2)
+	srv.full = backOff * able
+	b.relieve(srv, able*(1-min(float64(piledUp)/float64(roundSpan), mostDrain)))
 }
 
 // hung guards against servers that take sessions and answer none: a message there waits longer than any client.
@@ -688,7 +690,7 @@
 	if outcome == Broken {
 		// A server that drops sessions has too much piled up, or is lost; clients that come back by the same key
 		// would keep it so.
-		b.late(srv, 0)
+		b.late(srv, 0, 0)
 		srv.missed = max(srv.missed, 1)
 		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
 	}
@@ -761,7 +763,7 @@
 			srv.avoidUntil = now + b.longestWait
 		}
 		if delay >= b.messageTarget {
-			b.late(srv, float64(delay-was)/float64(span))
+			b.late(srv, float64(delay-was)/float64(span), delay-b.messageTarget/3)
 		}
 	}
 }
@@ -821,7 +823,7 @@
 		b.adapt()
 		for _, srv := range b.ready {
 			if srv.fresh && srv.last() > 1 && b.now-srv.relievedAt >= roundSpan {
-				b.relieve(srv, srv.last())
+				b.relieve(srv, srv.carried/srv.last())
 			}
 			srv.fresh = false
 		}
@@ -833,18 +835,17 @@
 	}
 }
 
-// relieve moves sessions off a server asked for rho of what it can do: no more than the excess, the heaviest within
+// relieve moves sessions off a server that carries more than it is able to: no more than the excess, the heaviest within
 // it first, and only what another server has room for. Above full load no session is served in time, so what is
 // then still too much goes as well, the least utility for its load first; it is refused until there is room.
-func (b *Balancer) relieve(srv *server, rho float64) {
-	full := srv.carried / rho
+func (b *Balancer) relieve(srv *server, able float64) {
 	srv.relievedAt = b.now
-	spare := srv.carried - b.limit*full
+	spare := srv.carried - b.limit*able
 	if b.hung(srv) {
 		spare = srv.carried
 	}
 	b.send(srv, spare, func(s *session) float64 { return s.weighed }, (*Balancer).mayTake)
-	b.send(srv, srv.carried-full, func(s *session) float64 { return s.weighed / b.worth(s) }, nil)
+	b.send(srv, srv.carried-able, func(s *session) float64 { return s.weighed / b.worth(s) }, nil)
 }
 
 // send moves sessions of up to the given load off a server, those that rank highest first. With may given, another
