Move sessions in the order in which falling weights would remap their keys

Change: a session leaves in the order of its score elsewhere over its score here, as the paper's falling weight would move it, so groups leave whole.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,7 +67,7 @@
 	tried    [8]*server
 	server   *server       // of the dial that is out, or the holder
 	weighed  float64       // its load as counted in
-	stuckAt  time.Duration // when no other server had room for it
+	rank     float64       // in the order of leaving its server
 	slot     int           // place among the server's sessions
 	dialedAt time.Duration // of the dial that is out
 	mayRun   bool          // some dial may have run
@@ -835,8 +835,9 @@
 	}
 }
 
-// relieve moves sessions off a server that carries more than it is able to: no more than the excess, the heaviest within
-// it first, and only what another server has room for. Above full load no session is served in time, so what is
+// relieve moves sessions off a server that carries more than it is able to: no more than the excess, in the order in
+// which falling weights would move their keys, so that groups leave whole and all proxies pick the same ones; and
+// only what another server has room for. Above full load no session is served in time, so what is
 // then still too much goes as well, the least utility for its load first; it is refused until there is room.
 func (b *Balancer) relieve(srv *server, able float64) {
 	srv.relievedAt = b.now
@@ -844,36 +845,38 @@
 	if b.hung(srv) {
 		spare = srv.carried
 	}
-	b.send(srv, spare, func(s *session) float64 { return s.weighed }, (*Balancer).mayTake)
-	b.send(srv, srv.carried-able, func(s *session) float64 { return s.weighed / b.worth(s) }, nil)
+	b.send(srv, spare, func(s *session) float64 {
+		to := b.pick(s, (*Balancer).mayTake)
+		if to == nil || to == srv {
+			return 0
+		}
+		return b.multiplier(to) * draw(s.key(), to.ID) / (b.multiplier(srv) * draw(s.key(), srv.ID))
+	})
+	b.send(srv, srv.carried-able, func(s *session) float64 { return s.weighed / b.worth(s) })
 }
 
-// send moves sessions of up to the given load off a server, those that rank highest first. With may given, another
-// server must have room for them.
-func (b *Balancer) send(srv *server, load float64, rank func(*session) float64, may func(*Balancer, *session, *server) bool) {
-	for load > 0 {
+// send moves sessions of up to the given load off a server, those that rank highest first, none that ranks 0.
+func (b *Balancer) send(srv *server, load float64, rank func(*session) float64) {
+	if load <= 0 {
+		return
+	}
+	for _, s := range srv.held {
+		s.rank = rank(s)
+	}
+	for {
 		var next *session
 		for _, s := range srv.held {
-			if s.weighed <= load && s.stuckAt != b.now && (next == nil || rank(s) > rank(next)) {
+			if s.rank > 0 && s.weighed <= load && (next == nil || s.rank > next.rank) {
 				next = s
 			}
 		}
 		if next == nil {
-			break
-		}
-		if may != nil {
-			if to := b.pick(next, may); to == nil || to == srv {
-				next.stuckAt = b.now
-				continue
-			}
+			return
 		}
 		load -= next.weighed
 		b.enter(next, moving, srv)
 		b.front.Move(next.ID)
 	}
-	for _, s := range srv.held {
-		s.stuckAt = 0
-	}
 }
 
 // worth is a session's utility, little beyond its tenant's share.
