--- a/choice/choice.go
+++ b/choice/choice.go
@@ -92,6 +92,7 @@
 	fresh      bool // sampled in this round
 	dialing    []*session
 	held       []*session
+	groups     map[Key]int   // sessions dialing or held
 	landed     int           // sessions opened since the last sample
 	carried    float64       // load of this proxy's sessions there
 	full       float64       // what it could carry of them, 0 while never seen late
@@ -423,7 +424,7 @@
 func (b *Balancer) entry(e Entry) {
 	srv := b.byID[e.ID]
 	if srv == nil {
-		srv = &server{Entry: e, toldAt: b.now, factor: 1}
+		srv = &server{Entry: e, toldAt: b.now, factor: 1, groups: map[Key]int{}}
 		b.byID[e.ID] = srv
 		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int { return cmp.Compare(s.ID, id) })
 		b.servers = slices.Insert(b.servers, at, srv)
@@ -472,6 +473,10 @@
 }
 
 func (b *Balancer) count(s *session, by int) {
+	s.server.groups[s.Group] += by
+	if s.server.groups[s.Group] == 0 {
+		delete(s.server.groups, s.Group)
+	}
 	if int(s.Tenant) < len(b.ofTenant) {
 		b.ofTenant[s.Tenant] += by
 	}
@@ -565,10 +570,7 @@
 		srv = b.pick(s, (*Balancer).allowed) // only its holder can go on with it
 	}
 	if srv == nil {
-		srv = b.pick(s, (*Balancer).roomy)
-	}
-	if srv == nil {
-		srv = b.pick(s, (*Balancer).able)
+		srv = b.next(s)
 	}
 	if srv == nil && !slices.ContainsFunc(b.ready, b.trusted) {
 		srv = b.pick(s, (*Balancer).untried) // with no server left to trust, the fault may be this proxy's
@@ -591,6 +593,25 @@
 	b.front.Dial(s.ID, srv.ID, wait)
 }
 
+// next takes the top score, or the next one with room where the top has none. Each server that holds any of a
+// group pays for it, so a server that holds some of the group already comes first among those.
+func (b *Balancer) next(s *session) *server {
+	if top := b.pick(s, (*Balancer).answering); top == nil || b.roomy(s, top) {
+		return top
+	}
+	for _, may := range [...]func(*Balancer, *session, *server) bool{
+		(*Balancer).roomyHolder, (*Balancer).roomy, (*Balancer).able} {
+		if srv := b.pick(s, may); srv != nil {
+			return srv
+		}
+	}
+	return nil
+}
+
+func (b *Balancer) roomyHolder(s *session, srv *server) bool {
+	return s.Group != 0 && srv.groups[s.Group] > 0 && b.roomy(s, srv)
+}
+
 // allowed holds the rules that no exception may break.
 func (b *Balancer) allowed(s *session, srv *server) bool {
 	if s.mayRun && b.listeners[s.Listener].Effect == Referenced {
