--- a/choice/choice.go
+++ b/choice/choice.go
@@ -253,7 +253,7 @@
 			sum += srv.smoothed()
 		}
 	}
-	if seen < 2 {
+	if seen == 0 {
 		return
 	}
 	rho := sum / float64(seen)
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,342 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"testing/quick"
+	"time"
+)
+
+var (
+	someListeners = []Listener{
+		{HandshakeTarget: 300 * ms, DialTimeout: 1200 * ms, MessageTarget: 100 * ms, Utility: 3},
+		{HandshakeTarget: 500 * ms, DialTimeout: 2 * sec, MessageTarget: 100 * ms, Effect: OnceOnly, Utility: 1},
+		{HandshakeTarget: 300 * ms, DialTimeout: 1800 * ms, Effect: Referenced, RepeatWindow: 800 * ms, Utility: 1},
+		{HandshakeTarget: 300 * ms, DialTimeout: 1800 * ms, Effect: Referenced, Group: GroupZone,
+			RepeatWindow: 900 * ms, Utility: 1},
+		{HandshakeTarget: 300 * ms, DialTimeout: 1800 * ms, Effect: Referenced, Group: GroupCell,
+			RepeatWindow: 900 * ms, Utility: 1},
+	}
+	someCold = ColdRule{Span: 20 * sec, From: 0.15, Multiple: 3, Window: 3 * sec, Proxies: 3}
+)
+
+// TestRules drives the module through lists, restarts, outcomes, departures, probes, notes and late events. The rig
+// checks the rules at each call and after each step.
+func TestRules(t *testing.T) {
+	run := func(seed int64) (ok bool) {
+		chance := rand.New(rand.NewSource(seed))
+		r := newRig(someListeners, LoadSight{OnProbe: seed%2 == 0}, chance)
+		for i := 0; i < 600 && r.fault == ""; i++ {
+			r.step(chance)
+		}
+		if r.fault != "" {
+			t.Logf("seed %d: %s", seed, r.fault)
+		}
+		return r.fault == ""
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 150, Rand: rand.New(rand.NewSource(7))}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestFinalAnswer lets each kind of session fail in each way.
+func TestFinalAnswer(t *testing.T) {
+	const none, refused, tornDown = "", "refused", "torn down"
+	for _, c := range []struct {
+		listener ListenerID
+		outcome  Outcome
+		dials    int
+		answer   string
+	}{
+		{0, Failed, 4, refused}, {0, Unreachable, 4, refused}, {0, Unanswered, 4, refused},
+		{1, Failed, 1, tornDown}, {1, Broken, 1, tornDown}, {1, Unanswered, 1, tornDown}, {1, Full, 4, refused},
+		{2, Failed, 4, refused}, {3, Failed, 2, tornDown}, {3, Full, 4, refused}, {4, Cancelled, 2, tornDown},
+		{1, Accepted, 1, none},
+	} {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, 6)
+		s := r.arrive(c.listener, 9, 9, 0)
+		for s.out != 0 {
+			r.settle(s, c.outcome)
+		}
+		if s.dials != c.dials || s.answer != c.answer || r.fault != "" {
+			t.Errorf("listener %d, outcome %d: %d dials, %q, want %d, %q (%s)", c.listener, c.outcome, s.dials,
+				s.answer, c.dials, c.answer, r.fault)
+		}
+	}
+}
+
+func TestSharesFollowSizes(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 9)
+	count := map[ServerID]int{}
+	const keys = 200000
+	for k := Key(1); k <= keys; k++ {
+		count[r.top(k).ID]++
+	}
+	for _, srv := range r.b.ready {
+		want := srv.Size / r.b.sizes
+		if got := float64(count[srv.ID]) / keys; math.Abs(got-want) > 0.1*want {
+			t.Errorf("server %d of share %.3f gets %.3f", srv.ID, want, got)
+		}
+	}
+}
+
+func TestLoweringMovesOnlyFromTheLowered(t *testing.T) {
+	r := newRig(someListeners, LoadSight{OnProbe: true}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 8)
+	before := map[Key]*server{}
+	for k := Key(1); k <= 20000; k++ {
+		before[k] = r.top(k)
+	}
+	for i, srv := range r.b.ready {
+		srv.sample(0.3)
+		if i < 2 {
+			srv.sample(3)
+		}
+	}
+	r.b.adapt()
+	moved := 0
+	for k, was := range before {
+		if is := r.top(k); is != was {
+			moved++
+			if was != r.b.ready[0] && was != r.b.ready[1] || is == r.b.ready[0] || is == r.b.ready[1] {
+				t.Fatalf("key %d moves from %d to %d", k, was.ID, is.ID)
+			}
+		}
+	}
+	if moved == 0 {
+		t.Error("no key moved")
+	}
+}
+
+func TestThreshold(t *testing.T) {
+	for rho, want := range map[float64]float64{0: 0.5, 0.4: 0.7, 0.9: 0.99, 1: 1.1, 1.2: 1.08, 2: 1.5} {
+		if got := threshold(rho); math.Abs(got-want) > 1e-9 {
+			t.Errorf("threshold(%v) = %v, want %v", rho, got, want)
+		}
+	}
+}
+
+// TestAdapt works the multiplier out by hand, below and above full load, and for a lone server.
+func TestAdapt(t *testing.T) {
+	for _, c := range []struct{ loads, want []float64 }{
+		{[]float64{0.9, 0.1, 0.1, 0.1}, []float64{math.Sqrt(0.65 / 0.9), 1, 1, 1}},
+		{[]float64{0.95, 0.8, 0.1, 0.1}, []float64{math.Sqrt(0.74375 / 0.8), math.Sqrt(0.74375 / 0.8), 1, 1}},
+		{[]float64{0.5, 1.9, 1.9, 1.9}, []float64{math.Sqrt(1.275 / 0.5), 1, 1, 1}},
+		{[]float64{0.5, 0.5, 0.5, 0.5}, []float64{1, 1, 1, 1}},
+		{[]float64{0.99}, []float64{1}},
+	} {
+		r := newRig(someListeners, LoadSight{OnProbe: true}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, len(c.loads))
+		for i, srv := range r.b.ready {
+			srv.sample(c.loads[i])
+		}
+		r.b.adapt()
+		for i, srv := range r.b.ready {
+			if math.Abs(srv.factor-c.want[i]) > 1e-9 {
+				t.Errorf("loads %v: server %d has %v, want %v", c.loads, i, srv.factor, c.want[i])
+			}
+		}
+	}
+}
+
+func TestSmoothedLoad(t *testing.T) {
+	srv := &server{}
+	srv.sample(0.9)
+	srv.sample(0.3)
+	if want := 0.3/3 + 0.9*2/3; math.Abs(srv.smoothed()-want) > 1e-9 {
+		t.Errorf("smoothed load is %v, want %v", srv.smoothed(), want)
+	}
+}
+
+// TestRamp: a server at a tenth of its span gets about the share that it can do, and its weight is the mean in the end.
+func TestRamp(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.now = 100 * sec
+	r.list(ListFull, 10)
+	e := Entry{ID: 500, Size: 2, Standing: Ready, Started: true, Since: r.now - 2*sec}
+	r.b.List(r.now, ListDelta, []Entry{e})
+	count := 0
+	const keys = 400000
+	for k := Key(1); k <= keys; k++ {
+		if r.top(k).ID == 500 {
+			count++
+		}
+	}
+	full := 2 / r.b.sizes
+	if got, want := float64(count)/keys/full, 0.15+0.85*0.1; got < want/2 || got > want*1.5 {
+		t.Errorf("the cold server gets %.3f of its share, want about %.3f", got, want)
+	}
+	r.b.now += someCold.Span
+	if srv := r.b.byID[500]; r.b.multiplier(srv) != srv.base*srv.factor {
+		t.Error("the server is still ramping after its span")
+	}
+}
+
+// TestColdBudget: a hot group whose top score is a cold server must not push it over.
+func TestColdBudget(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.now = 100 * sec
+	r.list(ListFull, 3)
+	r.b.byID[2].Started, r.b.byID[2].Since = true, r.now-sec
+	key := Key(1)
+	for r.top(key).ID != 2 {
+		key++
+	}
+	for range 20 {
+		r.arrive(0, key, key, 0)
+	}
+	if n := len(r.dialsTo[2]); n != 1 {
+		t.Errorf("the cold server was dialed %d times at once", n)
+	}
+}
+
+// TestMidFlow: packets of an open session go to the top score even where it has no room.
+func TestMidFlow(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 5)
+	top := r.top(77)
+	top.full, top.carried, top.missed, top.avoidUntil = 1, 2, 1, sec
+	r.b.Arrive(0, Arrival{ID: 900, Left: sec, Client: 77, MidFlow: true})
+	if r.sessions[900] != nil || len(r.dialsTo[top.ID]) != 1 {
+		t.Error("the mid-flow session was not sent to its holder")
+	}
+}
+
+// TestHang: from overload days, a server whose messages take longer than any client waits loses its sessions, and is
+// tried again with one dial at a time.
+func TestHang(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 6)
+	for k := Key(1); k <= 60; k++ {
+		r.settle(r.arrive(0, k, k, 0), Accepted)
+	}
+	hung := r.top(1)
+	if len(hung.held) == 0 {
+		t.Fatal("the server holds nothing")
+	}
+	r.now = 10 * sec
+	r.b.DelayNoted(r.now, hung.ID, time.Minute)
+	if len(hung.held) != 0 {
+		t.Errorf("the hung server still holds %d sessions", len(hung.held))
+	}
+	r.now += 5 * sec
+	r.dialsTo[hung.ID] = nil
+	for k := Key(1); k <= 60; k++ {
+		r.arrive(0, k, k, 0)
+	}
+	if n := len(r.dialsTo[hung.ID]); n != 1 {
+		t.Errorf("the hung server was tried with %d dials at once", n)
+	}
+}
+
+// TestOverload: from a day without end of drops, what finds all servers full is refused at once, with a time to
+// come back, and not dialed.
+func TestOverload(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 4)
+	for k := Key(1); k <= 20; k++ {
+		r.settle(r.arrive(0, k, k, 0), Accepted)
+	}
+	r.now = sec
+	for _, srv := range r.b.ready {
+		r.b.DelayNoted(r.now, srv.ID, 400*ms)
+	}
+	for range 2 {
+		if s := r.arrive(0, 99, 99, 0); s.dials != 0 || s.answer != "refused" || s.comeBack <= 0 {
+			t.Errorf("%d dials, %q, come back %v", s.dials, s.answer, s.comeBack)
+		}
+		for _, srv := range r.b.ready {
+			srv.missed, srv.avoidUntil = 1, time.Hour // and the same when none is trusted either
+		}
+	}
+}
+
+// TestBacklogIsMeasured: two notes a second apart give the load beyond capacity.
+func TestBacklogIsMeasured(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 1)
+	for k := Key(1); k <= 30; k++ {
+		r.settle(r.arrive(0, k, k, 0), Accepted)
+	}
+	srv := r.b.ready[0]
+	r.b.DelayNoted(10*sec, srv.ID, 90*ms)
+	carried := srv.carried
+	r.b.DelayNoted(11*sec, srv.ID, 590*ms)
+	if want := backOff * carried / 1.5; math.Abs(srv.full-want) > 1e-6 {
+		t.Errorf("full is %v, want %v", srv.full, want)
+	}
+	if srv.carried > carried/1.5 {
+		t.Errorf("still carries %v of %v", srv.carried, carried)
+	}
+}
+
+// TestGroupsLeaveWhole: from the same day, groups spread over many servers cost more than they carry.
+func TestGroupsLeaveWhole(t *testing.T) {
+	r := newRig(someListeners, LoadSight{OnProbe: true}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 6)
+	srv := r.b.ready[0]
+	for k, id := Key(1), SessionID(1000); len(srv.held) < 40; k++ {
+		if r.top(k) == srv {
+			for range 4 {
+				id++
+				r.b.Hold(0, Arrival{ID: id, Group: k}, srv.ID)
+			}
+		}
+	}
+	r.b.relieve(srv, 20)
+	parted := 0
+	for _, n := range srv.groups {
+		if n < 4 {
+			parted++
+		}
+	}
+	if len(srv.held) == 40 || parted > 1 {
+		t.Errorf("%d sessions left, %d groups were parted", 40-len(srv.held), parted)
+	}
+}
+
+// TestRestartForgets: from an incident on a large fleet, a restarted server has no samples and is not fresh.
+func TestRestartForgets(t *testing.T) {
+	r := newRig(someListeners, LoadSight{OnProbe: true}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 3)
+	r.b.Probed(sec, 1, Accepted, 0, []float64{2})
+	r.b.List(sec, ListDelta, []Entry{{ID: 1, Size: 2, Standing: Ready, Started: true, Since: sec}})
+	r.b.round()
+	if srv := r.b.byID[1]; srv.sampled != 0 || srv.fresh {
+		t.Error("the samples outlived the restart")
+	}
+}
+
+// TestUntrustedFleet: with no server left to trust the fault may be the proxy's own, so dials go on.
+func TestUntrustedFleet(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 3)
+	for _, srv := range r.b.ready {
+		srv.missed, srv.avoidUntil = 3, time.Hour
+	}
+	if s := r.arrive(0, 5, 5, 0); s.dials != 1 {
+		t.Errorf("%d dials, %q", s.dials, s.answer)
+	}
+}
+
+// TestAskAgain: a failed subscription is asked for again, later each time.
+func TestAskAgain(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	waits := []time.Duration{}
+	for range 3 {
+		r.b.List(r.now, ListFailed, nil)
+		waits = append(waits, r.lastTimer)
+		asked := r.asked
+		r.b.Tick(r.now, tokenAsk)
+		if r.asked != asked+1 {
+			t.Fatal("did not ask again")
+		}
+	}
+	if waits[2] < 2*waits[0] || waits[2] > 10*sec {
+		t.Error(fmt.Sprint("waits ", waits))
+	}
+}
--- /dev/null
+++ b/choice/rig_test.go
@@ -0,0 +1,299 @@
+package choice
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+)
+
+const (
+	ms  = time.Millisecond
+	sec = time.Second
+)
+
+// rig is a Front that checks the rules at each call. It keeps its own books and reads none of the module's.
+type rig struct {
+	b         *Balancer
+	listeners []Listener
+	now       time.Duration
+	fault     string
+	sessions  map[SessionID]*owed
+	order     []*owed
+	standing  map[ServerID]Entry
+	dialsTo   map[ServerID][]time.Duration
+	coldDials map[ServerID][]coldDial
+	told      map[ServerID]time.Duration // when the last start of a server was told
+	arrivals  []time.Duration
+	timers    []timer
+	lastTimer time.Duration
+	asked     int
+	next      SessionID
+}
+
+type coldDial struct {
+	at     time.Duration
+	budget float64
+}
+
+type timer struct {
+	at    time.Duration
+	token Token
+}
+
+type owed struct {
+	id       SessionID
+	listener Listener
+	deadline time.Duration
+	dials    int
+	out      ServerID // 0: no dial is out; ids start at 1
+	outUntil time.Duration
+	outSince time.Duration
+	answer   string
+	comeBack time.Duration
+	isOpen   bool
+	gone     bool
+	mayRun   bool
+	first    ServerID
+	firstAt  time.Duration
+}
+
+func newRig(listeners []Listener, load LoadSight, chance *rand.Rand) *rig {
+	r := &rig{listeners: listeners, sessions: map[SessionID]*owed{}, standing: map[ServerID]Entry{},
+		dialsTo: map[ServerID][]time.Duration{}, told: map[ServerID]time.Duration{},
+		coldDials: map[ServerID][]coldDial{}}
+	r.b = New(r, chance, listeners, DialLimits{MostDials: 4, MaxComeBack: 2 * sec, ConnectLimit: 100 * ms},
+		ListRules{MustWatch: true, MustAskIn: 10 * sec, Grace: 300 * ms}, someCold, load,
+		Quota{Connections: []float64{5, 50}, OverUtility: 0.1})
+	return r
+}
+
+func (r *rig) fail(format string, args ...any) {
+	if r.fault == "" {
+		r.fault = fmt.Sprintf("at %v: ", r.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (r *rig) Dial(id SessionID, to ServerID, limit time.Duration) {
+	r.dialsTo[to] = append(r.dialsTo[to], r.now)
+	s := r.sessions[id]
+	if s == nil {
+		return
+	}
+	e, known := r.standing[to]
+	switch l := s.listener; {
+	case s.answer != "" || s.isOpen || s.gone:
+		r.fail("session %d is dialed after its end", id)
+	case s.out != 0:
+		r.fail("session %d has two dials out", id)
+	case s.dials >= 4:
+		r.fail("session %d has too many dials", id)
+	case limit <= 0 || r.now+limit > s.deadline:
+		r.fail("session %d: dial of %v with %v left", id, limit, s.deadline-r.now)
+	case !known || e.Standing != Ready:
+		r.fail("session %d is dialed to server %d, which is not ready", id, to)
+	case s.mayRun && l.Effect == OnceOnly:
+		r.fail("once-only session %d is dialed twice", id)
+	case s.mayRun && l.Effect == Referenced && r.now-s.firstAt > l.RepeatWindow:
+		r.fail("referenced session %d is repeated too late", id)
+	case s.mayRun && l.Effect == Referenced && l.Group == GroupZone && e.Zone != r.standing[s.first].Zone:
+		r.fail("referenced session %d leaves its zone", id)
+	case s.mayRun && l.Effect == Referenced && l.Group == GroupCell && e.Cell != r.standing[s.first].Cell:
+		r.fail("referenced session %d leaves its cell", id)
+	}
+	r.coldBudget(to, e)
+	s.out, s.outSince, s.outUntil = to, r.now, r.now+limit
+	s.dials++
+}
+
+// coldBudget checks the window that ends now against this proxy's part of the budget.
+func (r *rig) coldBudget(to ServerID, e Entry) {
+	age := r.now - e.Since
+	if !e.Started || age >= someCold.Span {
+		return
+	}
+	sizes := 0.0
+	for _, o := range r.standing {
+		if o.Standing == Ready {
+			sizes += o.Size
+		}
+	}
+	recent := r.arrivals[max(0, len(r.arrivals)-64):]
+	span := max(r.now-recent[0], someCold.Span)
+	warmth := someCold.From + (1-someCold.From)*max(age, 0).Seconds()/someCold.Span.Seconds()
+	budget := someCold.Multiple * warmth * float64(len(recent)) * e.Size / sizes * someCold.Window.Seconds() / span.Seconds()
+	r.coldDials[to] = append(r.coldDials[to], coldDial{r.now, budget})
+	inWindow, most := 0.0, 1.0
+	for _, d := range r.coldDials[to] {
+		if d.at > r.now-someCold.Window && d.at >= r.told[to] {
+			inWindow++
+			most = max(most, d.budget) // it changes with the fleet
+		}
+	}
+	if inWindow > most+1e-6 {
+		r.fail("cold server %d gets %v dials in a window of budget %.2f", to, inWindow, most)
+	}
+}
+
+func (r *rig) end(id SessionID, answer string) *owed {
+	s := r.sessions[id]
+	if s == nil {
+		return &owed{}
+	}
+	if s.answer != "" || s.isOpen || s.gone || s.out != 0 {
+		r.fail("session %d is %s, though %q or a dial is out", id, answer, s.answer)
+	}
+	s.answer = answer
+	return s
+}
+
+func (r *rig) Refuse(id SessionID, comeBack time.Duration) {
+	s := r.end(id, "refused")
+	s.comeBack = comeBack
+	if l := s.listener; s.mayRun && (l.Effect == OnceOnly || l.Effect == Referenced && l.Group != GroupAll) {
+		r.fail("session %d is refused though it may have run", id)
+	}
+}
+
+func (r *rig) TearDown(id SessionID) { r.end(id, "torn down") }
+
+func (r *rig) Move(id SessionID) {
+	if s := r.sessions[id]; s != nil {
+		if !s.isOpen {
+			r.fail("session %d is moved before it is open", id)
+		}
+		s.isOpen, s.gone = false, true
+	}
+}
+
+func (r *rig) Timer(after time.Duration, token Token) {
+	r.lastTimer = after
+	r.timers = append(r.timers, timer{r.now + after, token})
+}
+
+func (r *rig) Probe(id ServerID) {
+	if r.standing[id].Standing != Ready {
+		r.fail("server %d is probed though not ready", id)
+	}
+}
+
+func (r *rig) Watch()     { r.asked++ }
+func (r *rig) Log(string) {}
+
+// list tells of servers 1 to n, of sizes 2 and 4.
+func (r *rig) list(kind ListKind, n int) {
+	entries := []Entry{}
+	for i := 1; i <= n; i++ {
+		entries = append(entries, Entry{ID: ServerID(i), Size: float64(2 + i%2*2), Zone: ZoneID(i % 3), Cell: CellID(i % 4),
+			Standing: Ready})
+	}
+	r.tell(kind, entries)
+}
+
+func (r *rig) tell(kind ListKind, entries []Entry) {
+	if kind == ListFull || kind == ListCached {
+		for id, e := range r.standing {
+			e.Standing = Gone
+			r.standing[id] = e
+		}
+	}
+	for _, e := range entries {
+		if was, known := r.standing[e.ID]; e.Started && (!known || !was.Started || was.Since < e.Since || was.Standing == Gone) {
+			r.told[e.ID] = r.now
+		}
+		r.standing[e.ID] = e
+	}
+	r.b.List(r.now, kind, entries)
+}
+
+func (r *rig) top(key Key) *server {
+	return r.b.pick(&session{Arrival: Arrival{Client: key}}, func(*Balancer, *session, *server) bool { return true })
+}
+
+func (r *rig) arrive(listener ListenerID, client, group Key, left time.Duration) *owed {
+	r.next++
+	l := r.listeners[listener]
+	if left == 0 {
+		left = l.DialTimeout
+	}
+	s := &owed{id: r.next, listener: l, deadline: r.now + left}
+	r.sessions[s.id] = s
+	r.order = append(r.order, s)
+	r.arrivals = append(r.arrivals, r.now)
+	if err := r.b.Arrive(r.now, Arrival{ID: s.id, Listener: listener, Left: left, Client: client, Group: group}); err != nil {
+		r.fail("%v", err)
+	}
+	return s
+}
+
+// settle ends the dial that is out, or opens its session.
+func (r *rig) settle(s *owed, outcome Outcome) {
+	to, no := s.out, DialNo(s.dials-1)
+	s.out = 0
+	if outcome == Accepted {
+		s.isOpen = !s.gone
+		r.b.Opened(r.now, s.id, to, no, r.now-s.outSince)
+		return
+	}
+	if !outcome.ProvesNotRun() && !s.mayRun {
+		s.mayRun, s.first, s.firstAt = true, to, s.outSince
+	}
+	r.b.Settled(r.now, s.id, no, to, outcome, r.now-s.outSince, s.gone, nil)
+}
+
+// step advances the time, delivers what is due, and does one thing at random.
+func (r *rig) step(chance *rand.Rand) {
+	r.now += time.Duration(chance.Int63n(int64(120 * ms)))
+	for _, s := range r.order {
+		if s.out != 0 && s.outUntil <= r.now {
+			r.settle(s, Unanswered)
+		}
+	}
+	due := slices.Clone(r.timers)
+	r.timers = r.timers[:0]
+	for _, t := range due {
+		if t.at > r.now {
+			r.timers = append(r.timers, t)
+		} else {
+			r.b.Tick(r.now, t.token)
+		}
+	}
+	id := ServerID(1 + chance.Intn(9))
+	switch chance.Intn(12) {
+	case 0, 1, 2:
+		for range 1 + chance.Intn(6) {
+			r.arrive(ListenerID(chance.Intn(len(r.listeners))), Key(chance.Intn(40)), Key(chance.Intn(8)),
+				time.Duration(chance.Int63n(int64(1500*ms))))
+		}
+	case 3, 4, 5, 6:
+		if len(r.order) > 0 {
+			if s := r.order[chance.Intn(len(r.order))]; s.out != 0 {
+				r.settle(s, Outcome(1+chance.Intn(8)))
+			} else {
+				r.b.Settled(r.now, s.id, DialNo(s.dials), id, Failed, 0, false, nil) // of a dial that never was
+			}
+		}
+	case 7:
+		if len(r.order) > 0 {
+			if s := r.order[chance.Intn(len(r.order))]; s.answer == "" && !s.gone {
+				s.gone, s.isOpen = true, false
+				r.b.Left(r.now, s.id)
+			}
+		}
+	case 8:
+		e := Entry{ID: id, Size: 2, Zone: ZoneID(id % 3), Cell: CellID(id % 4), Standing: Standing(chance.Intn(3))}
+		e.Started, e.Since = true, r.now-time.Duration(chance.Int63n(int64(30*sec)))
+		r.tell(ListDelta, []Entry{e})
+	case 9:
+		r.list([]ListKind{ListFull, ListCached}[chance.Intn(2)], 3+chance.Intn(7))
+	case 10:
+		r.b.DelayNoted(r.now, id, time.Duration(chance.Int63n(int64(8*sec))))
+	case 11:
+		r.b.Probed(r.now, id, Outcome(1+chance.Intn(8)), 0, []float64{2 * chance.Float64()})
+	}
+	for _, s := range r.order {
+		if s.answer == "" && !s.gone && !s.isOpen && s.out == 0 {
+			r.fail("session %d is owed an answer and nothing is out", s.id)
+		}
+	}
+}
