--- a/choice/choice.go
+++ b/choice/choice.go
@@ -123,6 +123,7 @@
 	ready         []*server
 	sizes         float64 // of all ready servers together
 	meanFactor    float64
+	relieved      *server               // by the last call of relieve
 	limit         float64               // the threshold of the last round
 	ofTenant      []int                 // sessions dialing or held
 	carried       float64               // load of all sessions dialing or held
@@ -282,18 +283,15 @@
 	b.means()
 }
 
-// loaded is a server's load as far as it can be told now.
-func (b *Balancer) loaded(srv *server) float64 {
+// known is a server's load by what it told or showed, 0 if nothing.
+func (b *Balancer) known(srv *server) float64 {
 	rho := 0.0
 	switch {
-	case srv.sampled > 0 && (b.load.OnProbe || b.load.WithDials):
+	case b.reports() && srv.sampled > 0:
 		before := max(len(srv.held)-srv.landed, 1)
 		rho = srv.last() * float64(before+srv.landed) / float64(before)
-	case b.carried > 0:
-		rho = assumedLoad * srv.carried / (b.carried * max(b.part(srv), 1/float64(len(b.sessions))))
-		if srv.full > 0 {
-			rho = max(rho, srv.carried/srv.full)
-		}
+	case !b.reports() && srv.full > 0:
+		rho = srv.carried / srv.full
 	}
 	if b.now-srv.delayAt < roundSpan*3/4 {
 		rho = max(rho, (1+min(float64(srv.delay)/float64(b.messageTarget), 3))/2)
@@ -301,6 +299,18 @@
 	return rho
 }
 
+// loaded is a server's load as far as it can be told: without reports, also what this proxy's sessions there are
+// beside those elsewhere.
+func (b *Balancer) loaded(srv *server) float64 {
+	if b.reports() || b.carried == 0 {
+		return b.known(srv)
+	}
+	fair := max(b.part(srv), 1/float64(len(b.sessions)))
+	return max(b.known(srv), assumedLoad*srv.carried/b.carried/fair)
+}
+
+func (b *Balancer) reports() bool { return b.load.OnProbe || b.load.WithDials }
+
 // late learns from late messages and dropped sessions how much a server can carry. While work is piled up the
 // delay of messages grows by the load beyond capacity, and shrinks by what is short of it. What is piled up keeps
 // all its sessions late, so the server is relieved of more until that has gone.
@@ -649,7 +659,7 @@
 // isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full is
 // refused at once.
 func (b *Balancer) isFull(srv *server) bool {
-	return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan/2 || b.loaded(srv) >= 1
+	return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan/2 || b.known(srv) >= 1
 }
 
 // trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but one
@@ -862,13 +872,14 @@
 // then still too much goes as well, the least utility for its load first; it is refused until there is room.
 func (b *Balancer) relieve(srv *server, able float64) {
 	srv.relievedAt = b.now
+	b.relieved = srv
 	spare := srv.carried - b.limit*able
 	if b.hung(srv) {
 		spare = srv.carried
 	}
 	b.send(srv, spare, func(s *session) float64 {
 		to := b.pick(s, (*Balancer).mayTake)
-		if to == nil || to == srv {
+		if to == nil {
 			return 0
 		}
 		return b.multiplier(to) * draw(s.key(), to.ID) / (b.multiplier(srv) * draw(s.key(), srv.ID))
@@ -911,5 +922,5 @@
 }
 
 func (b *Balancer) mayTake(_ *session, srv *server) bool {
-	return b.trusted(srv) && !b.overBudget(srv) && b.loaded(srv) <= b.limit
+	return srv != b.relieved && b.trusted(srv) && !b.overBudget(srv) && b.loaded(srv) <= b.limit
 }
