Relieve only servers known to be overloaded

Change: only reports, late messages and learnt limits relieve; a cold server's fair part grows with its warmth.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -305,7 +305,7 @@
 	if b.reports() || b.carried == 0 {
 		return b.known(srv)
 	}
-	fair := max(b.part(srv), 1/float64(len(b.sessions)))
+	fair := max(b.part(srv)*b.warmth(srv), 1/float64(len(b.sessions)))
 	return max(b.known(srv), assumedLoad*srv.carried/b.carried/fair)
 }
 
@@ -853,8 +853,8 @@
 	if anyFresh {
 		b.adapt()
 		for _, srv := range b.ready {
-			if srv.fresh && srv.last() > 1 && b.now-srv.relievedAt >= roundSpan {
-				b.relieve(srv, srv.carried/srv.last())
+			if rho := b.known(srv); srv.fresh && rho > 1 && b.now-srv.relievedAt >= roundSpan {
+				b.relieve(srv, srv.carried/rho)
 			}
 			srv.fresh = false
 		}
