--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,8 +27,9 @@
 	samplesKept  = 8               // per server; smoothing forgets what is older
 	landingsKept = 64              // to know the usual rate of sessions
 	coldKept     = 8               // last dials to a cold server
+	depth        = 5               // of next scores for a group
 	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
-	backOff      = 0.9             // of what a late server carries, for the next time
+	backOff      = 0.7             // of what a late server carries, for the next time
 	mostDrain    = 0.4             // of what a server can do, kept free for what is piled up
 	regain       = 1.05            // a round without lateness
 	assumedLoad  = 0.5             // of a server about which nothing is told
@@ -92,7 +93,6 @@
 	fresh      bool // sampled in this round
 	dialing    []*session
 	held       []*session
-	groups     map[Key]int   // sessions dialing or held
 	landed     int           // sessions opened since the last sample
 	carried    float64       // load of this proxy's sessions there
 	full       float64       // what it could carry of them, 0 while never seen late
@@ -123,7 +123,6 @@
 	ready         []*server
 	sizes         float64 // of all ready servers together
 	meanFactor    float64
-	relieved      *server               // by the last call of relieve
 	limit         float64               // the threshold of the last round
 	ofTenant      []int                 // sessions dialing or held
 	carried       float64               // load of all sessions dialing or held
@@ -182,16 +181,16 @@
 	return srv.base * srv.factor
 }
 
-// pick returns the top score for the key among the ready servers that may pass, or nil.
-func (b *Balancer) pick(s *session, may func(*Balancer, *session, *server) bool) *server {
+// pick returns the top score below a bound for the key among the ready servers that may pass, or nil.
+func (b *Balancer) pick(s *session, below float64, may func(*Balancer, *session, *server) bool) (*server, float64) {
 	var best *server
 	top, key := 0.0, s.key()
 	for _, srv := range b.ready {
-		if score := b.multiplier(srv) * draw(key, srv.ID); score > top && may(b, s, srv) {
+		if score := b.multiplier(srv) * draw(key, srv.ID); score > top && score < below && may(b, s, srv) {
 			best, top = srv, score
 		}
 	}
-	return best
+	return best, top
 }
 
 // multipliers sets base from the listed sizes, which are shares: Ross's recursion, from the smallest share up.
@@ -317,7 +316,9 @@
 func (b *Balancer) late(srv *server, growth float64, piledUp time.Duration) {
 	srv.lateAt = b.now
 	able := srv.carried / min(max(1+growth, 0.5), 2)
-	srv.full = backOff * able
+	if full := backOff * able; srv.full == 0 || full < srv.full {
+		srv.full = full
+	}
 	b.relieve(srv, able*(1-min(float64(piledUp)/float64(roundSpan), mostDrain)))
 }
 
@@ -434,7 +435,7 @@
 func (b *Balancer) entry(e Entry) {
 	srv := b.byID[e.ID]
 	if srv == nil {
-		srv = &server{Entry: e, toldAt: b.now, factor: 1, groups: map[Key]int{}}
+		srv = &server{Entry: e, toldAt: b.now, factor: 1}
 		b.byID[e.ID] = srv
 		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int { return cmp.Compare(s.ID, id) })
 		b.servers = slices.Insert(b.servers, at, srv)
@@ -483,10 +484,6 @@
 }
 
 func (b *Balancer) count(s *session, by int) {
-	s.server.groups[s.Group] += by
-	if s.server.groups[s.Group] == 0 {
-		delete(s.server.groups, s.Group)
-	}
 	if int(s.Tenant) < len(b.ofTenant) {
 		b.ofTenant[s.Tenant] += by
 	}
@@ -577,13 +574,13 @@
 	}
 	var srv *server
 	if s.MidFlow && s.dials == 0 {
-		srv = b.pick(s, (*Balancer).allowed) // only its holder can go on with it
+		srv, _ = b.pick(s, math.Inf(1), (*Balancer).allowed) // only its holder can go on with it
 	}
 	if srv == nil {
 		srv = b.next(s)
 	}
 	if srv == nil && !slices.ContainsFunc(b.ready, b.trusted) {
-		srv = b.pick(s, (*Balancer).untried) // with no server left to trust, the fault may be this proxy's
+		srv, _ = b.pick(s, math.Inf(1), (*Balancer).lastResort) // with no server left to trust, the fault may be this proxy's
 	}
 	if srv == nil {
 		b.giveUp(s)
@@ -603,23 +600,24 @@
 	b.front.Dial(s.ID, srv.ID, wait)
 }
 
-// next takes the top score, or the next one with room where the top has none. Each server that holds any of a
-// group pays for it, so a server that holds some of the group already comes first among those.
+// next takes the top score, or one of the next few that has room where the top has none: a hot group would fill its
+// server while others idle. Each server that holds any of a group pays for it, so a group goes no deeper.
 func (b *Balancer) next(s *session) *server {
-	if top := b.pick(s, (*Balancer).answering); top == nil || b.roomy(s, top) {
-		return top
-	}
-	for _, may := range [...]func(*Balancer, *session, *server) bool{
-		(*Balancer).roomyHolder, (*Balancer).roomy, (*Balancer).able} {
-		if srv := b.pick(s, may); srv != nil {
+	var able *server
+	below := math.Inf(1)
+	for i := 0; i < depth || s.Group == 0; i++ {
+		srv, score := b.pick(s, below, (*Balancer).answering)
+		switch {
+		case srv == nil:
+			return able
+		case b.loaded(srv) <= b.limit:
 			return srv
+		case able == nil && !b.isFull(srv):
+			able = srv
 		}
+		below = score
 	}
-	return nil
-}
-
-func (b *Balancer) roomyHolder(s *session, srv *server) bool {
-	return s.Group != 0 && srv.groups[s.Group] > 0 && b.roomy(s, srv)
+	return able
 }
 
 // allowed holds the rules that no exception may break.
@@ -636,7 +634,7 @@
 			}
 		}
 	}
-	return !b.overBudget(srv) && (s.MidFlow || !b.isFull(srv))
+	return !b.overBudget(srv)
 }
 
 func (b *Balancer) untried(s *session, srv *server) bool {
@@ -645,17 +643,16 @@
 
 // answering leaves out servers that have not answered, for a while: a hung server passes probes and the list.
 func (b *Balancer) answering(s *session, srv *server) bool {
+	if s.state == open { // its client would come as a new session
+		return srv != s.server && b.trusted(srv) && !b.overBudget(srv)
+	}
 	return b.trusted(srv) && b.untried(s, srv)
 }
 
-// roomy leaves out servers loaded beyond the threshold as well: a hot group, whose key always scores highest at
-// one server, would fill it while others idle.
-func (b *Balancer) roomy(s *session, srv *server) bool {
-	return b.loaded(srv) <= b.limit && b.answering(s, srv)
+func (b *Balancer) lastResort(s *session, srv *server) bool {
+	return !b.isFull(srv) && b.untried(s, srv)
 }
 
-func (b *Balancer) able(s *session, srv *server) bool { return !b.isFull(srv) && b.answering(s, srv) }
-
 // isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full is
 // refused at once.
 func (b *Balancer) isFull(srv *server) bool {
@@ -872,14 +869,13 @@
 // then still too much goes as well, the least utility for its load first; it is refused until there is room.
 func (b *Balancer) relieve(srv *server, able float64) {
 	srv.relievedAt = b.now
-	b.relieved = srv
 	spare := srv.carried - b.limit*able
 	if b.hung(srv) {
 		spare = srv.carried
 	}
 	b.send(srv, spare, func(s *session) float64 {
-		to := b.pick(s, (*Balancer).mayTake)
-		if to == nil {
+		to := b.next(s)
+		if to == nil || b.loaded(to) > b.limit {
 			return 0
 		}
 		return b.multiplier(to) * draw(s.key(), to.ID) / (b.multiplier(srv) * draw(s.key(), srv.ID))
@@ -920,7 +916,3 @@
 	}
 	return worth
 }
-
-func (b *Balancer) mayTake(_ *session, srv *server) bool {
-	return srv != b.relieved && b.trusted(srv) && !b.overBudget(srv) && b.loaded(srv) <= b.limit
-}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -288,8 +288,11 @@
 		}
 	}
 	r.b.relieve(srv, 20)
-	parted := 0
-	for _, n := range srv.groups {
+	groups, parted := map[Key]int{}, 0
+	for _, s := range srv.held {
+		groups[s.Group]++
+	}
+	for _, n := range groups {
 		if n < 4 {
 			parted++
 		}
--- a/choice/rig_test.go
+++ b/choice/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 	"time"
@@ -207,7 +208,9 @@
 }
 
 func (r *rig) top(key Key) *server {
-	return r.b.pick(&session{Arrival: Arrival{Client: key}}, func(*Balancer, *session, *server) bool { return true })
+	any := func(*Balancer, *session, *server) bool { return true }
+	top, _ := r.b.pick(&session{Arrival: Arrival{Client: key}}, math.Inf(1), any)
+	return top
 }
 
 func (r *rig) arrive(listener ListenerID, client, group Key, left time.Duration) *owed {
