--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 	roundSpan    = 2 * time.Second // rounds of load samples
 	beats        = 4               // of a round; held sessions and late dials are looked at on each
 	smoothing    = 3               // r: a new sample counts for one r-th
+	probeRounds  = 2               // rounds from one probe of a server to the next
 	hysteresis   = 0.1             // eps
 	samplesKept  = 8               // per server; smoothing forgets what is older
 	landingsKept = 64              // to know the usual rate of sessions
@@ -856,7 +857,7 @@
 			srv.fresh = false
 		}
 	}
-	if b.load.OnProbe {
+	if b.load.OnProbe && b.beat%(probeRounds*beats) == 0 {
 		for _, srv := range b.ready {
 			b.front.Probe(srv.ID)
 		}
