Relieve by late messages alone, not by told load or learnt limits

Cause: a told load is up to five seconds old and moved sessions that a late message had already moved.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -99,7 +99,6 @@
 	full       float64       // what it could carry of them, 0 while never seen late
 	delay      time.Duration // of messages, as noted last
 	delayAt    time.Duration
-	relievedAt time.Duration
 	lateAt     time.Duration // when it was last seen late
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
@@ -851,9 +850,6 @@
 	if anyFresh {
 		b.adapt()
 		for _, srv := range b.ready {
-			if rho := b.known(srv); srv.fresh && rho > 1 && b.now-srv.relievedAt >= roundSpan {
-				b.relieve(srv, srv.carried/rho)
-			}
 			srv.fresh = false
 		}
 	}
@@ -869,7 +865,6 @@
 // only what another server has room for. Above full load no session is served in time, so what is
 // then still too much goes as well, the least utility for its load first; it is refused until there is room.
 func (b *Balancer) relieve(srv *server, able float64) {
-	srv.relievedAt = b.now
 	spare := srv.carried - b.limit*able
 	if b.hung(srv) {
 		spare = srv.carried
