--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,8 @@
 	samplesKept  = 8               // per server; smoothing forgets what is older
 	landingsKept = 64              // to know the usual rate of sessions
 	coldKept     = 8               // last dials to a cold server
-	depth        = 5               // of next scores for a group
+	leastDepth   = 2               // of scores that a group may go down
+	spread       = 2               // and so many more for each server that its part of the sessions would fill
 	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
 	backOff      = 0.7             // of what a late server carries, for the next time
 	mostDrain    = 0.4             // of what a server can do, kept free for what is piled up
@@ -124,6 +125,7 @@
 	sizes         float64 // of all ready servers together
 	meanFactor    float64
 	limit         float64               // the threshold of the last round
+	groups        map[Key]int           // sessions dialing or held
 	ofTenant      []int                 // sessions dialing or held
 	carried       float64               // load of all sessions dialing or held
 	loads         [landingsKept]float64 // of sessions, as noted last
@@ -143,7 +145,7 @@
 func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules, cold ColdRule,
 	load LoadSight, quota Quota) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
-		load: load, quota: quota, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
+		load: load, quota: quota, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{}, groups: map[Key]int{},
 		limit:       threshold(assumedLoad),
 		ofTenant:    make([]int, len(quota.Connections)),
 		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
@@ -484,6 +486,10 @@
 }
 
 func (b *Balancer) count(s *session, by int) {
+	b.groups[s.Group] += by
+	if b.groups[s.Group] == 0 {
+		delete(b.groups, s.Group)
+	}
 	if int(s.Tenant) < len(b.ofTenant) {
 		b.ofTenant[s.Tenant] += by
 	}
@@ -605,7 +611,7 @@
 func (b *Balancer) next(s *session) *server {
 	var able *server
 	below := math.Inf(1)
-	for i := 0; i < depth || s.Group == 0; i++ {
+	for range b.depth(s) {
 		srv, score := b.pick(s, below, (*Balancer).answering)
 		switch {
 		case srv == nil:
@@ -620,6 +626,14 @@
 	return able
 }
 
+// depth is how many of its best scores a session may go down: as its group's part of the sessions demands.
+func (b *Balancer) depth(s *session) int {
+	if s.Group == 0 {
+		return len(b.ready)
+	}
+	return leastDepth + int(math.Ceil(spread*float64(len(b.ready)*b.groups[s.Group])/float64(len(b.sessions))))
+}
+
 // allowed holds the rules that no exception may break.
 func (b *Balancer) allowed(s *session, srv *server) bool {
 	if s.mayRun && b.listeners[s.Listener].Effect == Referenced {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -343,3 +343,29 @@
 		t.Error(fmt.Sprint("waits ", waits))
 	}
 }
+
+// TestDepth: from releases and overload, a group keeps to its best few scores, a hot one to as many as it would fill.
+func TestDepth(t *testing.T) {
+	for _, c := range []struct{ others, want int }{{190, 3}, {10, 13}} {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, 20)
+		for i := range c.others {
+			r.b.Hold(0, Arrival{ID: SessionID(5000 + i), Group: Key(100 + i)}, ServerID(1+i%20))
+		}
+		for i := range 10 {
+			r.b.Hold(0, Arrival{ID: SessionID(6000 + i), Group: 7}, r.top(7).ID)
+		}
+		down := map[ServerID]bool{}
+		for range 20 {
+			s := &session{Arrival: Arrival{Group: 7}}
+			if srv := r.b.next(s); srv != nil {
+				down[srv.ID] = true
+				srv.lateAt, srv.full, srv.carried = r.now+1, 1, 9
+				r.b.now = r.now + 2
+			}
+		}
+		if want := leastDepth + int(math.Ceil(spread*20*10/float64(c.others+10))); len(down) > want || len(down) < c.want {
+			t.Errorf("beside %d others the group went to %d servers, want %d to %d", c.others, len(down), c.want, want)
+		}
+	}
+}
