--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	samplesKept  = 8               // per server; smoothing forgets what is older
 	landingsKept = 64              // to know the usual rate of sessions
 	coldKept     = 8               // last dials to a cold server
+	blindRounds  = 3               // that a late server is left alone where nothing more is heard of it
 	leastDepth   = 2               // of scores that a group may go down
 	spread       = 2               // and so many more for each server that its part of the sessions would fill
 	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
@@ -616,7 +617,7 @@
 		switch {
 		case srv == nil:
 			return able
-		case b.loaded(srv) <= b.limit:
+		case b.loaded(srv) <= b.limit && !b.isFull(srv):
 			return srv
 		case able == nil && !b.isFull(srv):
 			able = srv
@@ -668,9 +669,13 @@
 }
 
 // isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full is
-// refused at once.
+// refused at once. A proxy with no session at a server hears nothing of it, so what it heard last holds longer.
 func (b *Balancer) isFull(srv *server) bool {
-	return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan/2 || b.known(srv) >= 1
+	holds := roundSpan / 2
+	if len(srv.held) == 0 {
+		holds = blindRounds * roundSpan
+	}
+	return srv.lateAt > 0 && b.now-srv.lateAt < holds || b.known(srv) >= 1
 }
 
 // trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but one
