--- a/choice/choice.go
+++ b/choice/choice.go
@@ -126,6 +126,7 @@
 	sizes         float64 // of all ready servers together
 	meanFactor    float64
 	limit         float64               // the threshold of the last round
+	calmRate      float64               // the highest of perSize in rounds without a late message
 	groups        map[Key]int           // sessions dialing or held
 	ofTenant      []int                 // sessions dialing or held
 	carried       float64               // load of all sessions dialing or held
@@ -360,20 +361,25 @@
 	return b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.Span)
 }
 
+// perSize is the rate of sessions that came to this proxy of late, for each unit of size in the fleet.
+func (b *Balancer) perSize() float64 {
+	n := min(b.landed, landingsKept)
+	if n == 0 || len(b.ready) == 0 {
+		return 0
+	}
+	oldest := b.landings[(b.landed-n)%landingsKept]
+	return float64(n) / max(b.now-oldest, b.cold.Span).Seconds() * b.part(b.ready[0]) / b.ready[0].Size
+}
+
 // overBudget guards against pushing a cold server over. What the server could do warm is not told: the sessions
-// that it would carry by its size are surely within it. Each proxy keeps to its part for itself.
+// that it would carry by its size are surely within it, by now or in the best of the rounds without a late message.
+// Each proxy keeps to its part for itself.
 func (b *Balancer) overBudget(srv *server) bool {
 	warmth := b.warmth(srv)
 	if warmth >= 1 || srv.coldDialed == 0 {
 		return false
 	}
-	n := min(b.landed, landingsKept)
-	if n == 0 {
-		return true
-	}
-	oldest := b.landings[(b.landed-n)%landingsKept]
-	perSecond := float64(n) / max(b.now-oldest, b.cold.Span).Seconds()
-	budget := b.cold.Multiple * warmth * perSecond * b.part(srv) * b.cold.Window.Seconds()
+	budget := b.cold.Multiple * warmth * max(b.perSize(), b.calmRate) * srv.Size * b.cold.Window.Seconds()
 	dials := min(max(int(budget), 1), coldKept)
 	if srv.coldDialed < dials {
 		return false
@@ -857,6 +863,9 @@
 // round ends one round of load samples and starts the next.
 func (b *Balancer) round() {
 	anyFresh := false
+	if !slices.ContainsFunc(b.ready, func(srv *server) bool { return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan }) {
+		b.calmRate = max(b.calmRate, b.perSize())
+	}
 	for _, srv := range b.ready {
 		if b.now-srv.lateAt > roundSpan {
 			srv.full *= regain
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -386,3 +386,36 @@
 		t.Error("the server was not tried again")
 	}
 }
+
+// TestGrowth: from fleets that grow fourfold, a cold server's budget comes from the calm time before, when each server
+// had more of the sessions.
+func TestGrowth(t *testing.T) {
+	for calm, want := range map[bool]int{true: 3, false: 1} {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, 3)
+		r.now = 50 * sec
+		for i := range 60 {
+			r.settle(r.arrive(0, Key(i+1), 0, 0), Accepted)
+		}
+		if !calm {
+			r.b.ready[0].lateAt = r.now
+		}
+		r.b.round()
+		entries := []Entry{}
+		for i := range 40 {
+			entries = append(entries, Entry{ID: ServerID(100 + i), Size: 2, Standing: Ready, Started: true, Since: r.now - 10*sec})
+		}
+		r.tell(ListDelta, entries)
+		dials := 0
+		for range 60 {
+			if srv := r.b.byID[100]; !r.b.overBudget(srv) {
+				dials++
+				srv.coldDials[srv.coldDialed%coldKept] = r.now
+				srv.coldDialed++
+			}
+		}
+		if dials != want {
+			t.Errorf("calm %v: the cold server may have %d dials at once, want %d", calm, dials, want)
+		}
+	}
+}
