--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,7 +21,7 @@
 
 const (
 	roundSpan    = 2 * time.Second // rounds of load samples
-	beats        = 4               // of a round; held sessions and late dials are looked at on each
+	noteSpan     = roundSpan / 2   // messages' delay is told this often while it is long
 	smoothing    = 3               // r: a new sample counts for one r-th
 	probeRounds  = 2               // rounds from one probe of a server to the next
 	hysteresis   = 0.1             // eps
@@ -39,7 +39,7 @@
 )
 
 const (
-	tokenBeat Token = iota
+	tokenRound Token = iota
 	tokenAsk
 )
 
@@ -88,9 +88,8 @@
 
 type server struct {
 	Entry
-	toldAt     time.Duration // when its standing was told
-	base       float64       // multiplier from the listed sizes
-	factor     float64       // what adapting made of it
+	base       float64 // multiplier from the listed sizes
+	factor     float64 // what adapting made of it
 	samples    [samplesKept]float64
 	sampled    int
 	fresh      bool // sampled in this round
@@ -102,6 +101,7 @@
 	delay      time.Duration // of messages, as noted last
 	delayAt    time.Duration
 	lateAt     time.Duration // when it was last seen late
+	saidAt     time.Duration // when a line about it was logged
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
 	coldDials  [coldKept]time.Duration
@@ -119,28 +119,29 @@
 	load      LoadSight
 	quota     Quota
 
-	now           time.Duration
-	servers       []*server // in the order of their ids, gone ones too
-	byID          map[ServerID]*server
-	ready         []*server
-	sizes         float64 // of all ready servers together
-	meanFactor    float64
-	limit         float64               // the threshold of the last round
-	calmRate      float64               // the highest of perSize in rounds without a late message
-	groups        map[Key]int           // sessions dialing or held
-	ofTenant      []int                 // sessions dialing or held
-	carried       float64               // load of all sessions dialing or held
-	loads         [landingsKept]float64 // of sessions, as noted last
-	noted         int
-	sessions      map[SessionID]*session
-	landings      [landingsKept]time.Duration
-	landed        int
-	beat          int
-	watching      bool
-	askFails      int
-	longestWait   time.Duration // dial timeout of the most patient listener
-	shortTarget   time.Duration // shortest handshake target
-	messageTarget time.Duration // shortest
+	now                time.Duration
+	servers            []*server // in the order of their ids, gone ones too
+	byID               map[ServerID]*server
+	ready              []*server
+	sizes              float64 // of all ready servers together
+	meanFactor         float64
+	limit              float64               // the threshold of the last round
+	calmRate           float64               // the highest of perSize in rounds without a late message
+	saidAt, saidListAt time.Duration         // when refusing and a failed subscription were logged
+	groups             map[Key]int           // sessions dialing or held
+	ofTenant           []int                 // sessions dialing or held
+	carried            float64               // load of all sessions dialing or held
+	loads              [landingsKept]float64 // of sessions, as noted last
+	noted              int
+	sessions           map[SessionID]*session
+	landings           [landingsKept]time.Duration
+	landed             int
+	rounds             int
+	watching           bool
+	askFails           int
+	longestWait        time.Duration // dial timeout of the most patient listener
+	shortTarget        time.Duration // shortest handshake target
+	messageTarget      time.Duration // shortest
 }
 
 // New makes a balancer and starts following the list.
@@ -148,6 +149,7 @@
 	load LoadSight, quota Quota) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
 		load: load, quota: quota, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{}, groups: map[Key]int{},
+		meanFactor:  1,
 		limit:       threshold(assumedLoad),
 		ofTenant:    make([]int, len(quota.Connections)),
 		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
@@ -158,7 +160,7 @@
 			b.messageTarget = min(b.messageTarget, l.MessageTarget)
 		}
 	}
-	b.front.Timer(roundSpan/beats, tokenBeat)
+	b.front.Timer(roundSpan, tokenRound)
 	b.ask()
 	return b
 }
@@ -296,7 +298,7 @@
 	case !b.reports() && srv.full > 0:
 		rho = srv.carried / srv.full
 	}
-	if b.now-srv.delayAt < roundSpan*3/4 {
+	if b.now-srv.delayAt < noteSpan*3/2 {
 		rho = max(rho, (1+min(float64(srv.delay)/float64(b.messageTarget), 3))/2)
 	}
 	return rho
@@ -323,12 +325,13 @@
 	if full := backOff * able; srv.full == 0 || full < srv.full {
 		srv.full = full
 	}
-	b.relieve(srv, able*(1-min(float64(piledUp)/float64(roundSpan), mostDrain)))
+	b.say(&srv.saidAt, "server %d: messages late or sessions dropped, %d sessions held", srv.ID, len(srv.held))
+	b.relieve(srv, able*(1-min(float64(piledUp)/float64(2*noteSpan), mostDrain)))
 }
 
 // hung guards against servers that take sessions and answer none: a message there waits longer than any client.
 func (b *Balancer) hung(srv *server) bool {
-	return b.now-srv.delayAt < roundSpan*3/4 && srv.delay > b.longestWait
+	return b.now-srv.delayAt < noteSpan*3/2 && srv.delay > b.longestWait
 }
 
 // part is a server's share of the fleet by the listed sizes.
@@ -404,6 +407,7 @@
 	if kind == ListFailed {
 		b.watching = false
 		b.askFails++
+		b.say(&b.saidListAt, "list: the subscription failed, %d times in a row", b.askFails)
 		span := b.list.MustAskIn / 32 << min(b.askFails, 3)
 		b.front.Timer(span+time.Duration(b.chance.Int63n(int64(span)+1)), tokenAsk)
 		return
@@ -415,7 +419,7 @@
 	if kind != ListDelta {
 		for _, srv := range b.servers {
 			if !slices.ContainsFunc(entries, func(e Entry) bool { return e.ID == srv.ID }) {
-				b.stand(srv, Gone)
+				srv.Standing = Gone
 			}
 		}
 	}
@@ -434,35 +438,30 @@
 	b.means()
 }
 
-func (b *Balancer) stand(srv *server, standing Standing) {
-	if srv.Standing != standing {
-		srv.Standing = standing
-		srv.toldAt = b.now
-	}
-}
-
 func (b *Balancer) entry(e Entry) {
 	srv := b.byID[e.ID]
 	if srv == nil {
-		srv = &server{Entry: e, toldAt: b.now, factor: 1}
+		srv = &server{Entry: e, factor: b.meanFactor}
 		b.byID[e.ID] = srv
 		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int { return cmp.Compare(s.ID, id) })
 		b.servers = slices.Insert(b.servers, at, srv)
-		if b.meanFactor > 0 {
-			srv.factor = b.meanFactor
-		}
 		return
 	}
-	restarted := e.Started && (!srv.Started || e.Since > srv.Since)
-	standing := srv.Standing
-	toldAt := srv.toldAt
+	restarted := srv.Standing == Gone || e.Started && (!srv.Started || e.Since > srv.Since)
 	srv.Entry = e
-	srv.Standing, srv.toldAt = standing, toldAt
-	if e.Standing == Ready && (restarted || standing == Gone) {
+	if e.Standing == Ready && restarted {
 		srv.factor = b.meanFactor
-		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil, srv.coldDialed, srv.full, srv.lateAt, srv.delayAt = 0, false, 0, 0, 0, 0, 0, 0
+		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil = 0, false, 0, 0
+		srv.coldDialed, srv.full, srv.lateAt, srv.delayAt = 0, 0, 0, 0
+	}
+}
+
+// say logs a line, the same subject no more than once in the span of a cold start.
+func (b *Balancer) say(last *time.Duration, format string, args ...any) {
+	if *last == 0 || b.now-*last >= b.cold.Span {
+		*last = b.now + 1
+		b.front.Log(fmt.Sprintf(format, args...))
 	}
-	b.stand(srv, e.Standing)
 }
 
 // Sessions.
@@ -596,6 +595,7 @@
 		srv, _ = b.pick(s, math.Inf(1), (*Balancer).lastResort) // with no server left to trust, the fault may be this proxy's
 	}
 	if srv == nil {
+		b.say(&b.saidAt, "no server has room, refusing; %d ready", len(b.ready))
 		b.giveUp(s)
 		return
 	}
@@ -677,7 +677,7 @@
 // isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full is
 // refused at once. A proxy with no session at a server hears nothing of it, so what it heard last holds longer.
 func (b *Balancer) isFull(srv *server) bool {
-	holds := roundSpan / 2
+	holds := noteSpan
 	if len(srv.held) == 0 {
 		holds = blindRounds * roundSpan
 	}
@@ -763,7 +763,7 @@
 		srv.missed++
 		srv.avoidUntil = now + b.longestWait*time.Duration(min(srv.missed, 4))
 		if srv.missed == 2 {
-			b.front.Log(fmt.Sprintf("server %d: two dials in a row without an answer, avoided", srv.ID))
+			b.say(&srv.saidAt, "server %d: two dials in a row without an answer, avoided", srv.ID)
 		}
 	case Full:
 		srv.avoidUntil = max(srv.avoidUntil, now+b.shortTarget/4)
@@ -806,14 +806,15 @@
 func (b *Balancer) DelayNoted(now time.Duration, at ServerID, delay time.Duration) {
 	b.now = now
 	if srv := b.byID[at]; srv != nil {
-		was, span := b.messageTarget/3, roundSpan/2
-		if now-srv.delayAt < roundSpan*3/4 {
-			was, span = srv.delay, max(now-srv.delayAt, roundSpan/beats)
+		was, span := b.messageTarget/3, noteSpan
+		if now-srv.delayAt < noteSpan*3/2 {
+			was, span = srv.delay, max(now-srv.delayAt, noteSpan/2)
 		}
 		srv.delay, srv.delayAt = delay, now
 		if b.hung(srv) {
 			srv.missed = max(srv.missed, 1)
 			srv.avoidUntil = now + b.longestWait
+			b.say(&srv.saidAt, "server %d: messages take %v, taken for hung", srv.ID, delay)
 		}
 		if delay >= b.messageTarget {
 			b.late(srv, float64(delay-was)/float64(span), delay-b.messageTarget/3)
@@ -851,12 +852,9 @@
 		if !b.watching {
 			b.ask()
 		}
-	case tokenBeat:
-		b.front.Timer(roundSpan/beats, tokenBeat)
-		b.beat++
-		if b.beat%beats == 0 {
-			b.round()
-		}
+	case tokenRound:
+		b.front.Timer(roundSpan, tokenRound)
+		b.round()
 	}
 }
 
@@ -881,7 +879,7 @@
 			srv.fresh = false
 		}
 	}
-	if b.load.OnProbe && b.beat%(probeRounds*beats) == 0 {
+	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 {
 		for _, srv := range b.ready {
 			b.front.Probe(srv.ID)
 		}
--- a/choice/types.go
+++ b/choice/types.go
@@ -65,16 +65,14 @@
 
 // DialLimits are the bounds on dials and on advice to clients.
 type DialLimits struct {
-	MostDials    int
-	MaxComeBack  time.Duration // 0 where clients take no advice
-	ConnectLimit time.Duration
+	MostDials   int
+	MaxComeBack time.Duration // 0 where clients take no advice
 }
 
-// ListRules say how the list of servers is followed and how soon dials must stop.
+// ListRules say how the list of servers is followed. Dials to a server stop as soon as its drain is told.
 type ListRules struct {
 	MustWatch bool          // the list comes only to those who asked
 	MustAskIn time.Duration // without a subscription, ask at least this often
-	Grace     time.Duration // dials end this long after word of a drain
 }
 
 // ColdRule is the budget of a server that has just started.
