--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,6 +32,7 @@
 	leastDepth   = 2               // of scores that a group may go down
 	spread       = 2               // and so many more for each server that its part of the sessions would fill
 	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
+	stuckSpan    = 3 * noteSpan    // of lateness that whole sessions could not end
 	backOff      = 0.7             // of what a late server carries, for the next time
 	mostDrain    = 0.4             // of what a server can do, kept free for what is piled up
 	regain       = 1.05            // a round without lateness
@@ -101,6 +102,7 @@
 	delay      time.Duration // of messages, as noted last
 	delayAt    time.Duration
 	lateAt     time.Duration // when it was last seen late
+	lateSince  time.Duration // without a pause
 	saidAt     time.Duration // when a line about it was logged
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
@@ -320,6 +322,9 @@
 // delay of messages grows by the load beyond capacity, and shrinks by what is short of it. What is piled up keeps
 // all its sessions late, so the server is relieved of more until that has gone.
 func (b *Balancer) late(srv *server, growth float64, piledUp time.Duration) {
+	if b.now-srv.lateAt > 2*noteSpan || srv.lateAt == 0 {
+		srv.lateSince = b.now
+	}
 	srv.lateAt = b.now
 	able := srv.carried / min(max(1+growth, 0.5), 2)
 	if full := backOff * able; srv.full == 0 || full < srv.full {
@@ -903,6 +908,18 @@
 		return b.multiplier(to) * draw(s.key(), to.ID) / (b.multiplier(srv) * draw(s.key(), srv.ID))
 	})
 	b.send(srv, srv.carried-able, func(s *session) float64 { return s.weighed / b.worth(s) })
+	if rest := srv.carried - able; b.now-srv.lateSince > stuckSpan && rest > 0 && len(srv.held) > 0 {
+		// Many proxies may hold a session or two each, of which none is as small as their part of the excess.
+		s := srv.held[b.chance.Intn(len(srv.held))]
+		if b.chance.Float64()*s.weighed < rest {
+			b.move(s)
+		}
+	}
+}
+
+func (b *Balancer) move(s *session) {
+	b.enter(s, moving, s.server)
+	b.front.Move(s.ID)
 }
 
 // send moves sessions of up to the given load off a server, those that rank highest first, none that ranks 0.
@@ -924,8 +941,7 @@
 			return
 		}
 		load -= next.weighed
-		b.enter(next, moving, srv)
-		b.front.Move(next.ID)
+		b.move(next)
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -419,3 +419,29 @@
 		}
 	}
 }
+
+// TestStuck: from overload under twelve proxies, a server stays late for as long as each holds one session too heavy
+// for its part of the excess.
+func TestStuck(t *testing.T) {
+	moved := 0
+	for seed := range int64(100) {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(seed)))
+		r.list(ListFull, 1)
+		s := r.arrive(0, 1, 1, 0)
+		r.settle(s, Accepted)
+		for at := sec; at <= 4*sec; at += sec {
+			r.now = at
+			r.b.DelayNoted(r.now, 1, 300*ms)
+			if s.gone && r.now <= stuckSpan {
+				t.Fatalf("moved after %v", r.now)
+			}
+		}
+		r.b.DelayNoted(5*sec, 1, 300*ms)
+		if s.gone {
+			moved++
+		}
+	}
+	if moved < 10 || moved > 60 {
+		t.Errorf("%d of 100 proxies moved their only session, want about a quarter", moved)
+	}
+}
