--- a/choice/choice.go
+++ b/choice/choice.go
@@ -119,7 +119,6 @@
 	list      ListRules
 	cold      ColdRule
 	load      LoadSight
-	quota     Quota
 
 	now                time.Duration
 	servers            []*server // in the order of their ids, gone ones too
@@ -131,7 +130,6 @@
 	calmRate           float64               // the highest of perSize in rounds without a late message
 	saidAt, saidListAt time.Duration         // when refusing and a failed subscription were logged
 	groups             map[Key]int           // sessions dialing or held
-	ofTenant           []int                 // sessions dialing or held
 	carried            float64               // load of all sessions dialing or held
 	loads              [landingsKept]float64 // of sessions, as noted last
 	noted              int
@@ -148,12 +146,11 @@
 
 // New makes a balancer and starts following the list.
 func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules, cold ColdRule,
-	load LoadSight, quota Quota) *Balancer {
+	load LoadSight) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
-		load: load, quota: quota, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{}, groups: map[Key]int{},
+		load: load, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{}, groups: map[Key]int{},
 		meanFactor:  1,
 		limit:       threshold(assumedLoad),
-		ofTenant:    make([]int, len(quota.Connections)),
 		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
 	for _, l := range listeners {
 		b.longestWait = max(b.longestWait, l.DialTimeout)
@@ -501,9 +498,6 @@
 	if b.groups[s.Group] == 0 {
 		delete(b.groups, s.Group)
 	}
-	if int(s.Tenant) < len(b.ofTenant) {
-		b.ofTenant[s.Tenant] += by
-	}
 }
 
 // weigh counts a session's load in for its server.
@@ -907,7 +901,7 @@
 		}
 		return b.multiplier(to) * draw(s.key(), to.ID) / (b.multiplier(srv) * draw(s.key(), srv.ID))
 	})
-	b.send(srv, srv.carried-able, func(s *session) float64 { return s.weighed / b.worth(s) })
+	b.send(srv, srv.carried-able, func(s *session) float64 { return s.weighed / max(b.listeners[s.Listener].Utility, 1e-9) })
 	if rest := srv.carried - able; b.now-srv.lateSince > stuckSpan && rest > 0 && len(srv.held) > 0 {
 		// Many proxies may hold a session or two each, of which none is as small as their part of the excess.
 		s := srv.held[b.chance.Intn(len(srv.held))]
@@ -944,13 +938,3 @@
 		b.move(next)
 	}
 }
-
-// worth is a session's utility, little beyond its tenant's share.
-func (b *Balancer) worth(s *session) float64 {
-	worth := max(b.listeners[s.Listener].Utility, 1e-9)
-	if int(s.Tenant) < len(b.quota.Connections) &&
-		float64(b.ofTenant[s.Tenant]*b.cold.Proxies) > b.quota.Connections[s.Tenant] {
-		worth *= max(b.quota.OverUtility, 1e-9)
-	}
-	return worth
-}
--- a/choice/rig_test.go
+++ b/choice/rig_test.go
@@ -65,8 +65,7 @@
 		dialsTo: map[ServerID][]time.Duration{}, told: map[ServerID]time.Duration{},
 		coldDials: map[ServerID][]coldDial{}}
 	r.b = New(r, chance, listeners, DialLimits{MostDials: 4, MaxComeBack: 2 * sec},
-		ListRules{MustWatch: true, MustAskIn: 10 * sec}, someCold, load,
-		Quota{Connections: []float64{5, 50}, OverUtility: 0.1})
+		ListRules{MustWatch: true, MustAskIn: 10 * sec}, someCold, load)
 	return r
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -150,9 +150,3 @@
 
 // ProvesNotRun reports whether the outcome shows that the dial never ran.
 func (o Outcome) ProvesNotRun() bool { return o == Full || o == Unreachable || o == NotSent }
-
-// Quota is each tenant's share of open sessions over all proxies, and what sessions beyond it are worth.
-type Quota struct {
-	Connections []float64
-	OverUtility float64
-}
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -198,13 +198,12 @@
 		list      choice.ListRules
 		cold      choice.ColdRule
 		load      choice.LoadSight
-		quota     choice.Quota
 	)
-	if err := benchwire.ReadStart(info, &listeners, &dials, &list, &cold, &load, &quota); err != nil {
+	if err := benchwire.ReadStart(info, &listeners, &dials, &list, &cold, &load); err != nil {
 		return err
 	}
 	chance := rand.New(rand.NewSource(int64(seed)))
 	l.proxies[inst] = proxy{start: clock, balancer: choice.New(front{inst: inst, reply: &l.reply}, chance,
-		listeners, dials, list, cold, load, quota)}
+		listeners, dials, list, cold, load)}
 	return nil
 }
--- a/internal/benchwire/start.go
+++ b/internal/benchwire/start.go
@@ -11,7 +11,7 @@
 
 // ReadStart takes from the text of a start message what the named parts of the module want.
 func ReadStart(text []byte, listeners *[]choice.Listener, dials *choice.DialLimits, list *choice.ListRules,
-	cold *choice.ColdRule, load *choice.LoadSight, quota *choice.Quota) error {
+	cold *choice.ColdRule, load *choice.LoadSight) error {
 	var told struct {
 		Discovery string `json:"discovery"`
 		Listeners []struct {
@@ -36,15 +36,13 @@
 			MustAskIn    float64 `json:"mustAskIn"`
 		} `json:"invariants"`
 		Domain struct {
-			MessageAim             []float64 `json:"messageAim"`
-			TenantQuotaConnections []float64 `json:"tenantQuotaConnections"`
+			MessageAim []float64 `json:"messageAim"`
 		} `json:"domain"`
 		Telemetry struct {
 			Fields []string `json:"fields"`
 			How    string   `json:"how"`
 		} `json:"telemetry"`
-		OverageUtility float64 `json:"overageUtility"`
-		GroupSize      int     `json:"groupSize"`
+		GroupSize int `json:"groupSize"`
 	}
 	if err := json.Unmarshal(text, &told); err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -96,6 +94,5 @@
 		Proxies: max(told.GroupSize, 1)}
 	*load = choice.LoadSight{OnProbe: told.Telemetry.How == "on_probe" && told.Ceilings.Probes,
 		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0")}
-	*quota = choice.Quota{Connections: told.Domain.TenantQuotaConnections, OverUtility: told.OverageUtility}
 	return bad
 }
