--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	stuckSpan    = 3 * noteSpan    // of lateness that whole sessions could not end
 	backOff      = 0.7             // of what a late server carries, for the next time
 	mostDrain    = 0.4             // of what a server can do, kept free for what is piled up
-	regain       = 1.05            // a round without lateness
+	regain       = 0.05            // of a learnt limit, for each round that a server has been quiet
 	assumedLoad  = 0.5             // of a server about which nothing is told
 )
 
@@ -865,7 +865,8 @@
 	}
 	for _, srv := range b.ready {
 		if b.now-srv.lateAt > roundSpan {
-			srv.full *= regain
+			// After a short jam, or when this proxy inherits the clients of another, the limit must not bind for long.
+			srv.full *= 1 + regain*float64((b.now-srv.lateAt)/roundSpan)
 		}
 		if !b.load.OnProbe && !b.load.WithDials {
 			srv.sample(b.seen(srv))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -445,3 +445,17 @@
 		t.Errorf("%d of 100 proxies moved their only session, want about a quarter", moved)
 	}
 }
+
+// TestLimitRegains: from days with lost proxies, a limit learnt in a short jam rises faster the longer it is quiet.
+func TestLimitRegains(t *testing.T) {
+	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 2)
+	r.b.ready[0].full, r.b.ready[0].lateAt = 10, sec
+	for i, want := range []float64{10, 10.5, 11.55, 13.2825} {
+		r.b.now = sec + time.Duration(i)*roundSpan + 1
+		r.b.round()
+		if got := r.b.ready[0].full; math.Abs(got-want) > 1e-9 {
+			t.Errorf("the limit is %v after %d quiet rounds, want %v", got, i, want)
+		}
+	}
+}
