--- a/choice/choice.go
+++ b/choice/choice.go
@@ -290,12 +290,12 @@
 // known is a server's load by what it told or showed, 0 if nothing.
 func (b *Balancer) known(srv *server) float64 {
 	rho := 0.0
-	switch {
-	case b.reports() && srv.sampled > 0:
+	if b.reports() && srv.sampled > 0 {
 		before := max(len(srv.held)-srv.landed, 1)
 		rho = srv.last() * float64(before+srv.landed) / float64(before)
-	case !b.reports() && srv.full > 0:
-		rho = srv.carried / srv.full
+	}
+	if srv.full > 0 {
+		rho = max(rho, srv.carried/srv.full)
 	}
 	if b.now-srv.delayAt < noteSpan*3/2 {
 		rho = max(rho, (1+min(float64(srv.delay)/float64(b.messageTarget), 3))/2)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -459,3 +459,15 @@
 		}
 	}
 }
+
+// TestLimitBindsBesideReports: from days with neighbours, a learnt limit counts where a report still tells a low load.
+func TestLimitBindsBesideReports(t *testing.T) {
+	r := newRig(someListeners, LoadSight{OnProbe: true}, rand.New(rand.NewSource(1)))
+	r.list(ListFull, 2)
+	srv := r.b.ready[0]
+	r.b.Probed(0, srv.ID, Accepted, 0, []float64{0.2})
+	srv.full, srv.carried = 4, 5
+	if got := r.b.known(srv); got != 1.25 {
+		t.Errorf("known load is %v, want 1.25", got)
+	}
+}
