--- a/choice/choice.go
+++ b/choice/choice.go
@@ -303,10 +303,9 @@
 	return rho
 }
 
-// loaded is a server's load as far as it can be told: without reports, also what this proxy's sessions there are
-// beside those elsewhere.
+// loaded is a server's load as far as it can be told: also what this proxy's sessions there are beside those elsewhere.
 func (b *Balancer) loaded(srv *server) float64 {
-	if b.reports() || b.carried == 0 {
+	if b.carried == 0 {
 		return b.known(srv)
 	}
 	fair := max(b.part(srv)*b.warmth(srv), 1/float64(len(b.sessions)))
