--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	hysteresis   = 0.1             // eps
 	samplesKept  = 8               // per server; smoothing forgets what is older
 	landingsKept = 64              // to know the usual rate of sessions
+	clientsKept  = 1 << 14         // whose loads are remembered
 	coldKept     = 8               // last dials to a cold server
 	blindRounds  = 3               // that a late server is left alone where nothing more is heard of it
 	leastDepth   = 2               // of scores that a group may go down
@@ -129,6 +130,7 @@
 	limit              float64               // the threshold of the last round
 	calmRate           float64               // the highest of perSize in rounds without a late message
 	saidAt, saidListAt time.Duration         // when refusing and a failed subscription were logged
+	loadOf             map[Key]float64       // of clients, as noted last
 	groups             map[Key]int           // sessions dialing or held
 	carried            float64               // load of all sessions dialing or held
 	loads              [landingsKept]float64 // of sessions, as noted last
@@ -148,7 +150,7 @@
 func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules, cold ColdRule,
 	load LoadSight) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
-		load: load, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{}, groups: map[Key]int{},
+		load: load, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{}, loadOf: map[Key]float64{}, groups: map[Key]int{},
 		meanFactor:  1,
 		limit:       threshold(assumedLoad),
 		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
@@ -569,6 +571,9 @@
 	if b.sessions[a.ID] != nil {
 		return nil, fmt.Errorf("session %d comes twice", a.ID)
 	}
+	if a.Load == 0 {
+		a.Load = b.loadOf[a.Client]
+	}
 	s := &session{Arrival: a, deadline: now + a.Left}
 	b.sessions[a.ID] = s
 	return s, nil
@@ -621,9 +626,9 @@
 		switch {
 		case srv == nil:
 			return able
-		case b.loaded(srv) <= b.limit && !b.isFull(srv):
+		case b.loaded(srv) <= b.limit && !b.isFull(srv) && b.fits(s, srv):
 			return srv
-		case able == nil && !b.isFull(srv):
+		case able == nil && !b.isFull(srv) && b.fits(s, srv):
 			able = srv
 		}
 		below = score
@@ -672,6 +677,11 @@
 	return !b.isFull(srv) && b.untried(s, srv)
 }
 
+// fits tells whether a session's load would stay within what the server was learnt to carry.
+func (b *Balancer) fits(s *session, srv *server) bool {
+	return srv.full == 0 || srv.carried == 0 || srv.carried+b.usual(s) <= srv.full
+}
+
 // isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full is
 // refused at once. A proxy with no session at a server hears nothing of it, so what it heard last holds longer.
 func (b *Balancer) isFull(srv *server) bool {
@@ -792,6 +802,10 @@
 	b.now = now
 	if s := b.sessions[id]; s != nil {
 		s.Load = load
+		if len(b.loadOf) >= clientsKept {
+			clear(b.loadOf)
+		}
+		b.loadOf[s.Client] = load
 		b.loads[b.noted%landingsKept] = load
 		b.noted++
 		if s.place() != nil {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -471,3 +471,23 @@
 		t.Errorf("known load is %v, want 1.25", got)
 	}
 }
+
+// TestFits: from overload under many proxies, a client whose load was noted is not sent where it would pass the limit.
+func TestFits(t *testing.T) {
+	for load, want := range map[float64]int{0.5: 1, 3: 0} {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, 1)
+		heavy := r.arrive(0, 1, 0, 0)
+		r.settle(heavy, Accepted)
+		r.b.LoadNoted(0, heavy.id, 0, load)
+		r.b.Settled(0, heavy.id, 0, 1, Broken, 0, true, nil)
+		r.now = time.Minute
+		other := r.arrive(0, 2, 0, 0)
+		r.settle(other, Accepted)
+		r.b.LoadNoted(r.now, other.id, 0, 1)
+		r.b.ready[0].full = 2
+		if s := r.arrive(0, 1, 0, 0); s.dials != want {
+			t.Errorf("a client of load %v gets %d dials, want %d", load, s.dials, want)
+		}
+	}
+}
