--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,13 +1,15 @@
-// Package choice decides where sessions go: which server each dial tries, what is answered when none will do, how
-// the list of servers is followed, and when an open session is moved.
+// Package choice decides where sessions go: which server each dial tries, what is answered when none will
+// do, how the list of servers is followed, and when an open session is moved.
 //
-// How it is called: New makes one Balancer for one proxy. Whoever owns the sockets calls its exported methods, one
-// at a time, each with the time since New; List comes first. The Balancer answers through the Front in types.go,
-// which also has the types of all that goes in. Nothing here reads a clock, starts a goroutine or ranges over a map.
+// How it is called: New makes one Balancer for one proxy. Whoever owns the sockets calls its exported
+// methods, one at a time, each with the time since New; List comes first. The Balancer answers through the
+// Front in types.go, which also has the types of all that goes in. Nothing here reads a clock, starts a
+// goroutine or ranges over a map.
 //
-// The ordinary path: pick takes the ready server with the highest x * g(key, server). A round of load samples may
-// lower (above full load: raise) the x of some servers by one common factor: adapt. A server that started a short
-// while ago ramps up: multiplier. All else is an exception, and docs/design.md says when each acts.
+// The ordinary path: pick takes the ready server with the highest x * g(key, server). A round of load
+// samples may lower (above full load: raise) the x of some servers by one common factor: adapt. A server
+// that started a short while ago ramps up: multiplier. All else is an exception, and docs/design.md says
+// when each acts.
 package choice
 
 import (
@@ -31,7 +33,7 @@
 	coldKept     = 8               // last dials to a cold server
 	blindRounds  = 3               // that a late server is left alone where nothing more is heard of it
 	leastDepth   = 2               // of scores that a group may go down
-	spread       = 2               // and so many more for each server that its part of the sessions would fill
+	spread       = 2               // and so many more for each server that its part would fill
 	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
 	stuckSpan    = 3 * noteSpan    // of lateness that whole sessions could not end
 	backOff      = 0.7             // of what a late server carries, for the next time
@@ -147,10 +149,11 @@
 }
 
 // New makes a balancer and starts following the list.
-func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules, cold ColdRule,
-	load LoadSight) *Balancer {
+func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules,
+	cold ColdRule, load LoadSight) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
-		load: load, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{}, loadOf: map[Key]float64{}, groups: map[Key]int{},
+		load: load, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
+		loadOf: map[Key]float64{}, groups: map[Key]int{},
 		meanFactor:  1,
 		limit:       threshold(assumedLoad),
 		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
@@ -179,7 +182,8 @@
 	return (float64(z>>11) + 0.5) / (1 << 53)
 }
 
-// multiplier is x. A cold server's share of keys grows with what it can do, so x follows the root of the share.
+// multiplier is x. A cold server's share of keys grows with what it can do, so x follows the root of the
+// share.
 func (b *Balancer) multiplier(srv *server) float64 {
 	m := len(b.ready)
 	if warmth := b.warmth(srv); warmth < 1 && m > 1 {
@@ -189,7 +193,8 @@
 }
 
 // pick returns the top score below a bound for the key among the ready servers that may pass, or nil.
-func (b *Balancer) pick(s *session, below float64, may func(*Balancer, *session, *server) bool) (*server, float64) {
+func (b *Balancer) pick(s *session, below float64,
+	may func(*Balancer, *session, *server) bool) (*server, float64) {
 	var best *server
 	top, key := 0.0, s.key()
 	for _, srv := range b.ready {
@@ -200,7 +205,8 @@
 	return best, top
 }
 
-// multipliers sets base from the listed sizes, which are shares: Ross's recursion, from the smallest share up.
+// multipliers sets base from the listed sizes, which are shares: Ross's recursion, from the smallest share
+// up.
 func multipliers(ready []*server) {
 	total := 0.0
 	for _, srv := range ready {
@@ -305,7 +311,8 @@
 	return rho
 }
 
-// loaded is a server's load as far as it can be told: also what this proxy's sessions there are beside those elsewhere.
+// loaded is a server's load as far as it can be told: also what this proxy's sessions there are beside
+// those elsewhere.
 func (b *Balancer) loaded(srv *server) float64 {
 	if b.carried == 0 {
 		return b.known(srv)
@@ -316,9 +323,9 @@
 
 func (b *Balancer) reports() bool { return b.load.OnProbe || b.load.WithDials }
 
-// late learns from late messages and dropped sessions how much a server can carry. While work is piled up the
-// delay of messages grows by the load beyond capacity, and shrinks by what is short of it. What is piled up keeps
-// all its sessions late, so the server is relieved of more until that has gone.
+// late learns from late messages and dropped sessions how much a server can carry. While work is piled up
+// the delay of messages grows by the load beyond capacity, and shrinks by what is short of it. What is
+// piled up keeps all its sessions late, so the server is relieved of more until that has gone.
 func (b *Balancer) late(srv *server, growth float64, piledUp time.Duration) {
 	if b.now-srv.lateAt > 2*noteSpan || srv.lateAt == 0 {
 		srv.lateSince = b.now
@@ -328,11 +335,12 @@
 	if full := backOff * able; srv.full == 0 || full < srv.full {
 		srv.full = full
 	}
-	b.say(&srv.saidAt, "server %d: messages late or sessions dropped, %d sessions held", srv.ID, len(srv.held))
+	b.say(&srv.saidAt, "server %d: messages late or sessions dropped, %d held", srv.ID, len(srv.held))
 	b.relieve(srv, able*(1-min(float64(piledUp)/float64(2*noteSpan), mostDrain)))
 }
 
-// hung guards against servers that take sessions and answer none: a message there waits longer than any client.
+// hung guards against servers that take sessions and answer none: a message there waits longer than any
+// client.
 func (b *Balancer) hung(srv *server) bool {
 	return b.now-srv.delayAt < noteSpan*3/2 && srv.delay > b.longestWait
 }
@@ -358,7 +366,8 @@
 
 // Cold servers.
 
-// warmth is the share of its work that a server can surely do: it never warms slower than evenly over the span.
+// warmth is the share of its work that a server can surely do: it never warms slower than evenly over the
+// span.
 func (b *Balancer) warmth(srv *server) float64 {
 	if !srv.Started || b.now-srv.Since >= b.cold.Span {
 		return 1
@@ -377,9 +386,9 @@
 	return float64(n) / max(b.now-oldest, b.cold.Span).Seconds() * b.part(b.ready[0]) / b.ready[0].Size
 }
 
-// overBudget guards against pushing a cold server over. What the server could do warm is not told: the sessions
-// that it would carry by its size are surely within it, by now or in the best of the rounds without a late message.
-// Each proxy keeps to its part for itself.
+// overBudget guards against pushing a cold server over. What the server could do warm is not told: the
+// sessions that it would carry by its size are surely within it, by now or in the best of the rounds
+// without a late message. Each proxy keeps to its part for itself.
 func (b *Balancer) overBudget(srv *server) bool {
 	warmth := b.warmth(srv)
 	if warmth >= 1 || srv.coldDialed == 0 {
@@ -446,7 +455,9 @@
 	if srv == nil {
 		srv = &server{Entry: e, factor: b.meanFactor}
 		b.byID[e.ID] = srv
-		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int { return cmp.Compare(s.ID, id) })
+		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int {
+			return cmp.Compare(s.ID, id)
+		})
 		b.servers = slices.Insert(b.servers, at, srv)
 		return
 	}
@@ -595,7 +606,8 @@
 		srv = b.next(s)
 	}
 	if srv == nil && !slices.ContainsFunc(b.ready, b.trusted) {
-		srv, _ = b.pick(s, math.Inf(1), (*Balancer).lastResort) // with no server left to trust, the fault may be this proxy's
+		// With no server left to trust, the fault may be this proxy's.
+		srv, _ = b.pick(s, math.Inf(1), (*Balancer).lastResort)
 	}
 	if srv == nil {
 		b.say(&b.saidAt, "no server has room, refusing; %d ready", len(b.ready))
@@ -616,8 +628,9 @@
 	b.front.Dial(s.ID, srv.ID, wait)
 }
 
-// next takes the top score, or one of the next few that has room where the top has none: a hot group would fill its
-// server while others idle. Each server that holds any of a group pays for it, so a group goes no deeper.
+// next takes the top score, or one of the next few that has room where the top has none: a hot group would
+// fill its server while others idle. Each server that holds any of a group pays for it, so a group goes no
+// deeper.
 func (b *Balancer) next(s *session) *server {
 	var able *server
 	below := math.Inf(1)
@@ -641,7 +654,8 @@
 	if s.Group == 0 {
 		return len(b.ready)
 	}
-	return leastDepth + int(math.Ceil(spread*float64(len(b.ready)*b.groups[s.Group])/float64(len(b.sessions))))
+	fills := float64(len(b.ready)*b.groups[s.Group]) / float64(len(b.sessions))
+	return leastDepth + int(math.Ceil(spread*fills))
 }
 
 // allowed holds the rules that no exception may break.
@@ -682,8 +696,9 @@
 	return srv.full == 0 || srv.carried == 0 || srv.carried+b.usual(s) <= srv.full
 }
 
-// isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full is
-// refused at once. A proxy with no session at a server hears nothing of it, so what it heard last holds longer.
+// isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full
+// is refused at once. A proxy with no session at a server hears nothing of it, so what it heard last holds
+// longer.
 func (b *Balancer) isFull(srv *server) bool {
 	holds := noteSpan
 	if len(srv.held) == 0 {
@@ -692,8 +707,8 @@
 	return srv.lateAt > 0 && b.now-srv.lateAt < holds || b.known(srv) >= 1
 }
 
-// trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but one
-// dial at a time until one is answered.
+// trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but
+// one dial at a time until one is answered.
 func (b *Balancer) trusted(srv *server) bool {
 	return b.now >= srv.avoidUntil && (srv.missed == 0 || len(srv.dialing) == 0)
 }
@@ -749,8 +764,8 @@
 	}
 	was := s.state
 	if outcome == Broken {
-		// A server that drops sessions has too much piled up, or is lost; clients that come back by the same key
-		// would keep it so.
+		// A server that drops sessions has too much piled up, or is lost; clients that come back by the
+		// same key would keep it so.
 		b.late(srv, 0, 0)
 		srv.missed = max(srv.missed, 1)
 		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
@@ -835,7 +850,8 @@
 }
 
 // Probed tells what came of a probe.
-func (b *Balancer) Probed(now time.Duration, at ServerID, outcome Outcome, _ time.Duration, report []float64) {
+func (b *Balancer) Probed(now time.Duration, at ServerID, outcome Outcome, _ time.Duration,
+	report []float64) {
 	b.now = now
 	if srv := b.byID[at]; srv != nil && outcome == Accepted {
 		b.reported(srv, report)
@@ -873,12 +889,14 @@
 // round ends one round of load samples and starts the next.
 func (b *Balancer) round() {
 	anyFresh := false
-	if !slices.ContainsFunc(b.ready, func(srv *server) bool { return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan }) {
+	late := func(srv *server) bool { return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan }
+	if !slices.ContainsFunc(b.ready, late) {
 		b.calmRate = max(b.calmRate, b.perSize())
 	}
 	for _, srv := range b.ready {
 		if b.now-srv.lateAt > roundSpan {
-			// After a short jam, or when this proxy inherits the clients of another, the limit must not bind for long.
+			// After a short jam, or when this proxy inherits the clients of another, the limit must not
+			// bind for long.
 			srv.full *= 1 + regain*float64((b.now-srv.lateAt)/roundSpan)
 		}
 		if !b.load.OnProbe && !b.load.WithDials {
@@ -899,10 +917,11 @@
 	}
 }
 
-// relieve moves sessions off a server that carries more than it is able to: no more than the excess, in the order in
-// which falling weights would move their keys, so that groups leave whole and all proxies pick the same ones; and
-// only what another server has room for. Above full load no session is served in time, so what is
-// then still too much goes as well, the least utility for its load first; it is refused until there is room.
+// relieve moves sessions off a server that carries more than it is able to: no more than the excess, in the
+// order in which falling weights would move their keys, so that groups leave whole and all proxies pick the
+// same ones; and only what another server has room for. Above full load no session is served in time, so
+// what is then still too much goes as well, the least utility for its load first; it is refused until there
+// is room.
 func (b *Balancer) relieve(srv *server, able float64) {
 	spare := srv.carried - b.limit*able
 	if b.hung(srv) {
@@ -915,7 +934,9 @@
 		}
 		return b.multiplier(to) * draw(s.key(), to.ID) / (b.multiplier(srv) * draw(s.key(), srv.ID))
 	})
-	b.send(srv, srv.carried-able, func(s *session) float64 { return s.weighed / max(b.listeners[s.Listener].Utility, 1e-9) })
+	b.send(srv, srv.carried-able, func(s *session) float64 {
+		return s.weighed / max(b.listeners[s.Listener].Utility, 1e-9)
+	})
 	if rest := srv.carried - able; b.now-srv.lateSince > stuckSpan && rest > 0 && len(srv.held) > 0 {
 		// Many proxies may hold a session or two each, of which none is as small as their part of the excess.
 		s := srv.held[b.chance.Intn(len(srv.held))]
