A cold server's budget goes by turns over all proxies

Change: time since the start goes in slots of a window; a proxy's part adds up and it dials in the slots in which it passes a whole dial, phase by its number. The part comes from sessions held in calm rounds over the span of a cold start, no longer from the rate of arrivals.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,25 +22,24 @@
 )
 
 const (
-	roundSpan    = 2 * time.Second // rounds of load samples
-	noteSpan     = roundSpan / 2   // messages' delay is told this often while it is long
-	smoothing    = 3               // r: a new sample counts for one r-th
-	probeRounds  = 2               // rounds from one probe of a server to the next
-	hysteresis   = 0.1             // eps
-	samplesKept  = 8               // per server; smoothing forgets what is older
-	landingsKept = 64              // to know the usual rate of sessions
-	clientsKept  = 1 << 14         // whose loads are remembered
-	coldKept     = 8               // last dials to a cold server
-	blindRounds  = 3               // that a late server is left alone where nothing more is heard of it
-	mostDepth    = 16              // of scores that any session may go down
-	leastDepth   = 2               // that a group may go down
-	spread       = 2               // and so many more for each server that its part would fill
-	leastShare   = 1.0 / 32        // a lowered weight leaves this share of the usual one
-	stuckSpan    = 3 * noteSpan    // of lateness that whole sessions could not end
-	backOff      = 0.7             // of what a late server carries, for the next time
-	mostDrain    = 0.4             // of what a server can do, kept free for what is piled up
-	regain       = 0.05            // of a learnt limit, for each round that a server has been quiet
-	assumedLoad  = 0.5             // of a server about which nothing is told
+	roundSpan   = 2 * time.Second // rounds of load samples
+	noteSpan    = roundSpan / 2   // messages' delay is told this often while it is long
+	smoothing   = 3               // r: a new sample counts for one r-th
+	probeRounds = 2               // rounds from one probe of a server to the next
+	hysteresis  = 0.1             // eps
+	samplesKept = 8               // per server; smoothing forgets what is older
+	loadsKept   = 64              // of sessions, to know the usual one
+	clientsKept = 1 << 14         // whose loads are remembered
+	blindRounds = 3               // that a late server is left alone where nothing more is heard of it
+	mostDepth   = 16              // of scores that any session may go down
+	leastDepth  = 2               // that a group may go down
+	spread      = 2               // and so many more for each server that its part would fill
+	leastShare  = 1.0 / 32        // a lowered weight leaves this share of the usual one
+	stuckSpan   = 3 * noteSpan    // of lateness that whole sessions could not end
+	backOff     = 0.7             // of what a late server carries, for the next time
+	mostDrain   = 0.4             // of what a server can do, kept free for what is piled up
+	regain      = 0.05            // of a learnt limit, for each round that a server has been quiet
+	assumedLoad = 0.5             // of a server about which nothing is told
 )
 
 const (
@@ -112,8 +111,8 @@
 	saidAt     time.Duration // when a line about it was logged
 	missed     int           // dials unanswered since the last answer
 	avoidUntil time.Duration
-	coldDials  [coldKept]time.Duration
-	coldDialed int
+	coldSlot   int // the last slot of its start with a dial
+	coldDials  int // in that slot
 }
 
 // Balancer decides for one proxy.
@@ -133,17 +132,15 @@
 	ready              []*server
 	sizes              float64 // of all ready servers together
 	meanFactor         float64
-	limit              float64               // the threshold of the last round
-	calmRate           float64               // the highest of perSize in rounds without a late message
-	saidAt, saidListAt time.Duration         // when refusing and a failed subscription were logged
-	loadOf             map[Key]float64       // of clients, as noted last
-	groups             map[Key]int           // sessions dialing or held
-	carried            float64               // load of all sessions dialing or held
-	loads              [landingsKept]float64 // of sessions, as noted last
+	limit              float64            // the threshold of the last round
+	calm               float64            // most sessions for each unit of size in a quiet round
+	saidAt, saidListAt time.Duration      // when refusing and a failed subscription were logged
+	loadOf             map[Key]float64    // of clients, as noted last
+	groups             map[Key]int        // sessions dialing or held
+	carried            float64            // load of all sessions dialing or held
+	loads              [loadsKept]float64 // of sessions, as noted last
 	noted              int
 	sessions           map[SessionID]*session
-	landings           [landingsKept]time.Duration
-	landed             int
 	rounds             int
 	watching           bool
 	askFails           int
@@ -388,6 +385,13 @@
 	return 1 / float64(len(b.ready))
 }
 
+func (b *Balancer) size(srv *server) float64 {
+	if b.sizes > 0 {
+		return srv.Size
+	}
+	return 1
+}
+
 // Cold servers.
 
 // warmth is the share of its work that a server can surely do: it never warms slower than evenly over the
@@ -400,31 +404,28 @@
 	return b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.Span)
 }
 
-// perSize is the rate of sessions that came to this proxy of late, for each unit of size in the fleet.
-func (b *Balancer) perSize() float64 {
-	n := min(b.landed, landingsKept)
-	if n == 0 || len(b.ready) == 0 {
-		return 0
-	}
-	oldest := b.landings[(b.landed-n)%landingsKept]
-	return float64(n) / max(b.now-oldest, b.cold.Span).Seconds() * b.part(b.ready[0]) / b.ready[0].Size
-}
-
-// overBudget guards against pushing a cold server over. What the server could do warm is not told: the
-// sessions that it would carry by its size are surely within it, by now or in the best of the rounds
-// without a late message. Each proxy keeps to its part for itself.
+// overBudget guards against pushing a cold server over. All proxies together send it no more than a
+// multiple of what it can surely do, in every window, without a word between them: time since its start goes
+// by in slots of a window each, and a proxy whose part of the budget is less than a dial has its turn in one
+// of many slots, by its number. A window meets two slots, so half of the budget is for each.
 func (b *Balancer) overBudget(srv *server) bool {
-	warmth := b.warmth(srv)
-	if warmth >= 1 || srv.coldDialed == 0 {
-		return false
-	}
-	budget := b.cold.Multiple * warmth * max(b.perSize(), b.calmRate) * srv.Size * b.cold.Window.Seconds()
-	dials := min(max(int(budget), 1), coldKept)
-	if srv.coldDialed < dials {
+	if b.warmth(srv) >= 1 {
 		return false
 	}
-	window := time.Duration(float64(b.cold.Window) * max(1, 1/budget))
-	return b.now-srv.coldDials[(srv.coldDialed-dials)%coldKept] < window
+	slot, dials := b.turn(srv)
+	return dials == 0 || srv.coldSlot == slot && srv.coldDials >= dials
+}
+
+// turn is the slot of a cold server's start that it is now, and how many dials this proxy has in it. What the
+// server could do warm is not told, but that it can be filled while it warms with as many sessions as its
+// size had in calm rounds is sure.
+func (b *Balancer) turn(srv *server) (slot, dials int) {
+	slot = int(max(b.now-srv.Since, 0) / b.cold.Window)
+	window := b.cold.Window.Seconds() / b.cold.Span.Seconds()
+	warmth := b.cold.From + (1-b.cold.From)*float64(slot)*window
+	part := max(b.cold.Multiple*warmth*window*b.calm*b.size(srv), 1/float64(b.cold.Proxies)) / 2
+	_, phase := math.Modf(float64(b.cold.Me)/float64(b.cold.Proxies) + draw(0, srv.ID))
+	return slot, int(math.Floor(phase+float64(slot+1)*part) - math.Floor(phase+float64(slot)*part))
 }
 
 // The list of servers.
@@ -484,7 +485,7 @@
 		(srv.Standing == Gone || e.Started && (!srv.Started || e.Since > srv.Since)) { // restarted
 		srv.factor = b.meanFactor
 		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil = 0, false, 0, 0
-		srv.coldDialed, srv.full, srv.lateAt, srv.delayAt = 0, 0, 0, 0
+		srv.coldDials, srv.full, srv.lateAt, srv.delayAt = 0, 0, 0, 0
 	}
 	srv.Entry, srv.listed = e, b.lists
 }
@@ -543,7 +544,7 @@
 	if s.Load > 0 {
 		return s.Load
 	}
-	n := min(b.noted, landingsKept)
+	n := min(b.noted, loadsKept)
 	if n == 0 {
 		return 1
 	}
@@ -571,8 +572,6 @@
 	if err != nil {
 		return err
 	}
-	b.landings[b.landed%landingsKept] = now
-	b.landed++
 	b.place(s)
 	return nil
 }
@@ -637,8 +636,10 @@
 		wait = max(wait/time.Duration(b.dials.MostDials-s.dials), min(wait, l.HandshakeTarget/2))
 	}
 	if b.warmth(srv) < 1 {
-		srv.coldDials[srv.coldDialed%coldKept] = b.now
-		srv.coldDialed++
+		if slot, _ := b.turn(srv); slot != srv.coldSlot {
+			srv.coldSlot, srv.coldDials = slot, 0
+		}
+		srv.coldDials++
 	}
 	s.tried[s.dials%len(s.tried)] = srv
 	s.dials++
@@ -836,7 +837,7 @@
 			clear(b.loadOf)
 		}
 		b.loadOf[s.Client] = load
-		b.loads[b.noted%landingsKept] = load
+		b.loads[b.noted%loadsKept] = load
 		b.noted++
 		if s.place() != nil {
 			b.weigh(s, load)
@@ -905,8 +906,8 @@
 func (b *Balancer) round() {
 	anyFresh := false
 	late := func(srv *server) bool { return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan }
-	if !slices.ContainsFunc(b.ready, late) {
-		b.calmRate = max(b.calmRate, b.perSize())
+	if len(b.ready) > 0 && !slices.ContainsFunc(b.ready, late) {
+		b.calm = max(b.calm, float64(len(b.sessions))*b.part(b.ready[0])/b.size(b.ready[0]))
 	}
 	for _, srv := range b.ready {
 		if b.now-srv.lateAt > roundSpan {
--- a/choice/types.go
+++ b/choice/types.go
@@ -82,6 +82,7 @@
 	Multiple float64       // falls over when sent more than this times its present capacity
 	Window   time.Duration // for this long
 	Proxies  int           // all proxies together keep the budget
+	Me       int           // this proxy's number among them, from 0
 }
 
 // LoadSight says where the load of a server can be seen.
--- a/internal/benchwire/start.go
+++ b/internal/benchwire/start.go
@@ -43,6 +43,7 @@
 			How    string   `json:"how"`
 		} `json:"telemetry"`
 		GroupSize int `json:"groupSize"`
+		Me        int `json:"me"`
 	}
 	if err := json.Unmarshal(text, &told); err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -91,7 +92,7 @@
 	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span(told.Invariants.MustAskIn)}
 	*cold = choice.ColdRule{Span: span(told.Invariants.Cold), From: told.Invariants.ColdFrom,
 		Multiple: told.Invariants.FallMultiple, Window: span(told.Invariants.TipAfter),
-		Proxies: max(told.GroupSize, 1)}
+		Proxies: max(told.GroupSize, 1), Me: told.Me}
 	*load = choice.LoadSight{OnProbe: told.Telemetry.How == "on_probe" && told.Ceilings.Probes,
 		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0")}
 	return bad
