Rounds of probes cost at most half a hundredth of what a proxy's sessions are worth

Change: the settings' price of a probe against the sessions that a proxy has had; small fleets probe every other round as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,8 @@
 	roundSpan   = 2 * time.Second // rounds of load samples
 	noteSpan    = roundSpan / 2   // messages' delay is told this often while it is long
 	smoothing   = 3               // r: a new sample counts for one r-th
-	probeRounds = 2               // rounds from one probe of a server to the next
+	probeRounds = 2               // least rounds from one probe of a server to the next
+	probeShare  = 0.005           // of the utility of a proxy's sessions, for what its probes cost
 	hysteresis  = 0.1             // eps
 	samplesKept = 8               // per server; smoothing forgets what is older
 	loadsKept   = 64              // of sessions, to know the usual one
@@ -140,6 +141,8 @@
 	noted              int
 	sessions           map[SessionID]*session
 	rounds             int
+	arrivals           int // and sessions taken over at the start
+	probes             int
 	watching           bool
 	askFails           int
 	longestWait        time.Duration // dial timeout of the most patient listener
@@ -598,6 +601,9 @@
 	if a.Load == 0 {
 		a.Load = b.loadOf[a.Client]
 	}
+	if !a.Returned {
+		b.arrivals++
+	}
 	s := &session{Arrival: a, deadline: now + a.Left}
 	b.sessions[a.ID] = s
 	return s, nil
@@ -922,13 +928,21 @@
 		}
 	}
 	b.setWeights()
-	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 {
+	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 && b.affordsProbes() {
 		for _, srv := range b.ready {
 			b.front.Probe(srv.ID)
 		}
+		b.probes += len(b.ready)
 	}
 }
 
+// affordsProbes guards against a cost that grows with proxies times servers while each proxy has fewer
+// sessions to pay for it: another round of probes must cost no more than a small share of what the sessions
+// so far are worth.
+func (b *Balancer) affordsProbes() bool {
+	return float64(b.probes+len(b.ready))*b.load.ProbePrice <= probeShare*float64(b.arrivals)
+}
+
 // relieve moves sessions off a server that carries more than it is able to: no more than the excess, in the
 // order in which falling weights would move their keys, so that groups leave whole and all proxies pick the
 // same ones; and only what another server has room for. Above full load no session is served in time, so
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -553,6 +553,22 @@
 	}
 }
 
+// TestProbeCost: from 33 proxies with 110 servers, where probes cost more than they told, a proxy probes by
+// what its sessions are worth, and a proxy of a small fleet every second round.
+func TestProbeCost(t *testing.T) {
+	for _, c := range []struct{ servers, sessions, want int }{{110, 50, 110}, {12, 200, 120}} {
+		r := newRig(someListeners, LoadSight{OnProbe: true, ProbePrice: 0.002}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, c.servers)
+		r.fill(Key(c.sessions))
+		for range 20 {
+			r.b.round()
+		}
+		if r.probes != c.want {
+			t.Errorf("%d probes of %d servers for %d sessions, want %d", r.probes, c.servers, c.sessions, c.want)
+		}
+	}
+}
+
 // BenchmarkPick: its growth with the fleet and the lack of allocations matter, not its times.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{16, 136} {
--- a/choice/rig_test.go
+++ b/choice/rig_test.go
@@ -29,6 +29,7 @@
 	timers    []timer
 	lastTimer time.Duration
 	asked     int
+	probes    int
 	next      SessionID
 }
 
@@ -188,6 +189,7 @@
 }
 
 func (r *rig) Probe(id ServerID) {
+	r.probes++
 	if r.standing[id].Standing != Ready {
 		r.fail("server %d is probed though not ready", id)
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -90,6 +90,8 @@
 	OnProbe   bool
 	WithDials bool // reports come with the outcomes of dials
 	Field     int  // place of the load in a report, -1 without one
+	// ProbePrice is what a probe costs, as a share of what a session is worth.
+	ProbePrice float64
 }
 
 // Standing is a server's state in the list.
--- a/internal/benchwire/start.go
+++ b/internal/benchwire/start.go
@@ -42,6 +42,9 @@
 			Fields []string `json:"fields"`
 			How    string   `json:"how"`
 		} `json:"telemetry"`
+		Penalties struct {
+			Probe float64 `json:"probe"`
+		} `json:"penalties"`
 		GroupSize int `json:"groupSize"`
 		Me        int `json:"me"`
 	}
@@ -94,6 +97,7 @@
 		Multiple: told.Invariants.FallMultiple, Window: span(told.Invariants.TipAfter),
 		Proxies: max(told.GroupSize, 1), Me: told.Me}
 	*load = choice.LoadSight{OnProbe: told.Telemetry.How == "on_probe" && told.Ceilings.Probes,
-		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0")}
+		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0"),
+		ProbePrice: told.Penalties.Probe}
 	return bad
 }
