--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,7 +36,7 @@
 	leastDepth  = 2               // that a group may go down
 	spread      = 2               // and so many more for each server that its part would fill
 	leastShare  = 1.0 / 32        // a lowered weight leaves this share of the usual one
-	backOff     = 0.7             // of what a late server carries, for the next time
+	backOff     = 0.85            // of what a late server carries, for the next time
 	mostDrain   = 0.4             // of what a server can do, kept free for what is piled up
 	regain      = 0.05            // of a learnt limit, for each round that a server has been quiet
 	assumedLoad = 0.5             // of a server about which nothing is told
