--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,7 @@
 	mostDrain   = 0.4             // of what a server can do, kept free for what is piled up
 	regain      = 0.05            // of a learnt limit, for each round that a server has been quiet
 	assumedLoad = 0.5             // of a server about which nothing is told
+	fullLoad    = 0.75            // known load that takes nothing new, as when messages take half the target
 )
 
 const (
@@ -721,7 +722,7 @@
 	if len(srv.held) == 0 {
 		holds = blindRounds * roundSpan
 	}
-	return srv.lateAt > 0 && b.now-srv.lateAt < holds || b.known(srv) >= 1
+	return srv.lateAt > 0 && b.now-srv.lateAt < holds || b.known(srv) >= fullLoad
 }
 
 // trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -377,6 +377,20 @@
 	}
 }
 
+// TestNearlyLate: from overload, a server whose messages take more than half their target takes nothing new.
+func TestNearlyLate(t *testing.T) {
+	for delay, want := range map[time.Duration]int{45 * ms: 1, 55 * ms: 0} {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, 2)
+		for _, srv := range r.b.ready {
+			r.b.DelayNoted(0, srv.ID, delay)
+		}
+		if s := r.arrive(0, 1, 1, 0); s.dials != want {
+			t.Errorf("%d dials to servers whose messages take %v of %v", s.dials, delay, r.b.messageTarget)
+		}
+	}
+}
+
 // TestBlind: from a shrunk fleet with many proxies, a late server of which nothing more is heard must not
 // look idle.
 func TestBlind(t *testing.T) {
