--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,17 +30,18 @@
 	hysteresis  = 0.1             // eps
 	samplesKept = 8               // per server; smoothing forgets what is older
 	loadsKept   = 64              // of sessions, to know the usual one
-	clientsKept = 1 << 14         // whose loads are remembered
-	blindRounds = 3               // that a late server is left alone where nothing more is heard of it
-	mostDepth   = 16              // of scores that any session may go down
-	leastDepth  = 2               // that a group may go down
-	spread      = 2               // and so many more for each server that its part would fill
-	leastShare  = 1.0 / 32        // a lowered weight leaves this share of the usual one
-	backOff     = 0.85            // of what a late server carries, for the next time
-	mostDrain   = 0.4             // of what a server can do, kept free for what is piled up
-	regain      = 0.05            // of a learnt limit, for each round that a server has been quiet
-	assumedLoad = 0.5             // of a server about which nothing is told
-	fullLoad    = 0.75            // known load that takes nothing new, as when messages take half the target
+	returnsKept = 32
+	clientsKept = 1 << 14  // whose loads are remembered
+	blindRounds = 3        // that a late server is left alone where nothing more is heard of it
+	mostDepth   = 16       // of scores that any session may go down
+	leastDepth  = 2        // that a group may go down
+	spread      = 2        // and so many more for each server that its part would fill
+	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
+	backOff     = 0.85     // of what a late server carries, for the next time
+	mostDrain   = 0.4      // of what a server can do, kept free for what is piled up
+	regain      = 0.05     // of a learnt limit, for each round that a server has been quiet
+	assumedLoad = 0.5      // of a server about which nothing is told
+	fullLoad    = 0.75     // known load that takes nothing new, as when messages take half the target
 )
 
 const (
@@ -150,6 +151,8 @@
 	shortTarget        time.Duration // shortest handshake target
 	messageTarget      time.Duration // shortest
 	top                [mostDepth]scored
+	returns            [returnsKept]bool // clients sent away (true) and coming back
+	returned           int
 }
 
 type scored struct {
@@ -571,6 +574,9 @@
 	if err != nil {
 		return err
 	}
+	if a.Returned {
+		b.noteReturn(false)
+	}
 	b.place(s)
 	return nil
 }
@@ -655,8 +661,11 @@
 // deeper.
 func (b *Balancer) next(s *session) *server {
 	var able *server
-	for _, c := range b.best(s, b.depth(s), (*Balancer).answering) {
+	displaced := s.state == arrived && s.dials == 0 && s.Returned && b.chance.Float64() < b.displaced()
+	for i, c := range b.best(s, b.depth(s), (*Balancer).answering) {
 		switch srv := c.server; {
+		case displaced && i == 0 && len(srv.held) == 0:
+			able = srv
 		case b.isFull(srv) || !b.fits(s, srv):
 		case b.loaded(srv) <= b.limit:
 			return srv
@@ -667,6 +676,26 @@
 	return able
 }
 
+// displaced is the share of clients coming back whose server had no room for them. A client comes back to
+// any proxy of its zone, so as many as this one sent away come to it from others; what is beyond that has
+// lost its connection in another way.
+func (b *Balancer) displaced() float64 {
+	sent, back := 0.0, 0.0
+	for _, sentAway := range b.returns[:min(b.returned, returnsKept)] {
+		if sentAway {
+			sent++
+		} else {
+			back++
+		}
+	}
+	return sent / max(back, 1)
+}
+
+func (b *Balancer) noteReturn(sentAway bool) {
+	b.returns[b.returned%returnsKept] = sentAway
+	b.returned++
+}
+
 // depth is how many of its best scores a session may go down: as its group's part of the sessions demands.
 func (b *Balancer) depth(s *session) int {
 	if s.Group == 0 {
@@ -784,6 +813,7 @@
 	if outcome == Broken {
 		// A server that drops sessions has too much piled up, or is lost; clients that come back by the
 		// same key would keep it so.
+		b.noteReturn(true)
 		b.late(srv, 0, 0)
 		srv.missed = max(srv.missed, 1)
 		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
@@ -966,6 +996,7 @@
 }
 
 func (b *Balancer) move(s *session) {
+	b.noteReturn(true)
 	b.enter(s, moving, s.server)
 	b.front.Move(s.ID)
 }
