Clients sent away by other proxies start at any of their next scores

Told from too little relief: 20 to 40 moves a second off servers of 30 sessions. When such clients passed to the second score the next server was late a second later, as whole groups followed. Change: a proxy takes as many returning clients for sent away as it loses itself to full servers; those start at a random one of their next scores where nothing is heard of the top one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,18 +30,18 @@
 	hysteresis  = 0.1             // eps
 	samplesKept = 8               // per server; smoothing forgets what is older
 	loadsKept   = 64              // of sessions, to know the usual one
-	returnsKept = 32
-	clientsKept = 1 << 14  // whose loads are remembered
-	blindRounds = 3        // that a late server is left alone where nothing more is heard of it
-	mostDepth   = 16       // of scores that any session may go down
-	leastDepth  = 2        // that a group may go down
-	spread      = 2        // and so many more for each server that its part would fill
-	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
-	backOff     = 0.85     // of what a late server carries, for the next time
-	mostDrain   = 0.4      // of what a server can do, kept free for what is piled up
-	regain      = 0.05     // of a learnt limit, for each round that a server has been quiet
-	assumedLoad = 0.5      // of a server about which nothing is told
-	fullLoad    = 0.75     // known load that takes nothing new, as when messages take half the target
+	returnsKept = 32              // clients lost and coming back
+	clientsKept = 1 << 14         // whose loads are remembered
+	blindRounds = 3               // that a late server is left alone where nothing more is heard of it
+	mostDepth   = 16              // of scores that any session may go down
+	leastDepth  = 2               // that a group may go down
+	spread      = 2               // and so many more for each server that its part would fill
+	leastShare  = 1.0 / 32        // a lowered weight leaves this share of the usual one
+	backOff     = 0.85            // of what a late server carries, for the next time
+	mostDrain   = 0.4             // of what a server can do, kept free for what is piled up
+	regain      = 0.05            // of a learnt limit, for each round that a server has been quiet
+	assumedLoad = 0.5             // of a server about which nothing is told
+	fullLoad    = 0.75            // known load that takes nothing new, as when messages take half the target
 )
 
 const (
@@ -151,7 +151,7 @@
 	shortTarget        time.Duration // shortest handshake target
 	messageTarget      time.Duration // shortest
 	top                [mostDepth]scored
-	returns            [returnsKept]bool // clients sent away (true) and coming back
+	returns            [returnsKept]bool // clients lost to full servers (true) and coming back
 	returned           int
 }
 
@@ -658,14 +658,18 @@
 
 // next takes the top score, or one of the next few that has room where the top has none: a hot group would
 // fill its server while others idle. Each server that holds any of a group pays for it, so a group goes no
-// deeper.
+// deeper. A client that another proxy sent away would come straight back to its late server, of which this
+// proxy hears nothing, or with all the others to the second score: it starts at any of the next scores.
 func (b *Balancer) next(s *session) *server {
 	var able *server
-	displaced := s.state == arrived && s.dials == 0 && s.Returned && b.chance.Float64() < b.displaced()
-	for i, c := range b.best(s, b.depth(s), (*Balancer).answering) {
-		switch srv := c.server; {
-		case displaced && i == 0 && len(srv.held) == 0:
-			able = srv
+	top := b.best(s, b.depth(s), (*Balancer).answering)
+	from := 0
+	if s.Returned && s.state == arrived && s.dials == 0 && len(top) > 1 && len(top[0].held) == 0 &&
+		b.chance.Float64() < b.sentAway() {
+		from = 1 + b.chance.Intn(len(top)-1)
+	}
+	for i := range top {
+		switch srv := top[(from+i)%len(top)].server; {
 		case b.isFull(srv) || !b.fits(s, srv):
 		case b.loaded(srv) <= b.limit:
 			return srv
@@ -676,23 +680,23 @@
 	return able
 }
 
-// displaced is the share of clients coming back whose server had no room for them. A client comes back to
-// any proxy of its zone, so as many as this one sent away come to it from others; what is beyond that has
-// lost its connection in another way.
-func (b *Balancer) displaced() float64 {
-	sent, back := 0.0, 0.0
-	for _, sentAway := range b.returns[:min(b.returned, returnsKept)] {
-		if sentAway {
-			sent++
+// sentAway is the share of clients coming back whose server had no room for them. They come back to any proxy
+// of their zone, so about as many as this one lost to full servers come to it from others, who know what it
+// does not hear. What comes beyond that lost its connection in another way and belongs where it was.
+func (b *Balancer) sentAway() float64 {
+	lost, back := 0.0, 1.0
+	for _, wasLost := range b.returns[:min(b.returned, returnsKept)] {
+		if wasLost {
+			lost++
 		} else {
 			back++
 		}
 	}
-	return sent / max(back, 1)
+	return lost / back
 }
 
-func (b *Balancer) noteReturn(sentAway bool) {
-	b.returns[b.returned%returnsKept] = sentAway
+func (b *Balancer) noteReturn(wasLost bool) {
+	b.returns[b.returned%returnsKept] = wasLost
 	b.returned++
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -377,6 +377,30 @@
 	}
 }
 
+// TestReturning: from days with 200 proxies, half of the clients sent away came straight back to the late
+// server by way of a proxy that hears nothing of it. A wave of clients that just lost their connection stays.
+func TestReturning(t *testing.T) {
+	for lost, want := range map[int]float64{0: 1, 30: 0.6} {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, 9)
+		for range lost {
+			r.b.noteReturn(true)
+		}
+		at := 0
+		for k := Key(1); k <= 60; k++ {
+			r.next++
+			r.b.Arrive(0, Arrival{ID: r.next, Left: sec, Client: k, Group: k, Returned: true})
+			if s := r.b.sessions[r.next]; s.server == r.top(k) {
+				at++
+			}
+			r.b.Settled(0, r.next, 0, r.b.sessions[r.next].server.ID, Cancelled, 0, true, nil)
+		}
+		if got := float64(at) / 60; math.Abs(got-want) > 0.15 {
+			t.Errorf("after %d lost clients %.2f of 60 go to their top score, want %.2f", lost, got, want)
+		}
+	}
+}
+
 // TestNearlyLate: from overload, a server whose messages take more than half their target takes nothing new.
 func TestNearlyLate(t *testing.T) {
 	for delay, want := range map[time.Duration]int{45 * ms: 1, 55 * ms: 0} {
