--- a/choice/choice.go
+++ b/choice/choice.go
@@ -700,12 +700,13 @@
 	b.returned++
 }
 
-// depth is how many of its best scores a session may go down: as its group's part of the sessions demands.
+// depth is how many of its best scores a session may go down: as its group's part of the sessions demands. Of
+// a few sessions one of its group tells little, so as many others as there are servers are added to them.
 func (b *Balancer) depth(s *session) int {
 	if s.Group == 0 {
 		return mostDepth
 	}
-	fills := float64(len(b.ready)*b.groups[s.Group]) / float64(len(b.sessions))
+	fills := float64(len(b.ready)*b.groups[s.Group]) / float64(len(b.sessions)+len(b.ready))
 	return leastDepth + int(math.Ceil(spread*fills))
 }
 
