Sessions wait for reports of their best scores where nothing is heard of them

Change: a new state; before its first dial a session waits, half the shortest handshake target at most, for probes of its two best scores where the proxy holds nothing and no report is fresher than a round. They count against the same share of its sessions' worth.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,6 +26,7 @@
 	noteSpan    = roundSpan / 2   // messages' delay is told this often while it is long
 	smoothing   = 3               // r: a new sample counts for one r-th
 	probeRounds = 2               // least rounds from one probe of a server to the next
+	mostAsked   = 2               // servers, before a session is placed
 	probeShare  = 0.005           // of the utility of a proxy's sessions, for what its probes cost
 	hysteresis  = 0.1             // eps
 	samplesKept = 8               // per server; smoothing forgets what is older
@@ -47,12 +48,14 @@
 const (
 	tokenRound Token = iota
 	tokenAsk
+	tokenInquiry
 )
 
 type state int
 
 const (
 	arrived state = iota // placed nowhere; an answer is owed
+	asking               // reports of servers are awaited; an answer is owed
 	dialing              // one dial is out
 	open                 // a server holds it
 	moving               // sent away in good order; the end of its dial is awaited
@@ -61,7 +64,8 @@
 )
 
 var mayEnter = [...][]state{
-	arrived: {dialing, open, over},
+	arrived: {asking, dialing, open, over},
+	asking:  {dialing, over},
 	dialing: {arrived, open, left, over},
 	open:    {moving, left, over},
 	moving:  {over},
@@ -75,9 +79,11 @@
 	deadline time.Duration
 	dials    int
 	tried    [8]*server
-	server   *server       // of the dial that is out, or the holder
-	weighed  float64       // its load as counted in
-	rank     float64       // in the order of leaving its server
+	server   *server            // of the dial that is out, or the holder
+	weighed  float64            // its load as counted in
+	rank     float64            // in the order of leaving its server
+	asked    [mostAsked]*server // whose reports it waits for
+	askedAt  time.Duration
 	slot     int           // place among the server's sessions
 	dialedAt time.Duration // of the dial that is out
 	mayRun   bool          // some dial may have run
@@ -100,7 +106,9 @@
 	x          float64 // multiplier, as of the last list or round
 	samples    [samplesKept]float64
 	sampled    int
-	fresh      bool // sampled in this round
+	sampledAt  time.Duration
+	probing    bool          // the result of a probe is awaited
+	probedAt   time.Duration // last
 	dialing    []*session
 	held       []*session
 	landed     int           // sessions opened since the last sample
@@ -143,8 +151,10 @@
 	noted              int
 	sessions           map[SessionID]*session
 	rounds             int
-	arrivals           int // and sessions taken over at the start
+	fresh              bool // some load was sampled in this round
+	arrivals           int  // and sessions taken over at the start
 	probes             int
+	asking             []*session
 	watching           bool
 	askFails           int
 	longestWait        time.Duration // dial timeout of the most patient listener
@@ -245,17 +255,7 @@
 
 // multipliers sets base from the listed sizes, which are shares: Ross's recursion, from the smallest share
 // up.
-func multipliers(ready []*server) {
-	total := 0.0
-	for _, srv := range ready {
-		total += srv.Size
-	}
-	if total <= 0 {
-		for _, srv := range ready {
-			srv.base = 1
-		}
-		return
-	}
+func multipliers(ready []*server, total float64) {
 	bySize := slices.Clone(ready)
 	slices.SortStableFunc(bySize, func(a, c *server) int { return cmp.Compare(a.Size, c.Size) })
 	product, before, x := 1.0, 0.0, 0.0
@@ -284,7 +284,6 @@
 	srv.samples[srv.sampled%samplesKept] = rho
 	srv.sampled++
 	srv.landed = 0
-	srv.fresh = true
 }
 
 // threshold is the load beyond which adapting acts, for a mean load rho.
@@ -338,6 +337,9 @@
 	if b.reports() && srv.sampled > 0 {
 		before := max(len(srv.held)-srv.landed, 1)
 		rho = srv.last() * float64(before+srv.landed) / float64(before)
+		if b.now-srv.sampledAt > probeRounds*roundSpan {
+			rho = min(rho, b.limit) // an old report must not close a server for long
+		}
 	}
 	if srv.full > 0 {
 		rho = max(rho, srv.carried/srv.full)
@@ -380,19 +382,7 @@
 }
 
 // part is a server's share of the fleet by the listed sizes.
-func (b *Balancer) part(srv *server) float64 {
-	if b.sizes > 0 {
-		return srv.Size / b.sizes
-	}
-	return 1 / float64(len(b.ready))
-}
-
-func (b *Balancer) size(srv *server) float64 {
-	if b.sizes > 0 {
-		return srv.Size
-	}
-	return 1
-}
+func (b *Balancer) part(srv *server) float64 { return srv.Size / b.sizes }
 
 // Cold servers.
 
@@ -425,7 +415,7 @@
 	slot = int(max(b.now-srv.Since, 0) / b.cold.Window)
 	window := b.cold.Window.Seconds() / b.cold.Span.Seconds()
 	warmth := b.cold.From + (1-b.cold.From)*float64(slot)*window
-	part := max(b.cold.Multiple*warmth*window*b.calm*b.size(srv), 1/float64(b.cold.Proxies)) / 2
+	part := max(b.cold.Multiple*warmth*window*b.calm*srv.Size, 1/float64(b.cold.Proxies)) / 2
 	_, phase := math.Modf(float64(b.cold.Me)/float64(b.cold.Proxies) + draw(0, srv.ID))
 	return slot, int(math.Floor(phase+float64(slot+1)*part) - math.Floor(phase+float64(slot)*part))
 }
@@ -470,7 +460,7 @@
 			b.sizes += srv.Size
 		}
 	}
-	multipliers(b.ready)
+	multipliers(b.ready, b.sizes)
 	b.setWeights()
 }
 
@@ -486,10 +476,13 @@
 	} else if e.Standing == Ready &&
 		(srv.Standing == Gone || e.Started && (!srv.Started || e.Since > srv.Since)) { // restarted
 		srv.factor = b.meanFactor
-		srv.sampled, srv.fresh, srv.missed, srv.avoidUntil = 0, false, 0, 0
+		srv.sampled, srv.missed, srv.avoidUntil = 0, 0, 0
 		srv.coldDials, srv.full, srv.lateAt, srv.delayAt = 0, 0, 0, 0
 	}
 	srv.Entry, srv.listed = e, b.lists
+	if e.Size <= 0 { // not told
+		srv.Size = 1
+	}
 }
 
 // say logs a line, the same subject no more than once in the span of a cold start.
@@ -509,7 +502,9 @@
 	}
 	if was := s.place(); was != nil {
 		b.weigh(s, 0)
-		b.count(s, -1)
+		if b.groups[s.Group]--; b.groups[s.Group] == 0 {
+			delete(b.groups, s.Group)
+		}
 		last := len(*was) - 1
 		(*was)[s.slot] = (*was)[last]
 		(*was)[s.slot].slot = s.slot
@@ -518,7 +513,7 @@
 	s.state, s.server = next, srv
 	if is := s.place(); is != nil {
 		b.weigh(s, b.usual(s))
-		b.count(s, 1)
+		b.groups[s.Group]++
 		s.slot = len(*is)
 		*is = append(*is, s)
 	}
@@ -527,13 +522,6 @@
 	}
 }
 
-func (b *Balancer) count(s *session, by int) {
-	b.groups[s.Group] += by
-	if b.groups[s.Group] == 0 {
-		delete(b.groups, s.Group)
-	}
-}
-
 // weigh counts a session's load in for its server.
 func (b *Balancer) weigh(s *session, load float64) {
 	s.server.carried += load - s.weighed
@@ -577,10 +565,64 @@
 	if a.Returned {
 		b.noteReturn(false)
 	}
-	b.place(s)
+	if !b.inquire(s) {
+		b.place(s)
+	}
 	return nil
 }
 
+// inquire probes the session's best scores of which nothing is heard, where a report tells their load, and
+// lets the session wait for them: among many proxies each hears of few servers, and a probe takes less than a
+// session placed wrong.
+func (b *Balancer) inquire(s *session) bool {
+	if !b.load.OnProbe || s.MidFlow || s.deadline-b.now < 2*b.inquirySpan() {
+		return false
+	}
+	n := 0
+	for _, c := range b.best(s, mostAsked, (*Balancer).answering) {
+		srv := c.server
+		if len(srv.held) > 0 || srv.sampled > 0 && b.now-srv.sampledAt <= roundSpan {
+			continue
+		}
+		if !b.awaited(srv) {
+			if !b.affordsProbes(1) {
+				break
+			}
+			b.probe(srv)
+		}
+		s.asked[n] = srv
+		n++
+	}
+	if n > 0 {
+		s.askedAt = b.now
+		b.enter(s, asking, nil)
+		b.asking = append(b.asking, s)
+		b.front.Timer(b.inquirySpan(), tokenInquiry) // guards against a report that never comes
+	}
+	return n > 0
+}
+
+func (b *Balancer) inquirySpan() time.Duration { return b.shortTarget / 2 }
+
+func (b *Balancer) awaited(srv *server) bool {
+	return srv != nil && srv.probing && b.now-srv.probedAt < b.inquirySpan()
+}
+
+// placeAsking places the sessions that wait for no report any more.
+func (b *Balancer) placeAsking() {
+	waiting := b.asking[:0]
+	for _, s := range b.asking {
+		switch {
+		case s.state != asking:
+		case b.now-s.askedAt < b.inquirySpan() && slices.ContainsFunc(s.asked[:], b.awaited):
+			waiting = append(waiting, s)
+		default:
+			b.place(s)
+		}
+	}
+	b.asking = waiting
+}
+
 // Hold takes a session that a server holds already.
 func (b *Balancer) Hold(now time.Duration, a Arrival, at ServerID) error {
 	srv := b.byID[at]
@@ -664,7 +706,7 @@
 	var able *server
 	top := b.best(s, b.depth(s), (*Balancer).answering)
 	from := 0
-	if s.Returned && s.state == arrived && s.dials == 0 && len(top) > 1 && len(top[0].held) == 0 &&
+	if s.Returned && s.state != open && s.dials == 0 && len(top) > 1 && len(top[0].held) == 0 &&
 		b.chance.Float64() < b.sentAway() {
 		from = 1 + b.chance.Intn(len(top)-1)
 	}
@@ -712,17 +754,9 @@
 
 // allowed holds the rules that no exception may break.
 func (b *Balancer) allowed(s *session, srv *server) bool {
-	if s.mayRun && b.listeners[s.Listener].Effect == Referenced {
-		switch b.listeners[s.Listener].Group {
-		case GroupZone:
-			if srv.Zone != s.first.Zone {
-				return false
-			}
-		case GroupCell:
-			if srv.Cell != s.first.Cell {
-				return false
-			}
-		}
+	if l := &b.listeners[s.Listener]; s.mayRun && l.Effect == Referenced &&
+		(l.Group == GroupZone && srv.Zone != s.first.Zone || l.Group == GroupCell && srv.Cell != s.first.Cell) {
+		return false
 	}
 	return !b.overBudget(srv)
 }
@@ -834,15 +868,12 @@
 		s.mayRun, s.first, s.firstAt = true, srv, s.dialedAt
 	}
 	b.enter(s, arrived, nil)
-	switch outcome {
-	case Unanswered, Unreachable:
+	if outcome == Unanswered || outcome == Unreachable {
 		srv.missed++
 		srv.avoidUntil = now + b.longestWait*time.Duration(min(srv.missed, 4))
 		if srv.missed == 2 {
 			b.say(&srv.saidAt, "server %d: two dials in a row without an answer, avoided", srv.ID)
 		}
-	case Full:
-		srv.avoidUntil = max(srv.avoidUntil, now+b.shortTarget/4)
 	}
 	b.place(s)
 }
@@ -855,6 +886,8 @@
 		return
 	}
 	switch s.state {
+	case asking:
+		b.enter(s, over, nil)
 	case dialing:
 		b.enter(s, left, s.server)
 	case open:
@@ -906,14 +939,19 @@
 func (b *Balancer) Probed(now time.Duration, at ServerID, outcome Outcome, _ time.Duration,
 	report []float64) {
 	b.now = now
-	if srv := b.byID[at]; srv != nil && outcome == Accepted {
-		b.reported(srv, report)
+	if srv := b.byID[at]; srv != nil {
+		srv.probing = false
+		if outcome == Accepted {
+			b.reported(srv, report)
+		}
+		b.placeAsking()
 	}
 }
 
 func (b *Balancer) reported(srv *server, report []float64) {
 	if b.load.Field >= 0 && b.load.Field < len(report) {
 		srv.sample(report[b.load.Field])
+		srv.sampledAt, b.fresh = b.now, true
 	}
 }
 
@@ -933,6 +971,8 @@
 		if !b.watching {
 			b.ask()
 		}
+	case tokenInquiry:
+		b.placeAsking()
 	case tokenRound:
 		b.front.Timer(roundSpan, tokenRound)
 		b.round()
@@ -941,10 +981,9 @@
 
 // round ends one round of load samples and starts the next.
 func (b *Balancer) round() {
-	anyFresh := false
 	late := func(srv *server) bool { return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan }
 	if len(b.ready) > 0 && !slices.ContainsFunc(b.ready, late) {
-		b.calm = max(b.calm, float64(len(b.sessions))*b.part(b.ready[0])/b.size(b.ready[0]))
+		b.calm = max(b.calm, float64(len(b.sessions))/b.sizes)
 	}
 	for _, srv := range b.ready {
 		if b.now-srv.lateAt > roundSpan {
@@ -952,31 +991,34 @@
 			// bind for long.
 			srv.full *= 1 + regain*float64((b.now-srv.lateAt)/roundSpan)
 		}
-		if !b.load.OnProbe && !b.load.WithDials {
+		if !b.reports() {
 			srv.sample(b.seen(srv))
+			b.fresh = true
 		}
-		anyFresh = anyFresh || srv.fresh
 	}
-	if anyFresh {
+	if b.fresh {
 		b.adapt()
-		for _, srv := range b.ready {
-			srv.fresh = false
-		}
+		b.fresh = false
 	}
 	b.setWeights()
-	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 && b.affordsProbes() {
+	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 && b.affordsProbes(len(b.ready)) {
 		for _, srv := range b.ready {
-			b.front.Probe(srv.ID)
+			b.probe(srv)
 		}
-		b.probes += len(b.ready)
 	}
 }
 
 // affordsProbes guards against a cost that grows with proxies times servers while each proxy has fewer
-// sessions to pay for it: another round of probes must cost no more than a small share of what the sessions
-// so far are worth.
-func (b *Balancer) affordsProbes() bool {
-	return float64(b.probes+len(b.ready))*b.load.ProbePrice <= probeShare*float64(b.arrivals)
+// sessions to pay for it: all probes must cost no more than a small share of what the sessions so far are
+// worth.
+func (b *Balancer) affordsProbes(n int) bool {
+	return float64(b.probes+n)*b.load.ProbePrice <= probeShare*float64(b.arrivals)
+}
+
+func (b *Balancer) probe(srv *server) {
+	srv.probing, srv.probedAt = true, b.now
+	b.probes++
+	b.front.Probe(srv.ID)
 }
 
 // relieve moves sessions off a server that carries more than it is able to: no more than the excess, in the
