A pick reads seeds and weights side by side and folds one product

Change: ids are mixed once, seeds and multipliers of the ready servers stand in one array, a pick folds one 128-bit product for each; a lone session's chance to move is drawn before it is ranked. Sessions without any key go by their own id.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/bits"
 	"math/rand"
 	"slices"
 	"time"
@@ -92,10 +93,13 @@
 }
 
 func (s *session) key() Key {
-	if s.Group != 0 {
+	switch {
+	case s.Group != 0:
 		return s.Group
+	case s.Client != 0:
+		return s.Client
 	}
-	return s.Client
+	return Key(s.ID)
 }
 
 type server struct {
@@ -139,6 +143,7 @@
 	servers            []*server // in the order of their ids, gone ones too
 	byID               map[ServerID]*server
 	ready              []*server
+	lanes              []lane  // of the ready ones
 	sizes              float64 // of all ready servers together
 	meanFactor         float64
 	limit              float64            // the threshold of the last round
@@ -194,18 +199,28 @@
 // The ordinary path.
 
 // draw is g: a fixed mix of key and server into (0,1), the same at all proxies.
-func draw(key Key, id ServerID) float64 {
-	z := uint64(key) ^ (uint64(id)+1)*0x9e3779b97f4a7c15
+func draw(key Key, id ServerID) float64 { return unit(mix(uint64(key)), mix(uint64(id)+1)) }
+
+func mix(z uint64) uint64 {
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
-	z ^= z >> 31
-	z = (z + 0x9e3779b97f4a7c15) * 0xd6e8feb86659fd93
-	z ^= z >> 32
-	return (float64(z>>11) + 0.5) / (1 << 53)
+	return z ^ z>>31
+}
+
+// unit folds two mixed numbers into (0,1).
+func unit(key, seed uint64) float64 {
+	high, low := bits.Mul64(key^seed, 0x9e3779b97f4a7c15)
+	return (float64((high^low)>>11) + 0.5) / (1 << 53)
+}
+
+// lane is what a pick reads of a server; all lanes stand side by side, as a pick must cost little.
+type lane struct {
+	seed uint64
+	x    float64
 }
 
-// setWeights sets every x, once for each list and round, as a pick must cost little. A cold server's share of
-// keys grows with what it can do, so its x follows the root of the share.
+// setWeights sets every x, once for each list and round. A cold server's share of keys grows with what it can
+// do, so its x follows the root of the share.
 func (b *Balancer) setWeights() {
 	b.meanFactor = 1
 	if m := len(b.ready); m > 0 {
@@ -215,22 +230,24 @@
 		}
 		b.meanFactor = sum / float64(m)
 	}
-	for _, srv := range b.ready {
+	for i, srv := range b.ready {
 		srv.x = srv.base * srv.factor
 		if warmth := b.warmth(srv); warmth < 1 && len(b.ready) > 1 {
 			srv.x = srv.base * b.meanFactor * math.Pow(warmth, 1/float64(len(b.ready)-1))
 		}
+		b.lanes[i].x = srv.x
 	}
 }
 
 // best returns the highest scores for the session's key among the ready servers that may pass, at most depth
 // of them, in one pass over the fleet. They are good until the next call.
 func (b *Balancer) best(s *session, depth int, may func(*Balancer, *session, *server) bool) []scored {
-	top, key := b.top[:0], s.key()
+	top, key := b.top[:0], mix(uint64(s.key()))
 	depth = min(depth, len(b.top))
-	for _, srv := range b.ready {
-		score := srv.x * draw(key, srv.ID)
-		if len(top) == depth && score <= top[depth-1].score || !may(b, s, srv) {
+	least := 0.0
+	for i := range b.lanes {
+		score := b.lanes[i].x * unit(key, b.lanes[i].seed)
+		if score <= least || !may(b, s, b.ready[i]) {
 			continue
 		}
 		if len(top) < depth {
@@ -240,7 +257,10 @@
 		for ; at > 0 && top[at-1].score < score; at-- {
 			top[at] = top[at-1]
 		}
-		top[at] = scored{srv, score}
+		top[at] = scored{b.ready[i], score}
+		if len(top) == depth {
+			least = top[depth-1].score
+		}
 	}
 	return top
 }
@@ -449,14 +469,14 @@
 	for _, e := range entries {
 		b.entry(e)
 	}
-	b.ready = b.ready[:0]
-	b.sizes = 0
+	b.ready, b.lanes, b.sizes = b.ready[:0], b.lanes[:0], 0
 	for _, srv := range b.servers {
 		if kind != ListDelta && srv.listed != b.lists {
 			srv.Standing = Gone
 		}
 		if srv.Standing == Ready {
 			b.ready = append(b.ready, srv)
+			b.lanes = append(b.lanes, lane{seed: mix(uint64(srv.ID) + 1)})
 			b.sizes += srv.Size
 		}
 	}
@@ -1055,6 +1075,9 @@
 	if load <= 0 {
 		return 0
 	}
+	if len(srv.held) == 1 && b.chance.Float64()*srv.carried > load {
+		return 0 // ranking costs a pick
+	}
 	for _, s := range srv.held {
 		s.rank = rank(s)
 	}
@@ -1068,7 +1091,7 @@
 		if next == nil {
 			return load
 		}
-		if next.weighed > load && b.chance.Float64()*next.weighed > load {
+		if len(srv.held) > 1 && next.weighed > load && b.chance.Float64()*next.weighed > load {
 			return 0
 		}
 		load -= next.weighed
