A late server that a proxy hears nothing of rests by the proxy's part of it

Told from too much load by the wire: 100 servers stay two seconds behind while others stand at a third of theirs, and what they take comes from proxies with no session there. Change: such a server rests for four seconds over the sessions that a fair part of it would be to this proxy, a minute at most; all proxies together then try a quarter of its fair sessions a second, at any number of proxies.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,18 +32,18 @@
 	hysteresis  = 0.1             // eps
 	samplesKept = 8               // per server; smoothing forgets what is older
 	loadsKept   = 64              // of sessions, to know the usual one
-	returnsKept = 32              // clients lost and coming back
 	clientsKept = 1 << 14         // whose loads are remembered
-	blindRounds = 3               // that a late server is left alone where nothing more is heard of it
-	mostDepth   = 16              // of scores that any session may go down
-	leastDepth  = 2               // that a group may go down
-	spread      = 2               // and so many more for each server that its part would fill
-	leastShare  = 1.0 / 32        // a lowered weight leaves this share of the usual one
-	backOff     = 0.85            // of what a late server carries, for the next time
-	mostDrain   = 0.4             // of what a server can do, kept free for what is piled up
-	regain      = 0.05            // of a learnt limit, for each round that a server has been quiet
-	assumedLoad = 0.5             // of a server about which nothing is told
-	fullLoad    = 0.75            // known load that takes nothing new, as when messages take half the target
+	triesRest   = 4               // seconds in which all proxies together try a late server's fair sessions
+	mostRest    = 30 * roundSpan
+	mostDepth   = 16       // of scores that any session may go down
+	leastDepth  = 2        // that a group may go down
+	spread      = 2        // and so many more for each server that its part would fill
+	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
+	backOff     = 0.85     // of what a late server carries, for the next time
+	mostDrain   = 0.4      // of what a server can do, kept free for what is piled up
+	regain      = 0.05     // of a learnt limit, for each round that a server has been quiet
+	assumedLoad = 0.5      // of a server about which nothing is told
+	fullLoad    = 0.75     // known load that takes nothing new, as when messages take half the target
 )
 
 const (
@@ -166,8 +166,6 @@
 	shortTarget        time.Duration // shortest handshake target
 	messageTarget      time.Duration // shortest
 	top                [mostDepth]scored
-	returns            [returnsKept]bool // clients lost to full servers (true) and coming back
-	returned           int
 }
 
 type scored struct {
@@ -582,9 +580,6 @@
 	if err != nil {
 		return err
 	}
-	if a.Returned {
-		b.noteReturn(false)
-	}
 	if !b.inquire(s) {
 		b.place(s)
 	}
@@ -720,18 +715,11 @@
 
 // next takes the top score, or one of the next few that has room where the top has none: a hot group would
 // fill its server while others idle. Each server that holds any of a group pays for it, so a group goes no
-// deeper. A client that another proxy sent away would come straight back to its late server, of which this
-// proxy hears nothing, or with all the others to the second score: it starts at any of the next scores.
+// deeper.
 func (b *Balancer) next(s *session) *server {
 	var able *server
-	top := b.best(s, b.depth(s), (*Balancer).answering)
-	from := 0
-	if s.Returned && s.state != open && s.dials == 0 && len(top) > 1 && len(top[0].held) == 0 &&
-		b.chance.Float64() < b.sentAway() {
-		from = 1 + b.chance.Intn(len(top)-1)
-	}
-	for i := range top {
-		switch srv := top[(from+i)%len(top)].server; {
+	for _, c := range b.best(s, b.depth(s), (*Balancer).answering) {
+		switch srv := c.server; {
 		case b.isFull(srv) || !b.fits(s, srv):
 		case b.loaded(srv) <= b.limit:
 			return srv
@@ -742,26 +730,6 @@
 	return able
 }
 
-// sentAway is the share of clients coming back whose server had no room for them. They come back to any proxy
-// of their zone, so about as many as this one lost to full servers come to it from others, who know what it
-// does not hear. What comes beyond that lost its connection in another way and belongs where it was.
-func (b *Balancer) sentAway() float64 {
-	lost, back := 0.0, 1.0
-	for _, wasLost := range b.returns[:min(b.returned, returnsKept)] {
-		if wasLost {
-			lost++
-		} else {
-			back++
-		}
-	}
-	return lost / back
-}
-
-func (b *Balancer) noteReturn(wasLost bool) {
-	b.returns[b.returned%returnsKept] = wasLost
-	b.returned++
-}
-
 // depth is how many of its best scores a session may go down: as its group's part of the sessions demands. Of
 // a few sessions one of its group tells little, so as many others as there are servers are added to them.
 func (b *Balancer) depth(s *session) int {
@@ -803,14 +771,16 @@
 }
 
 // isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full
-// is refused at once. A proxy with no session at a server hears nothing of it, so what it heard last holds
-// longer.
+// is refused at once. A proxy with no session at a late server hears nothing more of it. Were it to try again
+// each few seconds, as all others would, a large fleet of proxies would keep the server late by trying; it
+// rests for longer the less of the server's sessions would be this proxy's.
 func (b *Balancer) isFull(srv *server) bool {
-	holds := noteSpan
+	rest := noteSpan
 	if len(srv.held) == 0 {
-		holds = blindRounds * roundSpan
+		fair := b.part(srv) * float64(max(len(b.sessions), 1))
+		rest = min(time.Duration(triesRest*float64(noteSpan)/fair), mostRest)
 	}
-	return srv.lateAt > 0 && b.now-srv.lateAt < holds || b.known(srv) >= fullLoad
+	return srv.lateAt > 0 && b.now-srv.lateAt < rest || b.known(srv) >= fullLoad
 }
 
 // trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but
@@ -872,7 +842,6 @@
 	if outcome == Broken {
 		// A server that drops sessions has too much piled up, or is lost; clients that come back by the
 		// same key would keep it so.
-		b.noteReturn(true)
 		b.late(srv, 0, 0)
 		srv.missed = max(srv.missed, 1)
 		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
@@ -1063,7 +1032,6 @@
 }
 
 func (b *Balancer) move(s *session) {
-	b.noteReturn(true)
 	b.enter(s, moving, s.server)
 	b.front.Move(s.ID)
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -379,30 +379,6 @@
 	}
 }
 
-// TestReturning: from days with 200 proxies, half of the clients sent away came straight back to the late
-// server by way of a proxy that hears nothing of it. A wave of clients that just lost their connection stays.
-func TestReturning(t *testing.T) {
-	for lost, want := range map[int]float64{0: 1, 30: 0.6} {
-		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
-		r.list(ListFull, 9)
-		for range lost {
-			r.b.noteReturn(true)
-		}
-		at := 0
-		for k := Key(1); k <= 60; k++ {
-			r.next++
-			r.b.Arrive(0, Arrival{ID: r.next, Left: sec, Client: k, Group: k, Returned: true})
-			if s := r.b.sessions[r.next]; s.server == r.top(k) {
-				at++
-			}
-			r.b.Settled(0, r.next, 0, r.b.sessions[r.next].server.ID, Cancelled, 0, true, nil)
-		}
-		if got := float64(at) / 60; math.Abs(got-want) > 0.15 {
-			t.Errorf("after %d lost clients %.2f of 60 go to their top score, want %.2f", lost, got, want)
-		}
-	}
-}
-
 // TestNearlyLate: from overload, a server whose messages take more than half their target takes nothing new.
 func TestNearlyLate(t *testing.T) {
 	for delay, want := range map[time.Duration]int{45 * ms: 1, 55 * ms: 0} {
@@ -418,20 +394,27 @@
 }
 
 // TestBlind: from a shrunk fleet with many proxies, a late server of which nothing more is heard must not
-// look idle.
+// look idle. From 114 and 354 proxies that kept late servers late by trying them: the smaller a proxy's part
+// of the sessions, the longer it leaves such a server alone.
 func TestBlind(t *testing.T) {
-	r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
-	r.list(ListFull, 2)
-	for _, srv := range r.b.ready {
-		r.b.DelayNoted(sec, srv.ID, 400*ms)
-	}
-	r.now = 3 * sec
-	if s := r.arrive(0, 1, 1, 0); s.dials != 0 {
-		t.Error("a server heard of as late was dialed two seconds later without a session there to tell")
-	}
-	r.now = sec + blindRounds*roundSpan
-	if s := r.arrive(0, 1, 1, 0); s.dials != 1 {
-		t.Error("the server was not tried again")
+	for sessions, rest := range map[Key]time.Duration{0: 8 * sec, 19: 400 * ms, 1: 4 * sec} {
+		r := newRig(someListeners, LoadSight{}, rand.New(rand.NewSource(1)))
+		r.list(ListFull, 2)
+		for _, srv := range r.b.ready {
+			srv.Size = r.b.sizes / 2
+		}
+		r.fill(sessions)
+		for _, srv := range r.b.ready {
+			srv.held, srv.lateAt = nil, sec
+		}
+		r.now = sec + rest - 1
+		if s := r.arrive(0, 99, 99, 0); s.dials != 0 {
+			t.Errorf("%d sessions: a late server was dialed before %v had passed", sessions, rest)
+		}
+		r.now = sec + rest
+		if s := r.arrive(0, 99, 99, 0); s.dials != 1 {
+			t.Errorf("%d sessions: the server was not tried again after %v", sessions, rest)
+		}
 	}
 }
 
