--- a/internal/benchwire/start.go
+++ b/internal/benchwire/start.go
@@ -99,5 +99,20 @@
 	*load = choice.LoadSight{OnProbe: told.Telemetry.How == "on_probe" && told.Ceilings.Probes,
 		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0"),
 		ProbePrice: told.Penalties.Probe}
-	return bad
+	switch {
+	case bad != nil:
+		return bad
+	case cold.Span > 0 && cold.Window == 0:
+		return fmt.Errorf("settings: tipAfter is 0")
+	case cold.From < 0 || cold.From > 1:
+		return fmt.Errorf("settings: coldFrom is %v, no share", cold.From)
+	case list.MustWatch && list.MustAskIn == 0:
+		return fmt.Errorf("settings: discovery by asking without mustAskIn")
+	}
+	for i, l := range *listeners {
+		if l.DialTimeout == 0 {
+			return fmt.Errorf("settings: listener %d has no dialTimeout", i)
+		}
+	}
+	return nil
 }
