--- a/choice/choice.go
+++ b/choice/choice.go
@@ -393,12 +393,6 @@
 	b.relieve(srv, able*(1-min(float64(piledUp)/float64(noteSpan), mostDrain)))
 }
 
-// hung guards against servers that take sessions and answer none: a message there waits longer than any
-// client.
-func (b *Balancer) hung(srv *server) bool {
-	return b.now-srv.delayAt < noteSpan*3/2 && srv.delay > b.longestWait
-}
-
 // part is a server's share of the fleet by the listed sizes.
 func (b *Balancer) part(srv *server) float64 { return srv.Size / b.sizes }
 
@@ -753,7 +747,7 @@
 	return !slices.Contains(s.tried[:min(s.dials, len(s.tried))], srv) && b.allowed(s, srv)
 }
 
-// answering leaves out servers that have not answered, for a while: a hung server passes probes and the list.
+// answering leaves out servers that have not answered, for a while.
 func (b *Balancer) answering(s *session, srv *server) bool {
 	if s.state == open { // its client would come as a new session
 		return srv != s.server && b.trusted(srv) && !b.overBudget(srv)
@@ -783,8 +777,8 @@
 	return srv.lateAt > 0 && b.now-srv.lateAt < rest || b.known(srv) >= fullLoad
 }
 
-// trusted is false for a while after a dial went unanswered or sessions were dropped, and then for all but
-// one dial at a time until one is answered.
+// trusted is false for a while after a dial went unanswered, and then for all but one dial at a time until one
+// is answered: a hung server passes probes and the list.
 func (b *Balancer) trusted(srv *server) bool {
 	return b.now >= srv.avoidUntil && (srv.missed == 0 || len(srv.dialing) == 0)
 }
@@ -843,8 +837,6 @@
 		// A server that drops sessions has too much piled up, or is lost; clients that come back by the
 		// same key would keep it so.
 		b.late(srv, 0, 0)
-		srv.missed = max(srv.missed, 1)
-		srv.avoidUntil = max(srv.avoidUntil, now+roundSpan)
 	}
 	if isOver || was != dialing {
 		if was == dialing && outcome == Accepted {
@@ -913,11 +905,6 @@
 			was, span = srv.delay, max(now-srv.delayAt, noteSpan/2)
 		}
 		srv.delay, srv.delayAt = delay, now
-		if b.hung(srv) {
-			srv.missed = max(srv.missed, 1)
-			srv.avoidUntil = now + b.longestWait
-			b.say(&srv.saidAt, "server %d: messages take %v, taken for hung", srv.ID, delay)
-		}
 		if delay >= b.messageTarget {
 			b.late(srv, float64(delay-was)/float64(span), delay-b.messageTarget/3)
 		}
@@ -1015,18 +1002,14 @@
 // same ones; and only what another server has room for. Above full load no session is served in time, so
 // what finds no room goes as well, the least utility for its load first; it is refused until there is room.
 func (b *Balancer) relieve(srv *server, able float64) {
-	spare := srv.carried - able
-	if b.hung(srv) {
-		spare = srv.carried
-	}
-	rest := b.send(srv, spare, func(s *session) float64 {
+	rest := b.send(srv, srv.carried-able, func(s *session) float64 {
 		to := b.next(s)
 		if to == nil || b.loaded(to) > b.limit {
 			return 0
 		}
 		return to.x * draw(s.key(), to.ID) / (srv.x * draw(s.key(), srv.ID))
 	})
-	b.send(srv, min(rest, srv.carried-able), func(s *session) float64 {
+	b.send(srv, rest, func(s *session) float64 {
 		return s.weighed / max(b.listeners[s.Listener].Utility, 1e-9)
 	})
 }
