Proxies tell one another of late servers, where the settings allow it

Change: of the proxies that hear a late note about one tells the others, six bytes, for a hundredth of its sessions' worth; a word counts like a note where the proxy holds nothing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	probeRounds = 2               // least rounds from one probe of a server to the next
 	mostAsked   = 2               // servers, before a session is placed
 	probeShare  = 0.005           // of the utility of a proxy's sessions, for what its probes cost
+	wordShare   = 0.01            // and for its words to other proxies
 	hysteresis  = 0.1             // eps
 	samplesKept = 8               // per server; smoothing forgets what is older
 	loadsKept   = 64              // of sessions, to know the usual one
@@ -137,6 +138,7 @@
 	list      ListRules
 	cold      ColdRule
 	load      LoadSight
+	words     WordRule
 
 	now                time.Duration
 	lists              int
@@ -146,9 +148,10 @@
 	lanes              []lane  // of the ready ones
 	sizes              float64 // of all ready servers together
 	meanFactor         float64
-	limit              float64            // the threshold of the last round
-	calm               float64            // most sessions for each unit of size in a quiet round
-	saidAt, saidListAt time.Duration      // when refusing and a failed subscription were logged
+	limit              float64       // the threshold of the last round
+	calm               float64       // most sessions for each unit of size in a quiet round
+	saidAt, saidListAt time.Duration // when refusing and a failed subscription were logged
+	saidWordAt         time.Duration
 	loadOf             map[Key]float64    // of clients, as noted last
 	groups             map[Key]int        // sessions dialing or held
 	carried            float64            // load of all sessions dialing or held
@@ -159,6 +162,7 @@
 	fresh              bool // some load was sampled in this round
 	arrivals           int  // and sessions taken over at the start
 	probes             int
+	told               int // words
 	asking             []*session
 	watching           bool
 	askFails           int
@@ -175,9 +179,9 @@
 
 // New makes a balancer and starts following the list.
 func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules,
-	cold ColdRule, load LoadSight) *Balancer {
+	cold ColdRule, load LoadSight, words WordRule) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
-		load: load, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
+		load: load, words: words, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
 		loadOf: map[Key]float64{}, groups: map[Key]int{},
 		meanFactor:  1,
 		limit:       threshold(assumedLoad),
@@ -777,8 +781,8 @@
 	return srv.lateAt > 0 && b.now-srv.lateAt < rest || b.known(srv) >= fullLoad
 }
 
-// trusted is false for a while after a dial went unanswered, and then for all but one dial at a time until one
-// is answered: a hung server passes probes and the list.
+// trusted is false for a while after a dial went unanswered, and then for all but one dial at a time until
+// one is answered: a hung server passes probes and the list.
 func (b *Balancer) trusted(srv *server) bool {
 	return b.now >= srv.avoidUntil && (srv.missed == 0 || len(srv.dialing) == 0)
 }
@@ -906,11 +910,37 @@
 		}
 		srv.delay, srv.delayAt = delay, now
 		if delay >= b.messageTarget {
+			b.tell(srv)
 			b.late(srv, float64(delay-was)/float64(span), delay-b.messageTarget/3)
 		}
 	}
 }
 
+// tell lets about one of the proxies that hear of a late server tell the others, where words are allowed and
+// cost no more than a small share of what this proxy's sessions are worth.
+func (b *Balancer) tell(srv *server) {
+	others := float64(b.cold.Proxies - 1)
+	hearing := b.part(srv) * float64(len(b.sessions)*b.cold.Proxies)
+	if b.words.Allowed && others > 0 && b.chance.Float64()*hearing < 1 &&
+		float64(b.told+1)*others*b.words.Price <= wordShare*float64(b.arrivals) {
+		b.told++
+		b.front.Tell(srv.ID, srv.delay)
+	}
+}
+
+// Told takes another proxy's word of a late server: a proxy with no session there has heard nothing since.
+func (b *Balancer) Told(now time.Duration, at ServerID, delay time.Duration) {
+	b.now = now
+	srv := b.byID[at]
+	if srv == nil || srv.Standing != Ready {
+		b.say(&b.saidWordAt, "a word of server %d is ignored, as the list does not have it ready", at)
+		return
+	}
+	if len(srv.held) == 0 {
+		srv.delay, srv.delayAt = delay, now
+	}
+}
+
 // Probed tells what came of a probe.
 func (b *Balancer) Probed(now time.Duration, at ServerID, outcome Outcome, _ time.Duration,
 	report []float64) {
--- a/choice/types.go
+++ b/choice/types.go
@@ -27,6 +27,8 @@
 	// Move ends an open session in good order; its client comes again.
 	Move(id SessionID)
 	Probe(id ServerID)
+	// Tell sends word of a server's message delay to all other proxies; it may be lost.
+	Tell(at ServerID, delay time.Duration)
 	// Timer asks for a call of Tick with the token.
 	Timer(after time.Duration, token Token)
 	// Watch opens the subscription to the list of servers.
@@ -94,6 +96,12 @@
 	ProbePrice float64
 }
 
+// WordRule says whether proxies may tell one another of late servers.
+type WordRule struct {
+	Allowed bool
+	Price   float64 // of one word to one proxy, as a share of what a session is worth
+}
+
 // Standing is a server's state in the list.
 type Standing int
 
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -39,6 +39,7 @@
 	codeLog      = 5
 	codeRefuse   = 7
 	codeProbe    = 8
+	codeTell     = 9
 	codeTearDown = 10
 	codeMove     = 11
 	codeDial     = 12
@@ -328,6 +329,30 @@
 	r.buf = append(r.buf, 1)
 }
 
+// A word between proxies is a server's id and its messages' delay in milliseconds.
+const (
+	wordSize    = 6
+	fullMessage = 256
+	everyPeer   = 0xffff
+)
+
+func (r *Reply) Tell(inst InstanceID, at choice.ServerID, delay time.Duration) {
+	r.record(codeTell, 6+wordSize, inst)
+	r.u16(everyPeer)
+	r.u16(wordSize)
+	r.u32(uint32(at))
+	r.u16(uint16(min(delay/time.Millisecond, math.MaxUint16)))
+}
+
+// Word reads what another proxy told.
+func Word(data []byte) (at choice.ServerID, delay time.Duration, err error) {
+	if len(data) != wordSize {
+		return 0, 0, fmt.Errorf("%d bytes", len(data))
+	}
+	return choice.ServerID(binary.LittleEndian.Uint32(data)),
+		time.Duration(binary.LittleEndian.Uint16(data[4:])) * time.Millisecond, nil
+}
+
 func (r *Reply) Log(inst InstanceID, line string) {
 	line = line[:min(len(line), math.MaxUint16)]
 	r.record(codeLog, 4+len(line), inst)
--- a/internal/benchwire/start.go
+++ b/internal/benchwire/start.go
@@ -11,7 +11,7 @@
 
 // ReadStart takes from the text of a start message what the named parts of the module want.
 func ReadStart(text []byte, listeners *[]choice.Listener, dials *choice.DialLimits, list *choice.ListRules,
-	cold *choice.ColdRule, load *choice.LoadSight) error {
+	cold *choice.ColdRule, load *choice.LoadSight, words *choice.WordRule) error {
 	var told struct {
 		Discovery string `json:"discovery"`
 		Listeners []struct {
@@ -27,6 +27,7 @@
 			MaxRetryAfter float64 `json:"maxRetryAfter"`
 			RetryAfter    bool    `json:"retryAfter"`
 			Probes        bool    `json:"probes"`
+			Peers         bool    `json:"peers"`
 		} `json:"ceilings"`
 		Invariants struct {
 			Cold         float64 `json:"cold"`
@@ -44,6 +45,7 @@
 		} `json:"telemetry"`
 		Penalties struct {
 			Probe float64 `json:"probe"`
+			Peer  float64 `json:"peer"`
 		} `json:"penalties"`
 		GroupSize int `json:"groupSize"`
 		Me        int `json:"me"`
@@ -99,6 +101,7 @@
 	*load = choice.LoadSight{OnProbe: told.Telemetry.How == "on_probe" && told.Ceilings.Probes,
 		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0"),
 		ProbePrice: told.Penalties.Probe}
+	*words = choice.WordRule{Allowed: told.Ceilings.Peers, Price: told.Penalties.Peer * wordSize / fullMessage}
 	switch {
 	case bad != nil:
 		return bad
