--- a/choice/choice.go
+++ b/choice/choice.go
@@ -166,6 +166,8 @@
 	asking             []*session
 	watching           bool
 	askFails           int
+	lateOfHeard        float64
+	lateShareAt        time.Duration
 	longestWait        time.Duration // dial timeout of the most patient listener
 	shortTarget        time.Duration // shortest handshake target
 	messageTarget      time.Duration // shortest
@@ -719,6 +721,7 @@
 	for _, c := range b.best(s, b.depth(s), (*Balancer).answering) {
 		switch srv := c.server; {
 		case b.isFull(srv) || !b.fits(s, srv):
+		case s.Returned && s.state != open && b.unheard(srv) && b.chance.Float64() < b.lateShare():
 		case b.loaded(srv) <= b.limit:
 			return srv
 		case able == nil:
@@ -728,6 +731,28 @@
 	return able
 }
 
+// unheard tells whether a proxy with no session at a server has no fresh report of it either.
+func (b *Balancer) unheard(srv *server) bool {
+	return len(srv.held) == 0 && (!b.reports() || b.now-srv.sampledAt > roundSpan)
+}
+
+// lateShare is the share of late servers among those that this proxy hears of.
+func (b *Balancer) lateShare() float64 {
+	if b.now-b.lateShareAt > noteSpan/4 {
+		late, heard := 0.0, 2.0 // two that are not late, so that one of few tells little
+		for _, srv := range b.ready {
+			if b.isFull(srv) {
+				late++
+				heard++
+			} else if len(srv.held) > 0 {
+				heard++
+			}
+		}
+		b.lateOfHeard, b.lateShareAt = late/heard, b.now
+	}
+	return b.lateOfHeard
+}
+
 // depth is how many of its best scores a session may go down: as its group's part of the sessions demands. Of
 // a few sessions one of its group tells little, so as many others as there are servers are added to them.
 func (b *Balancer) depth(s *session) int {
