Returning clients pass unheard servers as often as heard ones are late

Change: a returning client passes a server at which its proxy holds nothing, and of which it has no fresh report, with the chance that is the share of late servers among those heard of.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,10 +6,9 @@
 // Front in types.go, which also has the types of all that goes in. Nothing here reads a clock, starts a
 // goroutine or ranges over a map.
 //
-// The ordinary path: pick takes the ready server with the highest x * g(key, server). A round of load
-// samples may lower (above full load: raise) the x of some servers by one common factor: adapt. A server
-// that started a short while ago ramps up: multiplier. All else is an exception, and docs/design.md says
-// when each acts.
+// The ordinary path: best finds the ready server with the highest x * g(key, server). A round of load samples
+// may lower (above full load: raise) the x of some servers by one common factor: adapt. A server that started
+// a short while ago ramps up: setWeights. All else is an exception; docs/design.md says when each acts.
 package choice
 
 import (
@@ -112,8 +111,9 @@
 	samples    [samplesKept]float64
 	sampled    int
 	sampledAt  time.Duration
-	probing    bool          // the result of a probe is awaited
-	probedAt   time.Duration // last
+	probed     bool
+	probedAt   time.Duration
+	resultAt   time.Duration // of the last probe
 	dialing    []*session
 	held       []*session
 	landed     int           // sessions opened since the last sample
@@ -552,14 +552,13 @@
 	if s.Load > 0 {
 		return s.Load
 	}
-	n := min(b.noted, loadsKept)
-	if n == 0 {
-		return 1
-	}
-	sum := 0.0
+	sum, n := 0.0, min(b.noted, loadsKept)
 	for _, load := range b.loads[:n] {
 		sum += load
 	}
+	if n == 0 {
+		return 1
+	}
 	return sum / float64(n)
 }
 
@@ -596,13 +595,11 @@
 	n := 0
 	for _, c := range b.best(s, mostAsked, (*Balancer).answering) {
 		srv := c.server
-		if len(srv.held) > 0 || srv.sampled > 0 && b.now-srv.sampledAt <= roundSpan {
+		probed := srv.probed && b.now-srv.probedAt < b.inquirySpan()
+		if !b.unheard(srv) || !probed && !b.affordsProbes(1) {
 			continue
 		}
-		if !b.awaited(srv) {
-			if !b.affordsProbes(1) {
-				break
-			}
+		if !probed {
 			b.probe(srv)
 		}
 		s.asked[n] = srv
@@ -619,17 +616,14 @@
 
 func (b *Balancer) inquirySpan() time.Duration { return b.shortTarget / 2 }
 
-func (b *Balancer) awaited(srv *server) bool {
-	return srv != nil && srv.probing && b.now-srv.probedAt < b.inquirySpan()
-}
-
 // placeAsking places the sessions that wait for no report any more.
 func (b *Balancer) placeAsking() {
 	waiting := b.asking[:0]
 	for _, s := range b.asking {
+		missing := func(srv *server) bool { return srv != nil && srv.resultAt < s.askedAt }
 		switch {
 		case s.state != asking:
-		case b.now-s.askedAt < b.inquirySpan() && slices.ContainsFunc(s.asked[:], b.awaited):
+		case b.now-s.askedAt < b.inquirySpan() && slices.ContainsFunc(s.asked[:], missing):
 			waiting = append(waiting, s)
 		default:
 			b.place(s)
@@ -733,22 +727,21 @@
 
 // unheard tells whether a proxy with no session at a server has no fresh report of it either.
 func (b *Balancer) unheard(srv *server) bool {
-	return len(srv.held) == 0 && (!b.reports() || b.now-srv.sampledAt > roundSpan)
+	return len(srv.held) == 0 && (!b.reports() || srv.sampled == 0 || b.now-srv.sampledAt > roundSpan)
 }
 
 // lateShare is the share of late servers among those that this proxy hears of.
 func (b *Balancer) lateShare() float64 {
 	if b.now-b.lateShareAt > noteSpan/4 {
-		late, heard := 0.0, 2.0 // two that are not late, so that one of few tells little
+		late, heard := 0.0, 2.0 // in time, and two more, so that one of few tells little
 		for _, srv := range b.ready {
 			if b.isFull(srv) {
 				late++
-				heard++
 			} else if len(srv.held) > 0 {
 				heard++
 			}
 		}
-		b.lateOfHeard, b.lateShareAt = late/heard, b.now
+		b.lateOfHeard, b.lateShareAt = late/(late+heard), b.now
 	}
 	return b.lateOfHeard
 }
@@ -863,9 +856,7 @@
 	}
 	was := s.state
 	if outcome == Broken {
-		// A server that drops sessions has too much piled up, or is lost; clients that come back by the
-		// same key would keep it so.
-		b.late(srv, 0, 0)
+		b.late(srv, 0, 0) // it has too much piled up, or is lost
 	}
 	if isOver || was != dialing {
 		if was == dialing && outcome == Accepted {
@@ -971,7 +962,7 @@
 	report []float64) {
 	b.now = now
 	if srv := b.byID[at]; srv != nil {
-		srv.probing = false
+		srv.resultAt = now
 		if outcome == Accepted {
 			b.reported(srv, report)
 		}
@@ -986,14 +977,6 @@
 	}
 }
 
-// seen is a server's load as far as slow messages tell it: late messages mean more than full load.
-func (b *Balancer) seen(srv *server) float64 {
-	if srv.lateAt > 0 && b.now-srv.lateAt <= roundSpan {
-		return 3 * assumedLoad
-	}
-	return b.loaded(srv)
-}
-
 // Tick tells that the time asked for with Timer has come.
 func (b *Balancer) Tick(now time.Duration, token Token) {
 	b.now = now
@@ -1018,12 +1001,11 @@
 	}
 	for _, srv := range b.ready {
 		if b.now-srv.lateAt > roundSpan {
-			// After a short jam, or when this proxy inherits the clients of another, the limit must not
-			// bind for long.
+			// after a short jam, or with the clients of a lost proxy, the limit must not bind for long
 			srv.full *= 1 + regain*float64((b.now-srv.lateAt)/roundSpan)
 		}
 		if !b.reports() {
-			srv.sample(b.seen(srv))
+			srv.sample(b.loaded(srv))
 			b.fresh = true
 		}
 	}
@@ -1047,7 +1029,7 @@
 }
 
 func (b *Balancer) probe(srv *server) {
-	srv.probing, srv.probedAt = true, b.now
+	srv.probed, srv.probedAt = true, b.now
 	b.probes++
 	b.front.Probe(srv.ID)
 }
@@ -1069,11 +1051,6 @@
 	})
 }
 
-func (b *Balancer) move(s *session) {
-	b.enter(s, moving, s.server)
-	b.front.Move(s.ID)
-}
-
 // send moves sessions of the given load off a server, those that rank highest first, none that ranks 0, and
 // returns the load for which there were none. A session that is more than what is left goes by chance in
 // proportion: of many proxies each may hold one session there, and all together move about the excess.
@@ -1101,7 +1078,8 @@
 			return 0
 		}
 		load -= next.weighed
-		b.move(next)
+		b.enter(next, moving, srv)
+		b.front.Move(next.ID)
 	}
 	return 0
 }
