--- a/choice/choice.go
+++ b/choice/choice.go
@@ -111,7 +111,6 @@
 	samples    [samplesKept]float64
 	sampled    int
 	sampledAt  time.Duration
-	probed     bool
 	probedAt   time.Duration
 	resultAt   time.Duration // of the last probe
 	dialing    []*session
@@ -485,7 +484,7 @@
 func (b *Balancer) entry(e Entry) {
 	srv := b.byID[e.ID]
 	if srv == nil {
-		srv = &server{factor: b.meanFactor}
+		srv = &server{factor: b.meanFactor, probedAt: -b.inquirySpan()}
 		b.byID[e.ID] = srv
 		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int {
 			return cmp.Compare(s.ID, id)
@@ -595,7 +594,7 @@
 	n := 0
 	for _, c := range b.best(s, mostAsked, (*Balancer).answering) {
 		srv := c.server
-		probed := srv.probed && b.now-srv.probedAt < b.inquirySpan()
+		probed := b.now-srv.probedAt < b.inquirySpan()
 		if !b.unheard(srv) || !probed && !b.affordsProbes(1) {
 			continue
 		}
@@ -642,8 +641,7 @@
 	if err != nil {
 		return err
 	}
-	s.dials = 1
-	s.mayRun = true
+	s.dials, s.mayRun = 1, true
 	b.enter(s, open, srv)
 	return nil
 }
@@ -808,10 +806,8 @@
 // mayRerun tells whether another dial may go out after those that may have run.
 func (b *Balancer) mayRerun(s *session) bool {
 	l := &b.listeners[s.Listener]
-	if !s.mayRun || l.Effect == Repeatable {
-		return true
-	}
-	return l.Effect == Referenced && b.now-s.firstAt < l.RepeatWindow
+	return !s.mayRun || l.Effect == Repeatable ||
+		l.Effect == Referenced && b.now-s.firstAt < l.RepeatWindow
 }
 
 // giveUp answers at once what no server will take.
@@ -889,10 +885,10 @@
 	switch s.state {
 	case asking:
 		b.enter(s, over, nil)
-	case dialing:
-		b.enter(s, left, s.server)
-	case open:
-		s.dialedAt = -1
+	case dialing, open:
+		if s.state == open {
+			s.dialedAt = -1
+		}
 		b.enter(s, left, s.server)
 	}
 }
@@ -937,8 +933,8 @@
 func (b *Balancer) tell(srv *server) {
 	others := float64(b.cold.Proxies - 1)
 	hearing := b.part(srv) * float64(len(b.sessions)*b.cold.Proxies)
-	if b.words.Allowed && others > 0 && b.chance.Float64()*hearing < 1 &&
-		float64(b.told+1)*others*b.words.Price <= wordShare*float64(b.arrivals) {
+	affords := float64(b.told+1)*others*b.words.Price <= wordShare*float64(b.arrivals)
+	if b.words.Allowed && affords && b.chance.Float64()*hearing < 1 {
 		b.told++
 		b.front.Tell(srv.ID, srv.delay)
 	}
@@ -1029,7 +1025,7 @@
 }
 
 func (b *Balancer) probe(srv *server) {
-	srv.probed, srv.probedAt = true, b.now
+	srv.probedAt = b.now
 	b.probes++
 	b.front.Probe(srv.ID)
 }
