Cold budgets by quarters of the window, with a floor that warms

Restarted proxies have seen no calm round, half of the budget can not be used, one late server heard voids a round. Told from full servers by the wire: none refuses, none is late. Change: slots of a quarter of the window; at least a dial in a window at its coldest, more as it warms; the guide is what servers in time hold.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,7 @@
 	clientsKept = 1 << 14         // whose loads are remembered
 	triesRest   = 4               // seconds in which all proxies together try a late server's fair sessions
 	mostRest    = 30 * roundSpan
+	coldSlots   = 4        // parts of the window of a cold server's budget
 	mostDepth   = 16       // of scores that any session may go down
 	leastDepth  = 2        // that a group may go down
 	spread      = 2        // and so many more for each server that its part would fill
@@ -104,28 +105,24 @@
 
 type server struct {
 	Entry
-	listed     int     // the last list that named it
-	base       float64 // multiplier from the listed sizes
-	factor     float64 // what adapting made of it
-	x          float64 // multiplier, as of the last list or round
-	samples    [samplesKept]float64
-	sampled    int
-	sampledAt  time.Duration
-	probedAt   time.Duration
-	resultAt   time.Duration // of the last probe
-	dialing    []*session
-	held       []*session
-	landed     int           // sessions opened since the last sample
-	carried    float64       // load of this proxy's sessions there
-	full       float64       // what it could carry of them, 0 while never seen late
-	delay      time.Duration // of messages, as noted last
-	delayAt    time.Duration
-	lateAt     time.Duration // when it was last seen late
-	saidAt     time.Duration // when a line about it was logged
-	missed     int           // dials unanswered since the last answer
-	avoidUntil time.Duration
-	coldSlot   int // the last slot of its start with a dial
-	coldDials  int // in that slot
+	listed             int     // the last list that named it
+	base, factor       float64 // multiplier from the listed sizes, and what adapting made of it
+	x                  float64 // both, or the ramp, as of the last list or round
+	samples            [samplesKept]float64
+	sampled            int
+	sampledAt          time.Duration
+	probedAt, resultAt time.Duration // the last probe, the last result of one
+	dialing, held      []*session
+	landed             int           // sessions opened since the last sample
+	carried            float64       // load of this proxy's sessions there
+	full               float64       // what it could carry of them, 0 while never seen late
+	delay, delayAt     time.Duration // of messages, as noted last
+	lateAt             time.Duration // when it was last seen late
+	saidAt             time.Duration // when a line about it was logged
+	missed             int           // dials unanswered since the last answer
+	avoidUntil         time.Duration
+	coldSlot           int // the last slot of its start with a dial
+	coldDials          int // in that slot
 }
 
 // Balancer decides for one proxy.
@@ -148,7 +145,7 @@
 	sizes              float64 // of all ready servers together
 	meanFactor         float64
 	limit              float64       // the threshold of the last round
-	calm               float64       // most sessions for each unit of size in a quiet round
+	calm               float64       // most sessions for each unit of size in time
 	saidAt, saidListAt time.Duration // when refusing and a failed subscription were logged
 	saidWordAt         time.Duration
 	loadOf             map[Key]float64    // of clients, as noted last
@@ -157,15 +154,13 @@
 	loads              [loadsKept]float64 // of sessions, as noted last
 	noted              int
 	sessions           map[SessionID]*session
-	rounds             int
 	fresh              bool // some load was sampled in this round
-	arrivals           int  // and sessions taken over at the start
-	probes             int
-	told               int // words
+	rounds, probes     int
+	arrivals, told     int // sessions that did not come back, words to other proxies
 	asking             []*session
 	watching           bool
 	askFails           int
-	lateOfHeard        float64
+	lateOfHeard        float64 // as of lateShareAt
 	lateShareAt        time.Duration
 	longestWait        time.Duration // dial timeout of the most patient listener
 	shortTarget        time.Duration // shortest handshake target
@@ -413,10 +408,10 @@
 	return b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.Span)
 }
 
-// overBudget guards against pushing a cold server over. All proxies together send it no more than a
-// multiple of what it can surely do, in every window, without a word between them: time since its start goes
-// by in slots of a window each, and a proxy whose part of the budget is less than a dial has its turn in one
-// of many slots, by its number. A window meets two slots, so half of the budget is for each.
+// overBudget guards against pushing a cold server over. All proxies together send it no more than a multiple
+// of what it can surely do, in every window, without a word between them: time since its start goes in slots,
+// and a proxy whose part of a slot's budget is less than a dial has its turn in one of many, by its number. A
+// window meets one slot more than it has parts.
 func (b *Balancer) overBudget(srv *server) bool {
 	if b.warmth(srv) >= 1 {
 		return false
@@ -426,13 +421,14 @@
 }
 
 // turn is the slot of a cold server's start that it is now, and how many dials this proxy has in it. What the
-// server could do warm is not told, but that it can be filled while it warms with as many sessions as its
-// size had in calm rounds is sure.
+// server could do warm is not told. It is sure that while it warms it can be filled with as many sessions as
+// its size had on servers that were in time, and that it stands a dial in a window when it is coldest.
 func (b *Balancer) turn(srv *server) (slot, dials int) {
-	slot = int(max(b.now-srv.Since, 0) / b.cold.Window)
+	slot = int(coldSlots * max(b.now-srv.Since, 0) / b.cold.Window)
 	window := b.cold.Window.Seconds() / b.cold.Span.Seconds()
-	warmth := b.cold.From + (1-b.cold.From)*float64(slot)*window
-	part := max(b.cold.Multiple*warmth*window*b.calm*srv.Size, 1/float64(b.cold.Proxies)) / 2
+	warmth := b.cold.From + (1-b.cold.From)*float64(slot)*window/coldSlots
+	least := 1 / (b.cold.From * float64(b.cold.Proxies))
+	part := warmth * max(b.cold.Multiple*window*b.calm*srv.Size, least) / (coldSlots + 1)
 	_, phase := math.Modf(float64(b.cold.Me)/float64(b.cold.Proxies) + draw(0, srv.ID))
 	return slot, int(math.Floor(phase+float64(slot+1)*part) - math.Floor(phase+float64(slot)*part))
 }
@@ -539,7 +535,7 @@
 	}
 }
 
-// weigh counts a session's load in for its server.
+// weigh counts a session's load in.
 func (b *Balancer) weigh(s *session, load float64) {
 	s.server.carried += load - s.weighed
 	b.carried += load - s.weighed
@@ -585,8 +581,7 @@
 }
 
 // inquire probes the session's best scores of which nothing is heard, where a report tells their load, and
-// lets the session wait for them: among many proxies each hears of few servers, and a probe takes less than a
-// session placed wrong.
+// lets it wait: each of many proxies hears of few servers, and a probe takes less than a wrong place.
 func (b *Balancer) inquire(s *session) bool {
 	if !b.load.OnProbe || s.MidFlow || s.deadline-b.now < 2*b.inquirySpan() {
 		return false
@@ -785,9 +780,8 @@
 }
 
 // isFull keeps sessions from servers that would serve none of theirs in time with more; what finds all full
-// is refused at once. A proxy with no session at a late server hears nothing more of it. Were it to try again
-// each few seconds, as all others would, a large fleet of proxies would keep the server late by trying; it
-// rests for longer the less of the server's sessions would be this proxy's.
+// is refused at once. A proxy with no session at a late server hears nothing more of it. If all of many tried
+// it again each few seconds they would keep it late; it rests for longer the less of it is this proxy's.
 func (b *Balancer) isFull(srv *server) bool {
 	rest := noteSpan
 	if len(srv.held) == 0 {
@@ -991,11 +985,12 @@
 
 // round ends one round of load samples and starts the next.
 func (b *Balancer) round() {
-	late := func(srv *server) bool { return srv.lateAt > 0 && b.now-srv.lateAt < roundSpan }
-	if len(b.ready) > 0 && !slices.ContainsFunc(b.ready, late) {
-		b.calm = max(b.calm, float64(len(b.sessions))/b.sizes)
-	}
+	held, sizes := 0.0, 0.0 // of the servers in time
 	for _, srv := range b.ready {
+		if b.warmth(srv) >= 1 && (srv.lateAt == 0 || b.now-srv.lateAt >= roundSpan) {
+			held += float64(len(srv.held))
+			sizes += srv.Size
+		}
 		if b.now-srv.lateAt > roundSpan {
 			// after a short jam, or with the clients of a lost proxy, the limit must not bind for long
 			srv.full *= 1 + regain*float64((b.now-srv.lateAt)/roundSpan)
@@ -1005,10 +1000,13 @@
 			b.fresh = true
 		}
 	}
+	if sizes > b.sizes/2 {
+		b.calm = max(b.calm, held/sizes)
+	}
 	if b.fresh {
 		b.adapt()
-		b.fresh = false
 	}
+	b.fresh = false
 	b.setWeights()
 	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 && b.affordsProbes(len(b.ready)) {
 		for _, srv := range b.ready {
