A fair part of the sessions is what it is, however small

Change: what a proxy holds at a server counts against its true fair part, no longer against one session at least.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -374,7 +374,7 @@
 	if b.carried == 0 {
 		return b.known(srv)
 	}
-	fair := max(b.part(srv)*b.warmth(srv), 1/float64(len(b.sessions)))
+	fair := b.part(srv) * b.warmth(srv)
 	return max(b.known(srv), assumedLoad*srv.carried/b.carried/fair)
 }
 
