--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,284 @@
+// Package trace holds recorded arrivals of sessions. A trace is a text of JSON lines: a header, then one session a
+// line in the order of their arrival. docs/rehearsal.md has the format.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Version of the format that is written; later ones are refused.
+const Version = 1
+
+// Session is one arrival. Times are in milliseconds.
+type Session struct {
+	At       float64 `json:"at"`                 // since the trace's start
+	Listener string  `json:"listener"`           //
+	Title    string  `json:"title,omitempty"`    // the tenant
+	Zone     string  `json:"zone,omitempty"`     // of the client
+	Key      string  `json:"key"`                // of the client, hexadecimal
+	Group    string  `json:"group,omitempty"`    //
+	Wait     float64 `json:"wait,omitempty"`     // its dial timeout; 0: the listener's
+	Load     float64 `json:"load,omitempty"`     // in usual sessions; 0: not known
+	Life     float64 `json:"life,omitempty"`     // how long it stood; 0: not known
+	Answer   string  `json:"answer,omitempty"`   // how it ended when it was recorded
+	Returned bool    `json:"returned,omitempty"` // its client came again after a break or a move
+}
+
+// Arrives is when the session arrives, since the trace's start.
+func (s Session) Arrives() time.Duration { return time.Duration(s.At * float64(time.Millisecond)) }
+
+type header struct {
+	Trace  int    `json:"chalkferry_trace"`
+	Unit   string `json:"unit"`
+	Source string `json:"source,omitempty"`
+}
+
+// Error is what is wrong with a line of a trace.
+type Error struct {
+	Name string
+	Line int // from 1
+	Text string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s:%d: %s", e.Name, e.Line, e.Text) }
+
+const mostLine = 64 << 10
+
+// Read reads a whole trace; what is wrong with it is an *Error with the line's number.
+func Read(name string, from io.Reader) ([]Session, error) {
+	lines := bufio.NewScanner(from)
+	lines.Buffer(make([]byte, 0, 4<<10), mostLine)
+	var sessions []Session
+	n := 0
+	for lines.Scan() {
+		n++
+		wrong := func(format string, args ...any) error { return &Error{name, n, fmt.Sprintf(format, args...)} }
+		text := bytes.TrimSpace(lines.Bytes())
+		if n == 1 {
+			var h header
+			switch err := strictly(text, &h); {
+			case err != nil:
+				return nil, wrong("no header of a trace: %v", err)
+			case h.Trace < 1 || h.Trace > Version:
+				return nil, wrong("version %d of the format; this build reads up to %d", h.Trace, Version)
+			case h.Unit != "ms":
+				return nil, wrong("unit is %q, not ms", h.Unit)
+			}
+			continue
+		}
+		if len(text) == 0 {
+			continue
+		}
+		var s Session
+		if err := strictly(text, &s); err != nil {
+			return nil, wrong("%v", err)
+		}
+		if err := s.check(); err != nil {
+			return nil, wrong("%v", err)
+		}
+		if len(sessions) > 0 && s.At < sessions[len(sessions)-1].At {
+			return nil, wrong("arrives at %v ms, before the line above", s.At)
+		}
+		sessions = append(sessions, s)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, &Error{name, n + 1, err.Error()}
+	}
+	if n == 0 {
+		return nil, &Error{name, 1, "empty, not even a header"}
+	}
+	return sessions, nil
+}
+
+func strictly(text []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if d.More() {
+		return fmt.Errorf("more than one value on the line")
+	}
+	return nil
+}
+
+func (s Session) check() error {
+	for _, v := range []struct {
+		name  string
+		value float64
+	}{{"at", s.At}, {"wait", s.Wait}, {"load", s.Load}, {"life", s.Life}} {
+		if v.value < 0 || v.value > 1e12 || math.IsNaN(v.value) {
+			return fmt.Errorf("%s is %v", v.name, v.value)
+		}
+	}
+	for _, v := range []struct{ name, text string }{{"listener", s.Listener}, {"title", s.Title}, {"zone", s.Zone},
+		{"key", s.Key}, {"group", s.Group}} {
+		if bytes.ContainsFunc([]byte(v.text), func(r rune) bool { return r <= ' ' || r > '~' || r == ',' || r == '=' }) {
+			return fmt.Errorf("%s %q can't stand in a first line", v.name, v.text)
+		}
+	}
+	if s.Listener == "" || s.Key == "" {
+		return fmt.Errorf("without a listener or a key")
+	}
+	return nil
+}
+
+// Write writes a trace; source says where it comes from.
+func Write(to io.Writer, source string, sessions []Session) error {
+	w := bufio.NewWriter(to)
+	e := json.NewEncoder(w)
+	if err := e.Encode(header{Version, "ms", source}); err != nil {
+		return err
+	}
+	for _, s := range sessions {
+		if err := e.Encode(s); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// Cut keeps what arrives from one time to before another, counted from the first.
+func Cut(sessions []Session, from, to time.Duration) []Session {
+	var kept []Session
+	for _, s := range sessions {
+		if at := s.Arrives(); at >= from && at < to {
+			s.At -= float64(from) / float64(time.Millisecond)
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// Scale makes a trace of factor times as many sessions: each stands there as often as the factor says, the rest of
+// the factor by chance. Copies have keys of their own, and arrive up to the spread later, so that they are no wave
+// that nobody saw.
+func Scale(sessions []Session, factor float64, spread time.Duration, rng *rand.Rand) []Session {
+	var scaled []Session
+	for _, s := range sessions {
+		n := int(factor)
+		if rng.Float64() < factor-float64(n) {
+			n++
+		}
+		for copied := range n {
+			c := s
+			if copied > 0 {
+				c.Key = rekey(s.Key, copied)
+				c.At += rng.Float64() * float64(spread) / float64(time.Millisecond)
+			}
+			scaled = append(scaled, c)
+		}
+	}
+	sort(scaled)
+	return scaled
+}
+
+// rekey is the key of a session's copy, the same for all sessions of its client.
+func rekey(key string, n int) string {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s/%d", key, n)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Speed makes a trace pass so many times as fast; how long sessions wait and live stays.
+func Speed(sessions []Session, times float64) []Session {
+	faster := slices.Clone(sessions)
+	for i := range faster {
+		faster[i].At /= times
+	}
+	return faster
+}
+
+// Merge lays traces over one another.
+func Merge(traces ...[]Session) []Session {
+	all := slices.Concat(traces...)
+	sort(all)
+	return all
+}
+
+func sort(sessions []Session) {
+	slices.SortStableFunc(sessions, func(a, b Session) int {
+		switch {
+		case a.At < b.At:
+			return -1
+		case a.At > b.At:
+			return 1
+		}
+		return 0
+	})
+}
+
+// logged is what the proxy's log says of a session's client side.
+type logged struct {
+	Time     time.Time `json:"time"`
+	Side     string    `json:"side"`
+	Reason   string    `json:"reason"`
+	Ms       float64   `json:"ms"`
+	UpMs     float64   `json:"up_ms"`
+	ID       string    `json:"id"`
+	Listener string    `json:"listener"`
+	Title    string    `json:"title"`
+	Key      string    `json:"key"`
+	Group    string    `json:"group"`
+	WaitMs   float64   `json:"wait_ms"`
+	Returned bool      `json:"returned"`
+}
+
+// FromLog makes a trace of a proxy's log. Lines that are no session's are passed over and counted; a line that is no
+// JSON is an *Error, but for a last one that is cut off.
+func FromLog(name string, from io.Reader) (sessions []Session, passed int, err error) {
+	lines := bufio.NewReader(from)
+	var starts []time.Time
+	for n := 1; ; n++ {
+		text, readErr := lines.ReadBytes('\n')
+		if readErr != nil && readErr != io.EOF {
+			return nil, passed, readErr
+		}
+		isLast := readErr == io.EOF
+		if len(bytes.TrimSpace(text)) > 0 {
+			var l logged
+			if err := json.Unmarshal(text, &l); err != nil {
+				if isLast { // the process was killed as it wrote
+					passed++
+					break
+				}
+				return nil, passed, &Error{name, n, err.Error()}
+			}
+			if l.Side != "client" || l.Listener == "" || l.Key == "" {
+				passed++
+			} else {
+				s := Session{Listener: l.Listener, Title: l.Title, Key: l.Key, Group: l.Group, Wait: l.WaitMs,
+					Answer: l.Reason, Returned: l.Returned}
+				if l.UpMs > 0 {
+					s.Life = max(l.Ms-l.UpMs, 1)
+				}
+				if err := s.check(); err != nil {
+					return nil, passed, &Error{name, n, err.Error()}
+				}
+				sessions = append(sessions, s)
+				starts = append(starts, l.Time.Add(-time.Duration(l.Ms*float64(time.Millisecond))))
+			}
+		}
+		if isLast {
+			break
+		}
+	}
+	if len(starts) > 0 {
+		first := slices.MinFunc(starts, func(a, b time.Time) int { return a.Compare(b) })
+		for i := range sessions {
+			sessions[i].At = float64(starts[i].Sub(first)) / float64(time.Millisecond)
+		}
+		sort(sessions)
+	}
+	return sessions, passed, nil
+}
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,106 @@
+package trace
+
+import (
+	"bytes"
+	"errors"
+	"math/rand"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func traces(t *rapid.T) []Session {
+	var sessions []Session
+	at := 0.0
+	for range rapid.IntRange(0, 30).Draw(t, "n") {
+		at += rapid.Float64Range(0, 500).Draw(t, "gap")
+		sessions = append(sessions, Session{At: at, Listener: rapid.SampledFrom([]string{"page", "studio"}).Draw(t, "listener"),
+			Key: rapid.StringMatching(`[0-9a-f]{1,16}`).Draw(t, "key"), Life: rapid.Float64Range(0, 1e5).Draw(t, "life"),
+			Returned: rapid.Bool().Draw(t, "returned")})
+	}
+	return sessions
+}
+
+// What is written is read back the same; cutting, speeding and merging lose and invent nothing.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		was := traces(t)
+		var text bytes.Buffer
+		if err := Write(&text, "test", was); err != nil {
+			t.Fatal(err)
+		}
+		is, err := Read("t", &text)
+		if err != nil || len(is) != len(was) || len(was) > 0 && !reflect.DeepEqual(is, was) {
+			t.Fatal(err, is, was)
+		}
+		mid := time.Duration(rapid.IntRange(0, 5000).Draw(t, "mid")) * time.Millisecond
+		head, tail := Cut(was, 0, mid), Cut(was, mid, time.Hour)
+		if len(head)+len(tail) != len(was) {
+			t.Fatalf("%d and %d of %d", len(head), len(tail), len(was))
+		}
+		for _, s := range Merge(head, tail) {
+			if s.At < 0 {
+				t.Fatal(s)
+			}
+		}
+		for i, s := range Speed(was, 10) {
+			if s.At != was[i].At/10 || s.Life != was[i].Life {
+				t.Fatal(s, was[i])
+			}
+		}
+		n := rapid.IntRange(0, 4).Draw(t, "factor")
+		scaled := Scale(was, float64(n), time.Second, rand.New(rand.NewSource(1)))
+		if len(scaled) != n*len(was) {
+			t.Fatalf("%d for %d times %d", len(scaled), n, len(was))
+		}
+		for i := 1; i < len(scaled); i++ {
+			if scaled[i].At < scaled[i-1].At {
+				t.Fatal("out of order")
+			}
+		}
+	})
+}
+
+func TestRefusedWithLine(t *testing.T) {
+	const head = `{"chalkferry_trace":1,"unit":"ms"}` + "\n"
+	for text, line := range map[string]int{
+		"":                                   1,
+		`{"chalkferry_trace":2,"unit":"ms"}`: 1,
+		`{"chalkferry_trace":1,"unit":"s"}`:  1,
+		head + `{"at":1,"listener":"page","key":"a"}` + "\n" + `{"at":0,"listener":"page","key":"a"}`: 3,
+		head + "\n" + `{"at":1,"listener":"page","key":"a","colour":"red"}`:                           3,
+		head + `{"at":-1,"listener":"page","key":"a"}`:                                                2,
+		head + `{"at":1,"listener":"pa ge","key":"a"}`:                                                2,
+		head + `{"at":1,"listener":"page"}`:                                                           2,
+		head + `{"at":1,"listener":"page","key":"a"} {}`:                                              2,
+		head + `{"at":1`:                       2,
+		head + strings.Repeat("x", 2*mostLine): 2,
+	} {
+		_, err := Read("t", strings.NewReader(text))
+		var wrong *Error
+		if !errors.As(err, &wrong) || wrong.Line != line {
+			t.Errorf("%.60q: %v, want line %d", text, err, line)
+		}
+	}
+}
+
+func TestFromLog(t *testing.T) {
+	const log = `{"level":"info","message":"serving","time":"2026-12-01T20:00:00.000Z"}
+{"level":"info","side":"client","reason":"ended","ms":1500,"up_ms":100,"id":"b","listener":"page","title":"t","key":"7f","group":"5c","wait_ms":800,"time":"2026-12-01T20:00:02.250Z"}
+{"level":"info","side":"client","reason":"refused","ms":2,"id":"a","listener":"page","key":"7e","time":"2026-12-01T20:00:00.502Z"}
+{"level":"info","side":"client","reason":"idle","ms":2,"time":"2026-12-01T20:00:00.502Z"}
+{"level":"info","side":"cl`
+	got, passed, err := FromLog("log", strings.NewReader(log))
+	want := []Session{{At: 0, Listener: "page", Key: "7e", Answer: "refused"},
+		{At: 250, Listener: "page", Title: "t", Key: "7f", Group: "5c", Wait: 800, Life: 1400, Answer: "ended"}}
+	if err != nil || passed != 3 || !reflect.DeepEqual(got, want) {
+		t.Fatal(err, passed, got)
+	}
+	var wrong *Error
+	if _, _, err := FromLog("log", strings.NewReader("{}\nnonsense\n{}\n")); !errors.As(err, &wrong) || wrong.Line != 2 {
+		t.Fatal(err)
+	}
+}
