Rehearse a night: real proxies on the stand-in platform, with faults, rules, report

Change: internal/load (open loop, HDR histograms, own lateness), internal/standin/front and client, internal/rehearse (strict scenarios, six built in, faults, processes under their limits, report as text, JSON and a page with plots), chalkferry rehearse; the log's client lines tell listener, key, group and times, so that a trace can be made of them.

--- /dev/null
+++ b/cmd/chalkferry/check.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/rs/zerolog"
+
+	"chalkferry/internal/proxy"
+)
+
+type checkCmd struct {
+	File string `arg:"" optional:"" name:"configuration" env:"RELAY_CONFIG" help:"The configuration, a JSON file."`
+}
+
+func (c *checkCmd) Run() error {
+	text, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := proxy.New(text, zerolog.Nop()); err != nil {
+		return err
+	}
+	fmt.Println("the configuration is good")
+	return nil
+}
--- /dev/null
+++ b/cmd/chalkferry/rehearse.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/mattn/go-isatty"
+
+	"chalkferry/internal/rehearse"
+	"chalkferry/internal/strict"
+	"chalkferry/internal/trace"
+)
+
+type rehearseCmd struct {
+	Scenario string      `arg:"" optional:"" default:"calm" help:"A built-in scenario's name, or a TOML file."`
+	Proxy    string      `help:"The program under test; this one without."`
+	Seed     int64       `help:"In place of the scenario's."`
+	Length   strict.Span `help:"In place of the scenario's; faults must still lie within."`
+	JSON     string      `name:"json" help:"A file for the whole report."`
+	HTML     string      `name:"html" help:"A file for the report as a page with plots."`
+	Record   string      `help:"A file for a trace of what arrived."`
+	Logs     string      `help:"A folder that keeps the proxies' logs."`
+	List     bool        `help:"Name the built-in scenarios and end."`
+	Check    bool        `help:"Read the scenario, say what is wrong with it, and start nothing."`
+}
+
+func (c *rehearseCmd) Run() error {
+	if c.List {
+		for _, name := range rehearse.BuiltIn() {
+			s, err := rehearse.Load(name)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%-16s %s\n", name, s.About)
+		}
+		return nil
+	}
+	s, err := rehearse.Load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		s.Seed = c.Seed
+	}
+	if c.Length > 0 {
+		if err := s.Shorten(c.Length.D()); err != nil {
+			return err
+		}
+	}
+	if c.Check {
+		fmt.Println("the scenario is good")
+		return nil
+	}
+	if c.Proxy == "" {
+		if c.Proxy, err = os.Executable(); err != nil {
+			return err
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if c.Record != "" {
+		if err := c.record(s); err != nil {
+			return err
+		}
+	}
+	r, err := rehearse.Run(ctx, s, rehearse.Options{Proxy: c.Proxy, Progress: progress(), Logs: c.Logs})
+	if err != nil {
+		return err
+	}
+	if isatty.IsTerminal(os.Stderr.Fd()) {
+		fmt.Fprint(os.Stderr, "\r\x1b[K")
+	}
+	r.Print(os.Stdout)
+	if c.JSON != "" {
+		if err := r.WriteJSON(c.JSON); err != nil {
+			return err
+		}
+	}
+	if c.HTML != "" {
+		if err := r.WriteHTML(c.HTML); err != nil {
+			return err
+		}
+	}
+	if !r.OK() {
+		return errVerdict
+	}
+	return nil
+}
+
+// progress is where the line about a run's progress goes, nil where nobody would see it.
+func progress() io.Writer {
+	if isatty.IsTerminal(os.Stderr.Fd()) {
+		return os.Stderr
+	}
+	return nil
+}
+
+func (c *rehearseCmd) record(s *rehearse.Scenario) error {
+	sessions, err := s.Schedule()
+	if err != nil {
+		return err
+	}
+	file, err := os.Create(c.Record)
+	if err != nil {
+		return err
+	}
+	if err := trace.Write(file, "rehearsal of "+s.Name, sessions); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
--- /dev/null
+++ b/cmd/chalkferry/serve.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"chalkferry/internal/proxy"
+)
+
+type serveCmd struct {
+	File  string `arg:"" optional:"" name:"configuration" env:"RELAY_CONFIG" help:"The configuration, a JSON file."`
+	Level string `default:"info" enum:"debug,info,warn,error" help:"Least level of what is logged."`
+}
+
+func (c *serveCmd) Run() error {
+	told := make(chan os.Signal, 8) // before all else: SIGHUP would end a process that does not ask for it
+	signal.Notify(told, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	text, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(c.Level)
+	if err != nil {
+		return err
+	}
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" // a trace of the log needs more than seconds
+	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
+	p, err := proxy.New(text, log)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for sig := range told {
+			if sig != syscall.SIGHUP {
+				p.Leave()
+				continue
+			}
+			text, err := read(c.File)
+			if err == nil {
+				err = p.Reload(text)
+			}
+			if err != nil {
+				log.Error().Err(err).Msg("the new configuration is not taken")
+			}
+		}
+	}()
+	return p.Run()
+}
+
+func read(file string) ([]byte, error) {
+	if file == "" {
+		return nil, fmt.Errorf("no configuration: name a file, or set RELAY_CONFIG")
+	}
+	return os.ReadFile(file)
+}
--- /dev/null
+++ b/cmd/chalkferry/version.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// version is that of the changelog.
+const version = "0.1.0"
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("chalkferry", version)
+	if info, ok := debug.ReadBuildInfo(); ok {
+		fmt.Println("built with", info.GoVersion)
+	}
+	return nil
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -58,6 +58,7 @@
 	ex      *exchange.Exchange
 	id      string // that it gave its session
 	since   time.Duration
+	stands  time.Duration // since when lines pass
 	idle    *timers.Timer
 	spare   *list.Element // while nothing has been asked
 	pings   int
@@ -223,7 +224,7 @@
 // Up lets lines pass; some may have come already.
 func (c *Client) Up() {
 	if c.state == waits {
-		c.state = passes
+		c.state, c.stands = passes, c.clients.now()
 		c.conn.Again()
 	}
 }
@@ -258,5 +259,21 @@
 	if c.id != "" {
 		e = e.Str("id", c.id)
 	}
+	if c.ex != nil { // what a trace is made of
+		o := c.ex.Opening()
+		e = e.Bytes("listener", o.Listener).Bytes("key", o.Key).Dur("wait_ms", o.Left)
+		if o.Tenant != nil {
+			e = e.Bytes("title", o.Tenant)
+		}
+		if o.Group != nil {
+			e = e.Bytes("group", o.Group)
+		}
+		if o.Returned {
+			e = e.Bool("returned", true)
+		}
+		if c.stands > 0 {
+			e = e.Dur("up_ms", c.stands-c.since)
+		}
+	}
 	e.Send()
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -448,5 +448,8 @@
 // Name is the id that the client gave the session.
 func (ex *Exchange) Name() string { return string(ex.opening.ID) }
 
+// Opening is the first line, as the client sent it.
+func (ex *Exchange) Opening() *line.Open { return &ex.opening }
+
 // Resumes tells whether the session goes back to its holder, which may drain by now.
 func (ex *Exchange) Resumes() bool { return ex.state == resuming }
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,161 @@
+// Package load sends on a schedule that was fixed before, whatever becomes of what was sent (an open loop), and
+// counts each latency from the time at which it was to be sent, so that a stall is not hidden by those that wait for
+// its end (no coordinated omission, after Tene).
+package load
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	least  = 1                // microseconds
+	most   = 10 * 60 * 1e6    // the same; longer ones count as this
+	digits = 3                // of the whole
+	coarse = 2                // of each window, to save memory
+	second = time.Millisecond // figures are told in milliseconds
+)
+
+// Figures are quantiles of latencies, in milliseconds.
+type Figures struct {
+	N    int64   `json:"n"`
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	Max  float64 `json:"max"`
+}
+
+// Window is what was to be sent within a span of time.
+type Window struct {
+	FromMs float64 `json:"from_ms"`
+	Figures
+}
+
+// Recorder keeps latencies, whole and by window. It may be used from any goroutine.
+type Recorder struct {
+	mu      sync.Mutex
+	span    time.Duration
+	all     *hdrhistogram.Histogram
+	windows []*hdrhistogram.Histogram
+}
+
+// NewRecorder makes a recorder with windows of a span; 0 for none.
+func NewRecorder(span time.Duration) *Recorder {
+	return &Recorder{span: span, all: hdrhistogram.New(least, most, digits)}
+}
+
+// Record takes what something took that was to begin at a time since the run's start.
+func (r *Recorder) Record(intended, took time.Duration) {
+	us := min(max(took.Microseconds(), least), most)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all.RecordValue(us)
+	if r.span <= 0 || intended < 0 {
+		return
+	}
+	n := int(intended / r.span)
+	for len(r.windows) <= n {
+		r.windows = append(r.windows, nil)
+	}
+	if r.windows[n] == nil {
+		r.windows[n] = hdrhistogram.New(least, most, coarse)
+	}
+	r.windows[n].RecordValue(us)
+}
+
+func figures(h *hdrhistogram.Histogram) Figures {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / float64(second/time.Microsecond) }
+	return Figures{N: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9),
+		Max: float64(h.Max()) / float64(second/time.Microsecond)}
+}
+
+// Figures tells the whole.
+func (r *Recorder) Figures() Figures {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return figures(r.all)
+}
+
+// Windows tells each window in which anything was to be sent.
+func (r *Recorder) Windows() []Window {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var windows []Window
+	for n, h := range r.windows {
+		if h != nil {
+			windows = append(windows, Window{float64(time.Duration(n)*r.span) / float64(second), figures(h)})
+		}
+	}
+	return windows
+}
+
+// Curve is the latency in milliseconds at each of some quantiles (0 to 100).
+func (r *Recorder) Curve(quantiles []float64) []float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	curve := make([]float64, len(quantiles))
+	for i, q := range quantiles {
+		curve[i] = float64(r.all.ValueAtQuantile(q)) / float64(second/time.Microsecond)
+	}
+	return curve
+}
+
+// Lateness measures how far a generator is behind its own schedule. What it reports of others is worth nothing while
+// it is late itself.
+type Lateness struct {
+	recorder *Recorder
+	bound    time.Duration
+	late     atomic.Int64
+}
+
+// lateShare is the share of sends that may be later than the bound before a run counts as late.
+const lateShare = 0.01
+
+// NewLateness makes a measure with the bound beyond which a send is late.
+func NewLateness(bound time.Duration) *Lateness {
+	return &Lateness{recorder: NewRecorder(0), bound: bound}
+}
+
+// Sent takes how late a send was.
+func (l *Lateness) Sent(by time.Duration) {
+	l.recorder.Record(-1, by)
+	if by > l.bound {
+		l.late.Add(1)
+	}
+}
+
+// Late tells how many sends were later than the bound, whether that is more than a hundredth of them, and the
+// lateness of all.
+func (l *Lateness) Late() (n int64, tooMany bool, all Figures) {
+	all, n = l.recorder.Figures(), l.late.Load()
+	return n, float64(n) > lateShare*float64(all.N), all
+}
+
+// Bound is what counts as late.
+func (l *Lateness) Bound() time.Duration { return l.bound }
+
+// Run calls fire for each time of a schedule in its order, in a goroutine of its own, until the last one's or the
+// context's end. It never waits for what it has called: there is no queue. It returns how many it called.
+func Run(ctx context.Context, now func() time.Duration, schedule []time.Duration, fire func(i int)) int {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for i, at := range schedule {
+		if wait := at - now(); wait > 0 {
+			alarm.Reset(wait)
+			select {
+			case <-alarm.C:
+			case <-ctx.Done():
+				return i
+			}
+		} else if ctx.Err() != nil {
+			return i
+		}
+		go fire(i)
+	}
+	return len(schedule)
+}
--- /dev/null
+++ b/internal/rehearse/process.go
@@ -0,0 +1,248 @@
+package rehearse
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/procfs"
+	"golang.org/x/sys/unix"
+
+	"chalkferry/internal/standin/judge"
+	"chalkferry/internal/standin/list"
+)
+
+type processState int
+
+const (
+	idle    processState = iota // not started, or ended as it was told to
+	runs                        // serves
+	ending                      // was told to end
+	crashed                     // ended by itself, or was killed for its memory
+)
+
+// process is one real proxy, over all its starts.
+type process struct {
+	id      judge.ProxyID
+	binary  string
+	address string
+	folder  string // of its own: configuration, log, temporary files
+	cpu     int    // -1: any
+	memory  int    // megabytes
+	sockets int
+
+	mu       sync.Mutex
+	state    processState
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	config   map[string]any
+	door     *list.Door
+	starts   int
+	killed   time.Duration // of CPU, by those that have ended
+	peakRSS  uint64
+	peakFDs  int
+	fds      int
+	rss      uint64
+	cpuTime  time.Duration
+	why      []string // crashes
+	maxFDs   int      // of its own, once it stands with no session
+	overFDs  int      // samples at its limit
+	unstable bool     // it was stopped between two samples
+}
+
+// write puts the configuration in place of the one before at once.
+func (p *process) write() (string, error) {
+	text, err := json.Marshal(p.config)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(p.folder, "config.json")
+	if err := os.WriteFile(file+".new", text, 0o600); err != nil {
+		return "", err
+	}
+	return file, os.Rename(file+".new", file)
+}
+
+// start starts the process. It needs no lock; starts of one proxy don't overlap.
+func (p *process) start() error {
+	p.config["seed"] = fmt.Sprintf("%016x", uint64(p.starts)*0x9e3779b97f4a7c15+uint64(p.id)+1)
+	file, err := p.write()
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(p.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.binary, "serve", file)
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+file, "TMPDIR="+p.folder)
+	cmd.Stdout, cmd.Stderr = log, log
+	// Of a group of its own, so that Ctrl-C at the terminal is the rehearsal's alone; and gone with the rehearsal.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := startOn(cmd, p.cpu); err != nil {
+		return fmt.Errorf("%s: %w", p.binary, err)
+	}
+	limit := unix.Rlimit{Cur: uint64(p.sockets), Max: uint64(p.sockets)}
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+		return fmt.Errorf("limit of descriptors: %w", err)
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.exited, p.state = cmd, exited, runs
+	p.starts++
+	p.mu.Unlock()
+	go p.wait(cmd, exited)
+	return nil
+}
+
+// startOn starts a command that keeps to one processor: a process takes over what its parent's thread is bound to.
+func startOn(cmd *exec.Cmd, cpu int) error {
+	if cpu < 0 {
+		return cmd.Start()
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var was, is unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &was); err != nil {
+		return err
+	}
+	is.Set(cpu)
+	if err := unix.SchedSetaffinity(0, &is); err != nil {
+		return err
+	}
+	defer unix.SchedSetaffinity(0, &was)
+	return cmd.Start()
+}
+
+func (p *process) wait(cmd *exec.Cmd, exited chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.killed += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	if rusage, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		p.peakRSS = max(p.peakRSS, uint64(rusage.Maxrss)<<10)
+	}
+	p.cpuTime, p.fds, p.rss = 0, 0, 0
+	if p.state == runs {
+		p.state = crashed
+		text := "it ended by itself"
+		if err != nil {
+			text = err.Error()
+		}
+		p.why = append(p.why, text)
+	} else if p.state == ending {
+		p.state = idle
+	}
+	close(exited)
+}
+
+// signal tells the process something; one that does not run is left as it is.
+func (p *process) signal(sig syscall.Signal, ends bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state != runs && p.state != ending {
+		return
+	}
+	if ends {
+		p.state = ending
+	}
+	p.cmd.Process.Signal(sig) // it may have ended just now
+}
+
+// kill ends it at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL, true)
+	p.ended(context.Background())
+}
+
+// ended waits for the process to end.
+func (p *process) ended(ctx context.Context) {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited == nil {
+		return
+	}
+	select {
+	case <-exited:
+	case <-ctx.Done():
+	}
+}
+
+// gone tells whether it is dead or leaving.
+func (p *process) gone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state != runs
+}
+
+// sample reads what the process uses, and kills it over its memory as the platform does.
+func (p *process) sample() {
+	p.mu.Lock()
+	if p.state != runs && p.state != ending {
+		p.mu.Unlock()
+		return
+	}
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	proc, err := procfs.NewProc(pid)
+	if err != nil {
+		return // it has just ended
+	}
+	status, err := proc.NewStatus()
+	if err != nil {
+		return
+	}
+	fds, err := proc.FileDescriptorsLen()
+	if err != nil {
+		return
+	}
+	stat, err := proc.Stat()
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.rss, p.peakRSS = status.VmRSS, max(p.peakRSS, status.VmHWM)
+	p.fds, p.peakFDs = fds, max(p.peakFDs, fds)
+	if fds >= p.sockets {
+		p.overFDs++
+	}
+	p.cpuTime = time.Duration(stat.CPUTime() * float64(time.Second))
+	over := status.VmRSS > uint64(p.memory)<<20
+	if over && p.state == runs {
+		p.state = crashed
+		p.why = append(p.why, fmt.Sprintf("killed: it used %d MB of %d", status.VmRSS>>20, p.memory))
+	}
+	p.mu.Unlock()
+	if over {
+		p.cmd.Process.Kill()
+	}
+}
+
+// address finds a free port of the loopback address, outside of the range from which connections get theirs.
+func freeAddress() (string, error) {
+	for range 200 {
+		port := 10000 + int(time.Now().UnixNano()/1000%20000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
+		if errors.Is(err, syscall.EMFILE) {
+			return "", err
+		}
+	}
+	return "", errors.New("no free port on the loopback address")
+}
