Compare, load and trace commands, and tests that break each rule on real sockets

Two builds must be held against each other, the generator must work alone, and the judge has to be shown to find each broken rule on the wire. The node's model no longer loses that it fell over when it is advanced by another reader than its own tick.

--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -17,6 +17,9 @@
 		Serve    serveCmd    `cmd:"" help:"Run the proxy."`
 		Check    checkCmd    `cmd:"" help:"Read a configuration and say what is wrong with it."`
 		Rehearse rehearseCmd `cmd:"" help:"Rehearse a night: real proxies on a stand-in platform."`
+		Compare  compareCmd  `cmd:"" help:"Rehearse by two builds in turn and say how they differ."`
+		Load     loadCmd     `cmd:"" help:"Send sessions on a fixed schedule at any address."`
+		Trace    traceCmd    `cmd:"" help:"Record, check, cut, scale and merge traces."`
 		Version  versionCmd  `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&commands, kong.Name("chalkferry"),
--- a/cmd/chalkferry/rehearse.go
+++ b/cmd/chalkferry/rehearse.go
@@ -22,6 +22,9 @@
 	Length   strict.Span `help:"In place of the scenario's; faults must still lie within."`
 	JSON     string      `name:"json" help:"A file for the whole report."`
 	HTML     string      `name:"html" help:"A file for the report as a page with plots."`
+	Trace    string      `help:"A trace to replay, in place of the scenario's arrivals." type:"existingfile"`
+	Speed    float64     `default:"1" help:"How many times as fast the trace passes, 1 to 100."`
+	Scale    float64     `default:"1" help:"How many times as many sessions the trace has."`
 	Record   string      `help:"A file for a trace of what arrived."`
 	Logs     string      `help:"A folder that keeps the proxies' logs."`
 	List     bool        `help:"Name the built-in scenarios and end."`
@@ -51,6 +54,11 @@
 			return err
 		}
 	}
+	if c.Trace != "" {
+		if err := s.Replay(c.Trace, c.Speed, c.Scale); err != nil {
+			return err
+		}
+	}
 	if c.Check {
 		fmt.Println("the scenario is good")
 		return nil
@@ -71,9 +79,7 @@
 	if err != nil {
 		return err
 	}
-	if isatty.IsTerminal(os.Stderr.Fd()) {
-		fmt.Fprint(os.Stderr, "\r\x1b[K")
-	}
+	clearProgress()
 	r.Print(os.Stdout)
 	if c.JSON != "" {
 		if err := r.WriteJSON(c.JSON); err != nil {
@@ -99,6 +105,13 @@
 	return nil
 }
 
+// clearProgress makes room for what follows.
+func clearProgress() {
+	if to := progress(); to != nil {
+		fmt.Fprint(to, "\r\x1b[K")
+	}
+}
+
 func (c *rehearseCmd) record(s *rehearse.Scenario) error {
 	sessions, err := s.Schedule()
 	if err != nil {
--- /dev/null
+++ b/cmd/chalkferry/rehearse_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"chalkferry/internal/rehearse"
+	"chalkferry/internal/trace"
+)
+
+// TestMain is also the proxy under test: a rehearsal starts the test's own program as one.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 2 && os.Args[1] == "serve" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func rehearsed(t *testing.T, name, logs string) *rehearse.Report {
+	t.Helper()
+	s, err := rehearse.Load(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := rehearse.Run(context.Background(), s, rehearse.Options{Proxy: self, Logs: logs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range r.Failed {
+		t.Error(text)
+	}
+	for _, b := range r.Rules {
+		t.Error(b)
+	}
+	if r.Sessions != int64(r.Scheduled) {
+		t.Errorf("%d of %d sessions were sent", r.Sessions, r.Scheduled)
+	}
+	c := r.Clients
+	if sum := c.Accepted + c.Refused + c.TornDown + c.Broken + c.Unanswered + c.NoProxy; sum != c.Tries {
+		t.Errorf("%d tries, %d endings", c.Tries, sum)
+	}
+	return r
+}
+
+// Three nights with seeded schedules; the verdict is by rules and counts alone.
+
+// A stall of 200 ms is in the p99 of the second it lies in, and the hang and the slow node break no rule. The proxies'
+// own logs give back the sessions.
+func TestStallNight(t *testing.T) {
+	t.Parallel()
+	logs := t.TempDir()
+	r := rehearsed(t, "stall", logs)
+	for _, w := range r.MessageBy {
+		if w.FromMs == 2000 && w.P99 < 100 {
+			t.Errorf("the stall of 200 ms is not seen in %+v", w)
+		}
+	}
+	var all []trace.Session
+	for _, name := range []string{"n0.log", "n1.log"} {
+		file, err := os.Open(filepath.Join(logs, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer file.Close()
+		sessions, _, _, err := trace.FromLog(name, file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, sessions...)
+	}
+	if c := r.Clients; len(all) > int(c.Tries) || int64(len(all)) < c.Tries-int64(r.OpenAtEnd) {
+		t.Errorf("%d sessions in the logs for %d tries, %d of them open when the proxies were killed", len(all), c.Tries, r.OpenAtEnd)
+	}
+}
+
+// Bad clients by thousands cost no usual one anything, and the proxies keep to their descriptors.
+func TestBadClientsNight(t *testing.T) {
+	t.Parallel()
+	if r := rehearsed(t, "bad-clients", ""); r.Bad.Sent < 4000 {
+		t.Errorf("only %+v", r.Bad)
+	}
+}
+
+// Nodes are added, others drain, and a proxy is killed as it leaves.
+func TestSurgeAndDrainNight(t *testing.T) {
+	t.Parallel()
+	r := rehearsed(t, "surge-and-drain", "")
+	if r.Proxies[0].Starts != 2 || r.Clients.Moved == 0 {
+		t.Errorf("%d starts of the proxy that is killed, %d moves", r.Proxies[0].Starts, r.Clients.Moved)
+	}
+}
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -231,18 +230,12 @@
 	}
 }
 
-// address finds a free port of the loopback address, outside of the range from which connections get theirs.
-func freeAddress() (string, error) {
-	for range 200 {
-		port := 10000 + int(time.Now().UnixNano()/1000%20000)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String(), nil
-		}
-		if errors.Is(err, syscall.EMFILE) {
-			return "", err
-		}
+// freeAddress finds a free port of an address.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
 	}
-	return "", errors.New("no free port on the loopback address")
+	defer l.Close()
+	return l.Addr().String(), nil
 }
--- /dev/null
+++ b/internal/rehearse/rehearse_test.go
@@ -0,0 +1,313 @@
+package rehearse
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkferry/internal/standin/judge"
+)
+
+// TestMain is also the wicked proxy: the test's own program, started as one by a name that says what it does wrong.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 2 && os.Args[1] == "serve" {
+		wicked(filepath.Base(os.Args[0]), os.Args[2])
+	}
+	os.Exit(m.Run())
+}
+
+// wicked is a proxy that places by no rule and breaks the one that it is named for.
+func wicked(how, file string) {
+	var told struct {
+		Listen, Discovery string
+		Known             struct {
+			Members []struct {
+				HostPort string `json:"host_port"`
+			}
+		}
+	}
+	text, _ := os.ReadFile(file)
+	if json.Unmarshal(text, &told) != nil {
+		os.Exit(3)
+	}
+	go func() { // it is told of changes, and does nothing about them
+		if answer, err := http.Get("http://" + told.Discovery + "/api/targets?watch=1&after=1"); err == nil {
+			for lines := bufio.NewScanner(answer.Body); lines.Scan(); {
+			}
+		}
+	}()
+	l, err := net.Listen("tcp", told.Listen)
+	if err != nil {
+		os.Exit(4)
+	}
+	for n := 0; ; n++ {
+		c, err := l.Accept()
+		if err != nil {
+			os.Exit(5)
+		}
+		nodes := told.Known.Members
+		at := n
+		if how == "cold" || how == "drain" {
+			at = 0
+		}
+		go mistreat(how, c, nodes[at%len(nodes)].HostPort, nodes[(at+1)%len(nodes)].HostPort)
+	}
+}
+
+func mistreat(how string, c net.Conn, first, second string) {
+	defer c.Close()
+	lines := bufio.NewReader(c)
+	open, err := lines.ReadString('\n')
+	if open == "PING\r\n" {
+		fmt.Fprint(c, "PONG\r\n")
+		return
+	}
+	if err != nil {
+		return
+	}
+	dial := func(to string) (net.Conn, *bufio.Reader, string) {
+		s, err := net.Dial("tcp", to)
+		if err != nil {
+			return nil, nil, ""
+		}
+		fmt.Fprint(s, open)
+		r := bufio.NewReader(s)
+		answer, _ := r.ReadString('\n')
+		return s, r, answer
+	}
+	switch how {
+	case "silent":
+		time.Sleep(5 * time.Second)
+		return
+	case "two-answers":
+		fmt.Fprint(c, "BUSY\r\nBUSY\r\n")
+		return
+	case "made-up":
+		fmt.Fprint(c, "UP mine\r\n")
+		return
+	case "gives-up":
+		return
+	}
+	s, r, up := dial(first)
+	if s == nil {
+		fmt.Fprint(c, "BUSY\r\n")
+		return
+	}
+	defer s.Close()
+	switch how {
+	case "two-dials":
+		other, _, _ := dial(second)
+		if other != nil {
+			defer other.Close()
+		}
+		time.Sleep(150 * time.Millisecond)
+	case "again": // after a dial that has run
+		s.Close()
+		if s, r, up = dial(second); s == nil {
+			return
+		}
+		defer s.Close()
+	}
+	fmt.Fprint(c, up)
+	if how == "cuts-off" {
+		time.Sleep(200 * time.Millisecond)
+		return
+	}
+	if how == "holds-back" {
+		time.Sleep(1500 * time.Millisecond)
+	}
+	go func() {
+		lines.WriteTo(s)
+		s.(*net.TCPConn).CloseWrite()
+	}()
+	r.WriteTo(c)
+}
+
+const small = `length = "%s"
+[proxies]
+count = 1
+[platform]
+nodes = 2
+spare = 1
+cold_from = 0.1
+fall_window = "1s"
+list_late = "50ms"
+drain_grace = "300ms"
+%s
+[clients]
+message_every = "200ms"
+retries = 0
+[[listener]]
+name = "page"
+share = 1.0
+life = "10s"
+handshake_target = "200ms"
+dial_timeout = "800ms"
+effect = "%s"
+[[arrivals]]
+shape = "steady"
+rate = 20
+%s`
+
+// Each rule broken on the sockets by a wicked proxy is found; the same proxy that breaks none is not blamed.
+func TestWickedProxies(t *testing.T) {
+	drain := "[[fault]]\nkind = \"drain\"\nat = \"200ms\"\nfor = \"2s\"\nnodes = [0]\n"
+	restart := "[[fault]]\nkind = \"restart\"\nat = \"100ms\"\nnodes = [0]\n"
+	for _, c := range []struct {
+		how, effect, faults, platform string
+		rule                          judge.Rule
+	}{
+		{"kind", "repeatable", "", "", ""},
+		{"kind", "once-only", "", "", ""},
+		{"silent", "repeatable", "", "", judge.Lost},
+		{"two-answers", "repeatable", "", "", judge.Lost},
+		{"made-up", "repeatable", "", "", judge.Lost},
+		{"gives-up", "repeatable", "", "", judge.Lost},
+		{"cuts-off", "repeatable", "", "", judge.Lost},
+		{"holds-back", "repeatable", "", "", judge.Lost},
+		{"two-dials", "repeatable", "", "", judge.Twice},
+		{"again", "once-only", "", "", judge.Twice},
+		{"drain", "repeatable", drain, "", judge.Drain},
+		{"cold", "repeatable", restart, "sessions_per_core = 4", judge.Cold},
+	} {
+		t.Run(c.how+" "+c.effect, func(t *testing.T) {
+			t.Parallel()
+			s, err := Parse("small.toml", fmt.Appendf(nil, small, "3s", c.platform, c.effect, c.faults))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := runAs(t, context.Background(), s, c.how)
+			if r.Scheduled != 60 || c.rule == "" && len(r.Rules) > 0 {
+				t.Fatalf("%d sessions, %v", r.Scheduled, r.Rules)
+			}
+			if c.rule == "" {
+				return
+			}
+			if r.RuleCounts[c.rule] == 0 || r.OK() {
+				t.Fatalf("%q was not found: %v, %v, %+v, %+v", c.rule, r.RuleCounts, r.Failed, r.Clients, r.Samples)
+			}
+			for _, b := range r.Rules {
+				if b.Rule == c.rule && c.rule != judge.Cold && (b.Session == "" || b.AtMs <= 0) {
+					t.Errorf("no session or time: %v", b)
+				}
+			}
+		})
+	}
+}
+
+// runAs runs a scenario with the test's program as the proxy that it is named.
+func runAs(t *testing.T, ctx context.Context, s *Scenario, how string) *Report {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	binary := filepath.Join(t.TempDir(), how)
+	if err := os.Symlink(self, binary); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(ctx, s, Options{Proxy: binary})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// An interrupted run reports what it has seen and leaves no process behind.
+func TestInterrupted(t *testing.T) {
+	t.Parallel()
+	s, err := Parse("small.toml", fmt.Appendf(nil, small, "20s", "", "repeatable", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	r := runAs(t, ctx, s, "kind")
+	if !r.Interrupted || r.Sessions == 0 || r.Sessions >= int64(r.Scheduled) || len(r.Rules) > 0 {
+		t.Fatalf("interrupted %v, %d of %d sessions, %v", r.Interrupted, r.Sessions, r.Scheduled, r.Rules)
+	}
+	commands, _ := filepath.Glob("/proc/[0-9]*/cmdline")
+	for _, file := range commands {
+		if text, _ := os.ReadFile(file); bytes.Contains(text, []byte(t.Name()+"/")) && bytes.Contains(text, []byte("serve")) {
+			t.Errorf("left behind: %q", text)
+		}
+	}
+	for _, write := range []func(string) error{r.WriteJSON, r.WriteHTML} {
+		file := filepath.Join(t.TempDir(), "report")
+		if err := write(file); err != nil {
+			t.Error(err)
+		}
+		if text, _ := os.ReadFile(file); !bytes.Contains(text, []byte("small")) {
+			t.Errorf("%s does not name the scenario", file)
+		}
+	}
+}
+
+// A program that does not serve is told with its last words, and nothing is left.
+func TestNoProxy(t *testing.T) {
+	s, err := Parse("small.toml", fmt.Appendf(nil, small, "2s", "", "repeatable", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(context.Background(), s, Options{Proxy: "/bin/false"}); err == nil || !strings.Contains(err.Error(), "does not serve") {
+		t.Fatal(err)
+	}
+}
+
+// A scenario with a mistake is refused with its line, before anything is started.
+func TestRefusedScenarios(t *testing.T) {
+	good := fmt.Sprintf(small, "3s", "", "repeatable", "")
+	n := strings.Count(good, "\n") + 1
+	for _, c := range []struct {
+		text, want string
+	}{
+		{strings.Replace(good, "nodes = 2", "nodes = 2\ncolour = 1", 1), "bad.toml:6: unknown key"},
+		{strings.Replace(good, "nodes = 2", "nodes = 0", 1), "bad.toml:5: platform.nodes: "},
+		{strings.Replace(good, "rate = 20", "rate = -1.0", 1), fmt.Sprintf("bad.toml:%d: arrivals[0].rate: ", n-1)},
+		{strings.Replace(good, `"repeatable"`, `"sometimes"`, 1), "effect"},
+		{good + "[[fault]]\nkind = \"hang\"\nat = \"4s\"\nnodes = [0]", fmt.Sprintf("bad.toml:%d: fault[0].at: ", n+2)},
+		{good + "[[fault]]\nkind = \"hang\"\nat = \"1s\"\nfor = \"9s\"\nnodes = [0]", fmt.Sprintf("bad.toml:%d: fault[0].for: ", n+3)},
+		{good + "[[fault]]\nkind = \"hang\"\nat = \"1s\"\nnodes = [7]", fmt.Sprintf("bad.toml:%d: fault[0].nodes: there are nodes 0 to 2", n+3)},
+		{good + "[[fault]]\nkind = \"hang\"\nat = \"1s\"", fmt.Sprintf("bad.toml:%d: fault[0].nodes: must be named", n)},
+		{good + "[[fault]]\nkind = \"sulk\"\nat = \"1s\"", fmt.Sprintf("bad.toml:%d: fault[0].kind: ", n+1)},
+		{good + "[[fault]]\nkind = \"proxy-kill\"\nat = \"1s\"\nproxies = [3]", "proxies 0 to 0"},
+		{good + "[trace]\nspeed = 1000.0", "trace.speed"},
+		{`length = "3s"`, "listener: there is none"},
+	} {
+		if _, err := Parse("bad.toml", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%v, want %s", err, c.want)
+		}
+	}
+	for _, name := range BuiltIn() {
+		s, err := Load(name)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		a, errA := s.Schedule()
+		b, errB := s.Schedule()
+		if errA != nil || errB != nil || len(a) == 0 || fmt.Sprint(a) != fmt.Sprint(b) {
+			t.Errorf("%s: two schedules of one seed: %d and %d sessions, %v, %v", name, len(a), len(b), errA, errB)
+		}
+	}
+}
+
+func TestRatio(t *testing.T) {
+	same := ratio("x", []float64{10, 11, 9, 10, 12}, []float64{11, 10, 9.5, 10.5, 11})
+	lower := ratio("x", []float64{10, 11, 9, 10, 12}, []float64{5, 5.6, 4.4, 5.1, 6})
+	if !same.Noise || lower.Noise || lower.Ratio < 0.45 || lower.Ratio > 0.55 || lower.Low > lower.Ratio || lower.High < lower.Ratio {
+		t.Fatal(same, lower)
+	}
+	if none := ratio("x", []float64{0, 0}, []float64{1, 0}); !none.Noise || len(none.Pairs) > 0 {
+		t.Fatal(none)
+	}
+}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -43,6 +43,9 @@
 	running   sync.WaitGroup // faults
 }
 
+// nights counts those of this process.
+var nights atomic.Int64
+
 // leeway is what the rules' limits are longer by.
 const leeway = 50 * time.Millisecond
 
@@ -112,11 +115,11 @@
 	}
 	n.judge = judge.New(leeway, s.Platform.DrainGrace.D(), s.Platform.MustAsk.D(), s.Proxies.Passes, places)
 	n.front = front.New(s.Seed, n.now, s.Proxies.Notice.D())
-	n.clients = client.New(s.Seed, n.now, n.judge, n.front, client.Manners{Retries: s.Clients.Retries,
-		Backoff: s.Clients.Backoff.D(), RejoinLeast: s.Clients.Rejoin[0].D(), RejoinMost: s.Clients.Rejoin[1].D(),
-		MessageEvery: s.Clients.MessageEvery.D(), Passes: s.Proxies.Passes}, s.Window.D(), s.LateBound.D())
+	n.clients = client.New(s.Seed, n.now, n.judge, n.front, s.manners(), s.Window.D(), s.LateBound.D())
 	n.clients.ProxyGone = func(id judge.ProxyID) bool { return n.processes[id].gone() }
 	members := make([]list.Member, total)
+	// Addresses of its own, so that a node or a proxy that starts again finds its port free.
+	block := 64 + (os.Getpid()*16+int(nights.Add(1)))%128
 	usual := 1 / s.Platform.SessionsPerCore
 	for i := range total {
 		speed := s.Platform.Speed[0] + rng.Float64()*(s.Platform.Speed[1]-s.Platform.Speed[0])
@@ -124,7 +127,7 @@
 			Handshake: s.Platform.HandshakeWork.D().Seconds(), GroupCost: s.Platform.GroupCost, Mean: usual,
 			ColdFrom: s.Platform.ColdFrom, ColdSpan: s.Platform.ColdSpan.D(), Multiple: s.Platform.FallMultiple,
 			Window: s.Platform.FallWindow.D(), Most: s.Platform.MostSessions}
-		address := fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, i/250, i%250+1)
+		address := fmt.Sprintf("127.%d.%d.%d:0", block, i/250, i%250+1)
 		each := node.New(judge.NodeID(i), address, m, node.Talk{Loads: s.Platform.TellsLoad, Delays: s.Platform.TellsDelay,
 			Probes: s.Platform.Probes, Passes: s.Proxies.Passes}, s.Seed+int64(i), n.now, n.judge, n.clients.Plan, n.fell)
 		n.nodes = append(n.nodes, each)
@@ -144,16 +147,16 @@
 		n.judge.Changed(n.now(), judge.NodeID(i), true)
 	}
 	for i := range s.Proxies.Count {
-		if err := n.addProxy(i, o.Proxy); err != nil {
+		if err := n.addProxy(i, fmt.Sprintf("127.%d.255.%d", block, i+1), o.Proxy); err != nil {
 			return fmt.Errorf("proxy %d: %w", i, err)
 		}
 	}
 	return nil
 }
 
-func (n *night) addProxy(i int, binary string) error {
+func (n *night) addProxy(i int, ip, binary string) error {
 	s := n.scenario
-	address, err := freeAddress()
+	address, err := freeAddress(ip)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -62,7 +62,7 @@
 	CutOff     int64 `json:"cut_off"` // open sessions that ended without a word
 	Passed     int64 `json:"passed"`  // that went on by another proxy
 	Completed  int64 `json:"completed"`
-	Served     int64 `json:"served"`     // sessions that were accepted at least once
+	Served     int64 `json:"served"`   // sessions that were accepted at least once
 	Given      int64 `json:"given_up"` // after the last retry
 	NoSocket   int64 `json:"no_socket"`
 	Messages   int64 `json:"messages"`
--- a/internal/standin/judge/judge.go
+++ b/internal/standin/judge/judge.go
@@ -134,6 +134,7 @@
 	pending  []pending
 	breaches []Breach
 	counted  map[Rule]int
+	clients  bool // only they are seen
 }
 
 type pending struct {
@@ -151,6 +152,9 @@
 		counted: map[Rule]int{}}
 }
 
+// SeesClientsOnly tells that the servers are no stand-ins: what they made and ended is not known.
+func (j *Judge) SeesClientsOnly() { j.clients = true }
+
 func (j *Judge) breach(now time.Duration, rule Rule, id SessionID, node NodeID, proxy ProxyID, format string, args ...any) {
 	j.counted[rule]++
 	if len(j.breaches) < mostKept {
@@ -208,7 +212,7 @@
 	switch answer {
 	case Accepted:
 		s.open = true
-		if !slices.Contains(s.receipts, receipt) {
+		if !j.clients && !slices.Contains(s.receipts, receipt) {
 			j.breach(now, Lost, id, -1, s.proxy, "accepted with receipt %q, which no server made for it", receipt)
 		}
 	case Refused:
@@ -265,7 +269,7 @@
 		})
 	case s.open:
 		j.after(now+j.leeway, func(due time.Duration) {
-			if p := j.proxyOf(s.proxy); s.wentAt == 0 && !p.dead && !(p.leaving && j.passes) {
+			if p := j.proxyOf(s.proxy); !j.clients && s.wentAt == 0 && !p.dead && !(p.leaving && j.passes) {
 				j.breach(now, Lost, id, -1, s.proxy, "cut off without MOVE while its server held it")
 			}
 			j.drop(s)
--- a/internal/standin/node/model.go
+++ b/internal/standin/node/model.go
@@ -40,10 +40,10 @@
 	groups    map[string]int
 	held      int
 	backlog   float64 // core seconds
-	recent    float64 // handshake work a second, over about the last second
+	recent    float64 // cores: work of handshakes, and loads that were turned away, over about the last second
 	overSince time.Duration
 	over      bool
-	fallen    bool
+	fallen    string
 }
 
 // NewModel makes a node that starts now; a warm one has run for long.
@@ -76,8 +76,8 @@
 // step bounds how far the model looks at once, so that a ramp is followed.
 const step = 100 * time.Millisecond
 
-// Advance brings the model to a moment. It reports whether the node has fallen over by then, with a reason.
-func (m *Model) Advance(now time.Duration) (fell bool, why string) {
+// Advance brings the model to a moment.
+func (m *Model) Advance(now time.Duration) {
 	for m.now < now {
 		dt := min(now-m.now, step)
 		m.now += dt
@@ -90,21 +90,25 @@
 			m.overSince = m.now
 		}
 		m.over = isOver
-		if isOver && !m.fallen && m.now-m.overSince >= m.machine.Window {
-			m.fallen = true
-			return true, fmt.Sprintf("asked for %.2f cores, over %.1f times the %.2f it could do, for %v",
+		if isOver && m.fallen == "" && m.now-m.overSince >= m.machine.Window {
+			m.fallen = fmt.Sprintf("asked for %.2f cores, over %.1f times the %.2f it could do, for %v",
 				m.Asked()+m.recent, m.machine.Multiple, can, m.machine.Window)
 		}
 	}
-	return false, ""
 }
 
+// Fallen is why the node has fallen over by now, "" where it has not.
+func (m *Model) Fallen() string { return m.fallen }
+
 // Begin takes a session's handshake: its work piles up before it is answered.
 func (m *Model) Begin() {
 	m.backlog += m.machine.Handshake
 	m.recent += m.machine.Handshake
 }
 
+// Refuse takes a session that is turned away: the cold rule counts what is sent, also what can't be taken.
+func (m *Model) Refuse(l Load) { m.recent += l.Cores }
+
 // Full tells whether it holds all that it can.
 func (m *Model) Full() bool { return m.held >= m.machine.Most }
 
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -366,8 +366,9 @@
 		return
 	}
 	now := n.now()
-	fell, why := n.model.Advance(now)
-	if !fell {
+	n.model.Advance(now)
+	why := n.model.Fallen()
+	if why == "" {
 		n.tell(now)
 	}
 	for id, c := range n.kept {
@@ -377,7 +378,7 @@
 		}
 	}
 	n.mu.Unlock()
-	if fell {
+	if why != "" {
 		n.judge.FellOver(now, n.ID, why)
 		n.fall(fallen)
 		n.onFall(n)
@@ -585,12 +586,15 @@
 	}
 	n.model.Begin()
 	wait := n.model.Delay()
+	c.plan = n.plans(c.id)
 	if n.draining || n.model.Full() || wait >= o.Left {
+		if !n.draining {
+			n.model.Refuse(c.plan.Load)
+		}
 		n.judge.TurnedAway(c.id, c.dial)
 		c.sayLast("BUSY\r\n", min(wait, o.Left/2))
 		return
 	}
-	c.plan = n.plans(c.id)
 	c.stand(now)
 	n.total++
 	n.receipts++
--- /dev/null
+++ b/internal/standin/node/node_test.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chalkferry/internal/standin/judge"
+)
+
+const ms = time.Millisecond
+
+var machine = Machine{Cores: 2, Speed: 1, Handshake: 0.002, GroupCost: 2, Mean: 0.1, ColdFrom: 0.2,
+	ColdSpan: 10 * time.Second, Multiple: 3, Window: time.Second, Most: 100}
+
+// Whatever comes and goes, what is asked is the sum of what is held, work piles up only beyond what can be done, and
+// delays follow it.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewModel(machine, 0, rapid.Bool().Draw(t, "warm"))
+		now := time.Duration(0)
+		var held []Load
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				l := Load{rapid.Float64Range(0, 0.5).Draw(t, "load"), rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "group")}
+				m.Begin()
+				m.Add(l)
+				held = append(held, l)
+			case 1:
+				if len(held) > 0 {
+					m.Remove(held[0])
+					held = held[1:]
+				}
+			case 2:
+				m.Slow(rapid.Float64Range(1, 4).Draw(t, "slow"))
+			}
+			was := m.backlog
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "gap")) * ms
+			m.Advance(now)
+			asked, groups := 0.0, map[string]bool{}
+			for _, l := range held {
+				asked += l.Cores
+				if l.Group != "" {
+					groups[l.Group] = true
+				}
+			}
+			asked += float64(len(groups)) * machine.GroupCost * machine.Mean
+			if math.Abs(asked-m.Asked()) > 1e-9 || m.Held() != len(held) {
+				t.Fatalf("asked %v for %v, held %d of %d", m.Asked(), asked, m.Held(), len(held))
+			}
+			if m.Asked() < machine.Cores*machine.ColdFrom/4 && m.backlog > was {
+				t.Fatalf("work piles up from %v to %v", was, m.backlog)
+			}
+			if m.Delay() < 0 || m.Delay() > mostDelay || m.Warmth() < machine.ColdFrom || m.Warmth() > 1 {
+				t.Fatalf("delay %v, warmth %v", m.Delay(), m.Warmth())
+			}
+		}
+	})
+}
+
+// A cold node falls over when it is sent too much for the whole window, and only then.
+func TestFallsOver(t *testing.T) {
+	for _, c := range []struct {
+		load float64
+		d    time.Duration
+		warm bool
+		want bool
+	}{{2, 1500 * ms, false, true}, {2, 800 * ms, false, false}, {1, 1500 * ms, false, false}, {2, 1500 * ms, true, false}} {
+		m := NewModel(machine, 0, c.warm)
+		m.Add(Load{Cores: c.load})
+		m.Advance(c.d)
+		m.Remove(Load{Cores: c.load})
+		m.Advance(5 * time.Second)
+		if why := m.Fallen(); (why != "") != c.want {
+			t.Errorf("%+v: %q", c, why)
+		}
+	}
+}
+
+type session struct {
+	net.Conn
+	lines *bufio.Reader
+}
+
+func (s session) hear(t *testing.T, want string) {
+	t.Helper()
+	s.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if got, err := s.lines.ReadString('\n'); err != nil || !strings.HasPrefix(got, want) {
+		t.Fatalf("%q, %v, want %q", got, err, want)
+	}
+}
+
+// quiet checks that nothing comes, and that the connection stays.
+func (s session) quiet(t *testing.T) {
+	t.Helper()
+	s.SetReadDeadline(time.Now().Add(150 * ms))
+	var timeout net.Error
+	if got, err := s.lines.ReadString('\n'); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Fatalf("%q, %v, want silence", got, err)
+	}
+}
+
+// What each fault does is seen by one that is connected, and by one that connects.
+func TestFaults(t *testing.T) {
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	j := judge.New(50*ms, 0, 0, false, []judge.Place{{}})
+	n := New(0, "127.0.0.1:0", machine, Talk{Loads: true}, 1, now, j,
+		func(judge.SessionID) Plan { return Plan{Load: Load{Cores: 0.01}} }, func(*Node) {})
+	if err := n.Start(true); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	ids := 0
+	connect := func() (session, error) {
+		c, err := net.DialTimeout("tcp", n.Address, 200*ms)
+		if err != nil {
+			return session{}, err
+		}
+		t.Cleanup(func() { c.Close() })
+		ids++
+		fmt.Fprintf(c, "OPEN %d 7 c=page,d=500\r\n", ids)
+		return session{c, bufio.NewReader(c)}, nil
+	}
+	up := func() session {
+		t.Helper()
+		s, err := connect()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.hear(t, "UP ")
+		s.hear(t, "LOAD ")
+		fmt.Fprint(s, "M 1\r\n")
+		s.hear(t, "M 1")
+		return s
+	}
+	s := up()
+
+	n.Hang()
+	fmt.Fprint(s, "M 2\r\n")
+	s.quiet(t)
+	if other, err := connect(); err != nil {
+		t.Error("one that hangs takes connections: ", err)
+	} else {
+		other.quiet(t)
+	}
+	n.Recover()
+	fmt.Fprint(s, "M 3\r\n")
+	s.hear(t, "M 3")
+
+	before := time.Now()
+	n.Stall(200 * ms)
+	fmt.Fprint(s, "M 4\r\n")
+	s.hear(t, "M 4")
+	if took := time.Since(before); took < 190*ms {
+		t.Errorf("a line in a stall of 200 ms took %v", took)
+	}
+
+	n.HalfOpen(1)
+	fmt.Fprint(s, "M 5\r\n")
+	s.quiet(t)
+	s = up() // others are well
+
+	if err := n.Vanish(); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(s, "M 6\r\n")
+	s.quiet(t)
+	if _, err := connect(); err == nil {
+		t.Error("a connection to a machine that vanished came up")
+	}
+	if err := n.Return(); err != nil {
+		t.Fatal(err)
+	}
+	s.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := s.lines.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("after its return: %v, want a reset", err)
+	}
+	s = up()
+
+	n.Kill()
+	s.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := s.lines.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("killed: %v, want a reset", err)
+	}
+	if _, err := connect(); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("killed: %v, want a refusal", err)
+	}
+	if err := n.Start(false); err != nil {
+		t.Fatal(err)
+	}
+	s = up()
+
+	go n.Drain(t.Context(), 100*ms, true)
+	s.hear(t, "MOVE")
+	late, err := connect()
+	if err != nil {
+		t.Fatal(err)
+	}
+	late.hear(t, "BUSY")
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -235,14 +235,14 @@
 }
 
 // FromLog makes a trace of a proxy's log. Lines that are no session's are passed over and counted; a line that is no
-// JSON is an *Error, but for a last one that is cut off.
-func FromLog(name string, from io.Reader) (sessions []Session, passed int, err error) {
+// JSON is an *Error, but for a last one that is cut off. Began is when the first session came.
+func FromLog(name string, from io.Reader) (sessions []Session, began time.Time, passed int, err error) {
 	lines := bufio.NewReader(from)
 	var starts []time.Time
 	for n := 1; ; n++ {
 		text, readErr := lines.ReadBytes('\n')
 		if readErr != nil && readErr != io.EOF {
-			return nil, passed, readErr
+			return nil, began, passed, readErr
 		}
 		isLast := readErr == io.EOF
 		if len(bytes.TrimSpace(text)) > 0 {
@@ -252,7 +252,7 @@
 					passed++
 					break
 				}
-				return nil, passed, &Error{name, n, err.Error()}
+				return nil, began, passed, &Error{name, n, err.Error()}
 			}
 			if l.Side != "client" || l.Listener == "" || l.Key == "" {
 				passed++
@@ -263,7 +263,7 @@
 					s.Life = max(l.Ms-l.UpMs, 1)
 				}
 				if err := s.check(); err != nil {
-					return nil, passed, &Error{name, n, err.Error()}
+					return nil, began, passed, &Error{name, n, err.Error()}
 				}
 				sessions = append(sessions, s)
 				starts = append(starts, l.Time.Add(-time.Duration(l.Ms*float64(time.Millisecond))))
@@ -274,11 +274,20 @@
 		}
 	}
 	if len(starts) > 0 {
-		first := slices.MinFunc(starts, func(a, b time.Time) int { return a.Compare(b) })
+		began = slices.MinFunc(starts, time.Time.Compare)
 		for i := range sessions {
-			sessions[i].At = float64(starts[i].Sub(first)) / float64(time.Millisecond)
+			sessions[i].At = float64(starts[i].Sub(began)) / float64(time.Millisecond)
 		}
 		sort(sessions)
 	}
-	return sessions, passed, nil
+	return sessions, began, passed, nil
+}
+
+// Shift has all arrive so much later.
+func Shift(sessions []Session, by time.Duration) []Session {
+	later := slices.Clone(sessions)
+	for i := range later {
+		later[i].At += float64(by) / float64(time.Millisecond)
+	}
+	return later
 }
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -93,14 +93,14 @@
 {"level":"info","side":"client","reason":"refused","ms":2,"id":"a","listener":"page","key":"7e","time":"2026-12-01T20:00:00.502Z"}
 {"level":"info","side":"client","reason":"idle","ms":2,"time":"2026-12-01T20:00:00.502Z"}
 {"level":"info","side":"cl`
-	got, passed, err := FromLog("log", strings.NewReader(log))
+	got, began, passed, err := FromLog("log", strings.NewReader(log))
 	want := []Session{{At: 0, Listener: "page", Key: "7e", Answer: "refused"},
 		{At: 250, Listener: "page", Title: "t", Key: "7f", Group: "5c", Wait: 800, Life: 1400, Answer: "ended"}}
-	if err != nil || passed != 3 || !reflect.DeepEqual(got, want) {
+	if err != nil || passed != 3 || began.Format("05.000") != "00.500" || !reflect.DeepEqual(got, want) {
 		t.Fatal(err, passed, got)
 	}
 	var wrong *Error
-	if _, _, err := FromLog("log", strings.NewReader("{}\nnonsense\n{}\n")); !errors.As(err, &wrong) || wrong.Line != 2 {
+	if _, _, _, err := FromLog("log", strings.NewReader("{}\nnonsense\n{}\n")); !errors.As(err, &wrong) || wrong.Line != 2 {
 		t.Fatal(err)
 	}
 }
