--- a/cmd/chalkferry/rehearse.go
+++ b/cmd/chalkferry/rehearse.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"github.com/mattn/go-isatty"
@@ -27,6 +29,11 @@
 	Scale    float64     `default:"1" help:"How many times as many sessions the trace has."`
 	Record   string      `help:"A file for a trace of what arrived."`
 	Logs     string      `help:"A folder that keeps the proxies' logs."`
+	Profiles string      `help:"A folder for profiles of the proxies' CPU."`
+	Rate     float64     `help:"Sessions a second, in place of the scenario's arrivals."`
+	Direct   bool        `help:"Clients connect to the nodes, with no proxy between: what a line's way costs without one."`
+	Climb    float64     `help:"Raise the rate by this factor from run to run, until the p99 of the handshake has doubled."`
+	Steps    int         `default:"20" help:"Of a climb, at most."`
 	List     bool        `help:"Name the built-in scenarios and end."`
 	Check    bool        `help:"Read the scenario, say what is wrong with it, and start nothing."`
 }
@@ -59,6 +66,9 @@
 			return err
 		}
 	}
+	if c.Rate > 0 {
+		s.Rate(c.Rate)
+	}
 	if c.Check {
 		fmt.Println("the scenario is good")
 		return nil
@@ -75,7 +85,19 @@
 			return err
 		}
 	}
-	r, err := rehearse.Run(ctx, s, rehearse.Options{Proxy: c.Proxy, Progress: progress(), Logs: c.Logs})
+	if c.Profiles != "" {
+		if c.Profiles, err = filepath.Abs(c.Profiles); err != nil {
+			return err
+		}
+		if err := os.MkdirAll(c.Profiles, 0o755); err != nil {
+			return err
+		}
+	}
+	options := rehearse.Options{Proxy: c.Proxy, Progress: progress(), Logs: c.Logs, Profiles: c.Profiles, Direct: c.Direct}
+	if c.Climb != 0 {
+		return c.climb(ctx, s, options)
+	}
+	r, err := rehearse.Run(ctx, s, options)
 	if err != nil {
 		return err
 	}
@@ -97,6 +119,26 @@
 	return nil
 }
 
+func (c *rehearseCmd) climb(ctx context.Context, s *rehearse.Scenario, o rehearse.Options) error {
+	if c.Climb <= 1 || c.Rate <= 0 {
+		return fmt.Errorf("a climb needs a factor above 1 and a --rate to begin with")
+	}
+	o.Progress = nil
+	found, err := rehearse.Climbs(ctx, s, o, c.Rate, c.Climb, c.Steps, os.Stdout)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("carried %.0f sessions a second; %s\n", found.Carried, found.Why)
+	if c.JSON != "" {
+		text, err := json.MarshalIndent(found, "", " ")
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(c.JSON, append(text, '\n'), 0o644)
+	}
+	return nil
+}
+
 // progress is where the line about a run's progress goes, nil where nobody would see it.
 func progress() io.Writer {
 	if isatty.IsTerminal(os.Stderr.Fd()) {
--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -12,8 +13,9 @@
 )
 
 type serveCmd struct {
-	File  string `arg:"" optional:"" name:"configuration" env:"RELAY_CONFIG" help:"The configuration, a JSON file."`
-	Level string `default:"info" enum:"debug,info,warn,error" help:"Least level of what is logged."`
+	File    string `arg:"" optional:"" name:"configuration" env:"RELAY_CONFIG" help:"The configuration, a JSON file."`
+	Profile string `help:"A file for a profile of the CPU, written when the proxy ends in good order."`
+	Level   string `default:"info" enum:"debug,info,warn,error" help:"Least level of what is logged."`
 }
 
 func (c *serveCmd) Run() error {
@@ -48,6 +50,17 @@
 			}
 		}
 	}()
+	if c.Profile != "" {
+		file, err := os.Create(c.Profile)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	return p.Run()
 }
 
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -38,24 +39,23 @@
 	cpu     int    // -1: any
 	memory  int    // megabytes
 	sockets int
+	profile string // a file for a profile of its CPU, "" for none
 
-	mu       sync.Mutex
-	state    processState
-	cmd      *exec.Cmd
-	exited   chan struct{}
-	config   map[string]any
-	door     *list.Door
-	starts   int
-	killed   time.Duration // of CPU, by those that have ended
-	peakRSS  uint64
-	peakFDs  int
-	fds      int
-	rss      uint64
-	cpuTime  time.Duration
-	why      []string // crashes
-	maxFDs   int      // of its own, once it stands with no session
-	overFDs  int      // samples at its limit
-	unstable bool     // it was stopped between two samples
+	mu      sync.Mutex
+	state   processState
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	config  map[string]any
+	door    *list.Door
+	starts  int
+	killed  time.Duration // of CPU, by those that have ended
+	peakRSS uint64
+	peakFDs int
+	fds     int
+	rss     uint64
+	cpuTime time.Duration
+	why     []string // crashes
+	overFDs int      // samples at its limit
 }
 
 // write puts the configuration in place of the one before at once.
@@ -83,7 +83,11 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(p.binary, "serve", file)
+	args := []string{"serve", file}
+	if p.profile != "" {
+		args = append(args, "--profile", p.profile)
+	}
+	cmd := exec.Command(p.binary, args...)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+file, "TMPDIR="+p.folder)
 	cmd.Stdout, cmd.Stderr = log, log
 	// Of a group of its own, so that Ctrl-C at the terminal is the rehearsal's alone; and gone with the rehearsal.
@@ -180,6 +184,32 @@
 	}
 }
 
+// keepOff binds this process's threads to the processors that no proxy has to itself, so that what is measured of a
+// proxy is not the generator's. It returns what takes that back.
+func keepOff(taken []int) (func(), error) {
+	var all, rest unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &all); err != nil {
+		return nil, err
+	}
+	rest = all
+	for _, cpu := range taken {
+		rest.Clear(cpu)
+	}
+	if rest.Count() == 0 { // as many proxies as processors: all share them
+		return func() {}, nil
+	}
+	bind := func(set *unix.CPUSet) {
+		tasks, _ := os.ReadDir("/proc/self/task") // without them the run is only less exact
+		for _, task := range tasks {
+			if id, err := strconv.Atoi(task.Name()); err == nil {
+				unix.SchedSetaffinity(id, set) // one that has ended meanwhile needs none
+			}
+		}
+	}
+	bind(&rest)
+	return func() { bind(&all) }, nil
+}
+
 // gone tells whether it is dead or leaving.
 func (p *process) gone() bool {
 	p.mu.Lock()
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chalkferry/internal/load"
@@ -60,6 +61,8 @@
 	Proxy    string    // the program that serves
 	Progress io.Writer // a line that is written over, nil for none
 	Logs     string    // a folder that keeps the proxies' logs, "" for none
+	Profiles string    // a folder for profiles of the proxies' CPU, "" for none
+	Direct   bool      // clients connect to the nodes, with no proxy between
 }
 
 // Run runs a scenario to its end, or to the context's, and reports what was seen. An error tells that nothing could be
@@ -82,6 +85,17 @@
 	if err := n.build(o); err != nil {
 		return nil, err
 	}
+	if s.Proxies.Pin {
+		var taken []int
+		for _, p := range n.processes {
+			taken = append(taken, p.cpu)
+		}
+		release, err := keepOff(taken)
+		if err != nil {
+			return nil, err
+		}
+		defer release()
+	}
 	stop, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go n.front.Run(stop)
@@ -94,6 +108,9 @@
 		p.sample()
 	}
 	r := n.report(len(sessions), ctx.Err() != nil)
+	if o.Profiles != "" { // they are written as a proxy ends in good order
+		n.endInOrder()
+	}
 	if o.Logs != "" {
 		r.Trouble = append(r.Trouble, n.keepLogs(o.Logs)...)
 	}
@@ -146,22 +163,32 @@
 	for i := s.Platform.Nodes; i < total; i++ {
 		n.judge.Changed(n.now(), judge.NodeID(i), true)
 	}
+	if o.Direct {
+		for i, each := range n.nodes[:s.Platform.Nodes] {
+			n.front.Add(each.Address, n.zones[i])
+		}
+		n.clients.ProxyGone = func(judge.ProxyID) bool { return false }
+		return nil
+	}
 	for i := range s.Proxies.Count {
-		if err := n.addProxy(i, fmt.Sprintf("127.%d.255.%d", block, i+1), o.Proxy); err != nil {
+		if err := n.addProxy(i, fmt.Sprintf("127.%d.255.%d", block, i+1), o); err != nil {
 			return fmt.Errorf("proxy %d: %w", i, err)
 		}
 	}
 	return nil
 }
 
-func (n *night) addProxy(i int, ip, binary string) error {
+func (n *night) addProxy(i int, ip string, o Options) error {
 	s := n.scenario
 	address, err := freeAddress(ip)
 	if err != nil {
 		return err
 	}
-	p := &process{binary: binary, address: address, folder: filepath.Join(n.folder, fmt.Sprintf("p%d", i)), cpu: -1,
+	p := &process{binary: o.Proxy, address: address, folder: filepath.Join(n.folder, fmt.Sprintf("p%d", i)), cpu: -1,
 		memory: s.Proxies.MemoryMB, sockets: s.Proxies.Sockets}
+	if o.Profiles != "" {
+		p.profile = filepath.Join(o.Profiles, fmt.Sprintf("n%d.prof", i))
+	}
 	if s.Proxies.Pin {
 		p.cpu = runtime.NumCPU() - 1 - i%runtime.NumCPU()
 	}
@@ -217,11 +244,12 @@
 				return fmt.Errorf("proxy %d does not serve: %s", i, n.lastWords(p))
 			}
 		}
-		if n.front.Ready() == len(n.processes) {
+		all := n.front.Len()
+		if n.front.Ready() == all {
 			return nil
 		}
 		if time.Now().After(limit) {
-			return fmt.Errorf("%d of %d proxies are ready after %v", n.front.Ready(), len(n.processes), mostStart)
+			return fmt.Errorf("%d of %d proxies are ready after %v", n.front.Ready(), all, mostStart)
 		}
 		select {
 		case <-time.After(tick):
@@ -375,6 +403,18 @@
 	n.trouble = append(n.trouble, fmt.Sprintf(format, args...))
 }
 
+// endInOrder has all proxies leave, and waits for them.
+func (n *night) endInOrder() {
+	ctx, cancel := context.WithTimeout(context.Background(), mostStart)
+	defer cancel()
+	for _, p := range n.processes {
+		p.signal(syscall.SIGTERM, true)
+	}
+	for _, p := range n.processes {
+		p.ended(ctx)
+	}
+}
+
 // keepLogs copies the proxies' logs to a folder.
 func (n *night) keepLogs(to string) (trouble []string) {
 	if err := os.MkdirAll(to, 0o755); err != nil {
--- a/internal/standin/front/front.go
+++ b/internal/standin/front/front.go
@@ -112,6 +112,13 @@
 // Notice is how long the front takes to notice a death.
 func (f *Front) Notice() time.Duration { return f.notice }
 
+// Len is how many proxies there are.
+func (f *Front) Len() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.proxies)
+}
+
 // Ready is how many proxies get connections.
 func (f *Front) Ready() int {
 	f.mu.Lock()
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand"
 	"net"
 	"strconv"
@@ -93,11 +94,16 @@
 // New makes a node that has run for long; Start begins to listen.
 func New(id judge.NodeID, address string, m Machine, talk Talk, seed int64, now func() time.Duration, j *judge.Judge,
 	plans func(judge.SessionID) Plan, onFall func(*Node)) *Node {
-	return &Node{ID: id, Address: address, now: now, judge: j, plans: plans, machine: m, talk: talk, onFall: onFall,
+	n := &Node{ID: id, Address: address, now: now, judge: j, plans: plans, machine: m, talk: talk, onFall: onFall,
 		standing: dead, rand: rand.New(rand.NewSource(seed)), hole: -1, conns: map[*conn]bool{},
 		kept: map[judge.SessionID]*conn{}}
+	n.pausedTo.Store(int64(longAgo))
+	return n
 }
 
+// longAgo is before any run's start; the clock is below 0 until then.
+const longAgo = time.Duration(math.MinInt64)
+
 // enter is the one place where a node changes its standing. It needs the lock.
 func (n *Node) enter(next standing) bool {
 	for _, may := range mayBecome[n.standing] {
@@ -153,7 +159,7 @@
 		case err != nil:
 			return
 		}
-		s := &conn{node: n, conn: c, dial: -1}
+		s := &conn{node: n, conn: c, dial: -1, dueLast: longAgo}
 		n.mu.Lock()
 		if n.standing == dead || n.standing == fallen || n.listener != l {
 			n.mu.Unlock()
