--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -70,6 +70,7 @@
 	askedAt  time.Duration // the first of them
 	told     levels
 	slot     int // among the open ones
+	askSlot  int // among those that nothing has come back for
 }
 
 // Table has all sessions of a proxy.
@@ -85,6 +86,8 @@
 	heard    map[choice.ServerID]time.Duration // when it last answered anyone
 	sessions map[choice.SessionID]*Exchange
 	open     []*Exchange
+	asking   []*Exchange             // the open ones with a line out: few, however many are open
+	held     map[choice.ServerID]int // open ones
 	sweeping []*Exchange
 	quiet    map[choice.ServerID]quiet
 	suspect  map[choice.ServerID]time.Duration // when it was last silent to one session or dial
@@ -96,7 +99,7 @@
 func NewTable(dialer Dialer, now func() time.Duration, later func(func()), after func(time.Duration, func()),
 	retry, stillFor time.Duration, delays *Delays) *Table {
 	return &Table{dialer: dialer, now: now, later: later, after: after, retry: retry, stillFor: stillFor,
-		heard: map[choice.ServerID]time.Duration{}, quiet: map[choice.ServerID]quiet{}, suspect: map[choice.ServerID]time.Duration{},
+		held: map[choice.ServerID]int{}, heard: map[choice.ServerID]time.Duration{}, quiet: map[choice.ServerID]quiet{}, suspect: map[choice.ServerID]time.Duration{},
 		delays: delays, sessions: map[choice.SessionID]*Exchange{}}
 }
 
@@ -113,22 +116,44 @@
 	}
 	t := ex.table
 	if ex.state == open {
+		ex.asked(0)
 		last := len(t.open) - 1
 		t.open[ex.slot] = t.open[last]
 		t.open[ex.slot].slot = ex.slot
 		t.open[last] = nil
 		t.open = t.open[:last]
+		if t.held[ex.at]--; t.held[ex.at] == 0 {
+			delete(t.held, ex.at)
+		}
 	}
 	ex.state = next
 	switch next {
 	case open:
 		ex.slot = len(t.open)
 		t.open = append(t.open, ex)
+		t.held[ex.at]++
 	case ended:
 		delete(t.sessions, ex.arrival.ID)
 	}
 }
 
+// asked is the one place where the number of lines changes that nothing has come back for.
+func (ex *Exchange) asked(n int) {
+	t := ex.table
+	switch {
+	case ex.asks == 0 && n > 0:
+		ex.askSlot = len(t.asking)
+		t.asking = append(t.asking, ex)
+	case ex.asks > 0 && n == 0:
+		last := len(t.asking) - 1
+		t.asking[ex.askSlot] = t.asking[last]
+		t.asking[ex.askSlot].askSlot = ex.askSlot
+		t.asking[last] = nil
+		t.asking = t.asking[:last]
+	}
+	ex.asks = n
+}
+
 // Begin takes a session. The text outlives the buffer that it was read into, so it is copied.
 func (t *Table) Begin(client Client, a choice.Arrival, text []byte, holder choice.ServerID) *Exchange {
 	t.next++
@@ -230,7 +255,7 @@
 	if ex.asks == 0 {
 		ex.askedAt = ex.table.now()
 	}
-	ex.asks += n
+	ex.asked(ex.asks + n)
 	ex.server.Write(lines)
 }
 
@@ -323,7 +348,7 @@
 		if ex.state != open { // the module may have moved it
 			return
 		}
-		if ex.asks = max(ex.asks-answers, 0); ex.asks > 0 {
+		if ex.asked(max(ex.asks-answers, 0)); ex.asks > 0 {
 			ex.askedAt = ex.table.now()
 		}
 	}
@@ -387,12 +412,12 @@
 	if t.swept = t.now(); late {
 		return
 	}
-	t.sweeping = append(t.sweeping[:0], t.open...)
+	t.sweeping = append(t.sweeping[:0], t.asking...)
 	clear(t.quiet)
 	for _, ex := range t.sweeping {
 		q := t.quiet[ex.at]
-		q.held++
-		if waited := t.now() - ex.askedAt; ex.asks > 0 && t.heard[ex.at] <= ex.askedAt {
+		q.held = t.held[ex.at]
+		if waited := t.now() - ex.askedAt; t.heard[ex.at] <= ex.askedAt {
 			if waited > t.delays.mark {
 				q.late++
 			}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"strings"
@@ -211,8 +212,22 @@
 	return c, d
 }
 
-// check holds that no session is lost or answered late, and that both sides end together.
+// check holds that no session is lost or answered late, that both sides end together, and that what is kept of the
+// open sessions beside them is what they say.
 func (r *rig) check() {
+	asking, held := 0, map[choice.ServerID]int{}
+	for _, ex := range r.Table.open {
+		held[ex.at]++
+		if ex.asks > 0 {
+			asking++
+			if r.asking[ex.askSlot] != ex {
+				r.fail("session %s is not where it says among those that ask", ex.Name())
+			}
+		}
+	}
+	if asking != len(r.asking) || !maps.Equal(held, r.held) {
+		r.fail("%d sessions ask, %d are kept; %v are held, %v are kept", asking, len(r.asking), held, r.held)
+	}
 	for i, c := range r.clients {
 		n := 0
 		for _, d := range r.dials {
