--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -56,7 +56,8 @@
 	conn    *socket.Conn
 	state   state
 	ex      *exchange.Exchange
-	id      string // that it gave its session
+	opening *line.Open // of the session asked for
+	id      string     // that it gave its session
 	since   time.Duration
 	stands  time.Duration // since when lines pass
 	idle    *timers.Timer
@@ -168,7 +169,9 @@
 	c.state, c.id = waits, string(opening.ID)
 	c.clients.ids[c.id] = c
 	c.asked()
+	c.opening = &opening // good while its text is; the answer may come at once
 	c.ex = c.clients.table.Begin(c, a, text, holder)
+	c.opening = c.ex.Opening()
 }
 
 // asked takes the connection from those that have asked for nothing.
@@ -259,8 +262,7 @@
 	if c.id != "" {
 		e = e.Str("id", c.id)
 	}
-	if c.ex != nil { // what a trace is made of
-		o := c.ex.Opening()
+	if o := c.opening; o != nil { // what a trace is made of
 		e = e.Bytes("listener", o.Listener).Bytes("key", o.Key).Dur("wait_ms", o.Left)
 		if o.Tenant != nil {
 			e = e.Bytes("title", o.Tenant)
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -95,6 +95,12 @@
 	if err := startOn(cmd, p.cpu); err != nil {
 		return fmt.Errorf("%s: %w", p.binary, err)
 	}
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err == nil && own.Max < uint64(p.sockets) {
+		cmd.Process.Kill()
+		cmd.Wait()
+		return fmt.Errorf("it is to have %d descriptors, and no more than %d can be given here (ulimit -Hn)", p.sockets, own.Max)
+	}
 	limit := unix.Rlimit{Cur: uint64(p.sockets), Max: uint64(p.sockets)}
 	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
 		cmd.Process.Kill()
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -58,6 +58,7 @@
 	Broken     int64 `json:"broken"`     // connections that ended without an answer, as the proxy died
 	Unanswered int64 `json:"unanswered"` // given up at the dial timeout
 	NoProxy    int64 `json:"no_proxy"`   // nobody to connect to, or it refused the connection
+	Stopped    int64 `json:"stopped"`    // waited for an answer when the run ended
 	Moved      int64 `json:"moved"`
 	CutOff     int64 `json:"cut_off"` // open sessions that ended without a word
 	Passed     int64 `json:"passed"`  // that went on by another proxy
@@ -237,6 +238,7 @@
 	switch verb, rest, _ := strings.Cut(strings.TrimRight(answer, "\r\n"), " "); {
 	case ctx.Err() != nil && err != nil:
 		c.judge.Left(now, s.id)
+		c.count(&c.counts.Stopped)
 		return stopped, 0
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.judge.Unanswered(now, s.id)
