--- /dev/null
+++ b/cmd/chalkferry/store.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+
+	"chalkferry/internal/store"
+)
+
+type storeCmd struct {
+	Check storeCheckCmd `cmd:"" help:"Say what of a folder is good, and up to where. Changes nothing."`
+	List  storeListCmd  `cmd:"" help:"Name the tables and how much they hold."`
+	Dump  storeDumpCmd  `cmd:"" help:"Write all records as JSON lines."`
+}
+
+type storeCheckCmd struct {
+	Dir string `arg:"" type:"existingdir"`
+}
+
+func (c *storeCheckCmd) Run() error {
+	r, err := store.Recover(os.DirFS(c.Dir))
+	if err != nil {
+		return err
+	}
+	for _, s := range r.Segments {
+		fmt.Printf("%s: batches %d to %d, %d of %d bytes good\n", s.Name, s.First, s.Last, s.Good, s.Size)
+	}
+	fmt.Printf("good up to batch %d\n", r.Last)
+	if r.Torn != "" {
+		fmt.Println("a torn end, as a loss of power leaves it: " + r.Torn)
+	}
+	return nil
+}
+
+type storeListCmd struct {
+	Dir string `arg:"" type:"existingdir"`
+}
+
+func (c *storeListCmd) Run() error {
+	r, err := store.Recover(os.DirFS(c.Dir))
+	if err != nil {
+		return err
+	}
+	for _, name := range r.Names() {
+		bytes := 0
+		for _, value := range r.Tables[name] {
+			bytes += len(value)
+		}
+		fmt.Printf("%s: %d records, %d bytes\n", name, len(r.Tables[name]), bytes)
+	}
+	return nil
+}
+
+type storeDumpCmd struct {
+	Dir string `arg:"" type:"existingdir"`
+}
+
+func (c *storeDumpCmd) Run() error {
+	r, err := store.Recover(os.DirFS(c.Dir))
+	if err != nil {
+		return err
+	}
+	to := json.NewEncoder(os.Stdout)
+	for _, table := range r.Names() {
+		for _, key := range slices.Sorted(maps.Keys(r.Tables[table])) {
+			if err := to.Encode(map[string]any{"table": table, "key": key, "value": r.Tables[table][key]}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
