Store: a writer with group commit that acknowledges only what was synced

Change: a writer on a narrow disk interface, with a bound on what waits, a lock for one writer, and no trust in a file after a failure; a second form of the disk for tests fails writes and syncs and loses power.

--- /dev/null
+++ b/internal/store/disk.go
@@ -0,0 +1,70 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// Disk is all that a store asks of a folder. Tests have a form of their own that fails.
+type Disk interface {
+	fs.FS
+	// Create makes a new file; one of the name must not be there.
+	Create(name string) (File, error)
+	// SyncFolder makes names that were created last.
+	SyncFolder() error
+}
+
+// File is one segment that is written.
+type File interface {
+	Write(text []byte) (int, error)
+	// Sync returns when all that was written will outlast a loss of power.
+	Sync() error
+	Close() error
+}
+
+// ErrLocked tells that another process writes to the folder.
+var ErrLocked = errors.New("folder is written by another process")
+
+// Folder is a Disk of the operating system's, with a lock for its one writer.
+type Folder struct {
+	fs.FS
+	path string
+	lock *os.File
+}
+
+// OpenFolder makes the folder if it is not there, and takes its lock: ErrLocked where another process has it.
+func OpenFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, err
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, fmt.Errorf("%s: %w", path, ErrLocked)
+	}
+	return &Folder{FS: os.DirFS(path), path: path, lock: lock}, nil
+}
+
+func (f *Folder) Create(name string) (File, error) {
+	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+}
+
+func (f *Folder) SyncFolder() error {
+	d, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// Close gives the lock back.
+func (f *Folder) Close() error { return f.lock.Close() }
--- /dev/null
+++ b/internal/store/writer_test.go
@@ -0,0 +1,181 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/rand"
+	"os"
+	"sync"
+	"testing"
+	"testing/fstest"
+)
+
+// faulty is a disk in memory: it fails when it is told to, and a loss of power leaves what was synced and any part of
+// the rest.
+type faulty struct {
+	mu     sync.Mutex
+	files  map[string]*faultyFile
+	rng    *rand.Rand
+	writes int // until one is short and fails
+	syncs  int // until one fails
+}
+
+type faultyFile struct {
+	disk   *faulty
+	text   []byte
+	synced int
+}
+
+var errDisk = errors.New("the disk fails")
+
+func (d *faulty) Open(string) (fs.File, error) { return nil, fs.ErrNotExist }
+func (d *faulty) SyncFolder() error            { return nil }
+
+func (d *faulty) Create(name string) (File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := &faultyFile{disk: d}
+	d.files[name] = f
+	return f, nil
+}
+
+func (f *faultyFile) Write(text []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if f.disk.writes--; f.disk.writes == 0 {
+		n := f.disk.rng.Intn(len(text))
+		f.text = append(f.text, text[:n]...)
+		return n, errDisk
+	}
+	f.text = append(f.text, text...)
+	return len(text), nil
+}
+
+func (f *faultyFile) Sync() error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if f.disk.syncs--; f.disk.syncs == 0 {
+		return errDisk
+	}
+	f.synced = len(f.text)
+	return nil
+}
+
+func (f *faultyFile) Close() error { return nil }
+
+// after is what the folder holds after a loss of power.
+func (d *faulty) after() fstest.MapFS {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	folder := fstest.MapFS{}
+	for name, f := range d.files {
+		folder[name] = &fstest.MapFile{Data: f.text[:f.synced+d.rng.Intn(len(f.text)-f.synced+1)]}
+	}
+	return folder
+}
+
+// Whatever fails and whenever power is lost: all that was acknowledged is there after it, in order, and nothing that
+// was never appended; after a failure nothing is acknowledged any more.
+func TestAcknowledged(t *testing.T) {
+	for seed := range int64(300) {
+		rng := rand.New(rand.NewSource(seed))
+		disk := &faulty{files: map[string]*faultyFile{}, rng: rng, writes: rng.Intn(12), syncs: rng.Intn(12)}
+		w, err := NewWriter(disk, &Recovered{}, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var mu sync.Mutex
+		acknowledged, appended, failed := Seq(0), 0, false
+		for n := range 40 {
+			ops := []Op{{Table: "t", Key: fmt.Sprint(n), Value: []byte{byte(n)}}}
+			err := w.Append(ops, func(seq Seq, err error) {
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err != nil:
+					failed = true
+				case failed || seq != acknowledged+1:
+					t.Errorf("seed %d: batch %d is acknowledged after %d, failed %v", seed, seq, acknowledged, failed)
+				default:
+					acknowledged = seq
+				}
+			})
+			if err != nil {
+				break
+			}
+			appended++
+		}
+		w.Close()
+		r, err := Recover(disk.after())
+		if err != nil || r.Last < acknowledged || int(r.Last) > appended {
+			t.Fatalf("seed %d: %v, %d acknowledged, %d there, %d appended", seed, err, acknowledged, r.Last, appended)
+		}
+		for n := range int(r.Last) {
+			if value := r.Tables["t"][fmt.Sprint(n)]; len(value) != 1 || value[0] != byte(n) {
+				t.Fatalf("seed %d: batch %d holds %v", seed, n+1, value)
+			}
+		}
+		if err := w.Append(nil, nil); !errors.Is(err, ErrClosed) {
+			t.Fatal(err)
+		}
+	}
+}
+
+// On a real folder: what is written is there for the next writer, which goes on behind it; two at once are refused.
+func TestFolder(t *testing.T) {
+	path := t.TempDir()
+	for run := range 3 {
+		folder, err := OpenFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := OpenFolder(path); !errors.Is(err, ErrLocked) {
+			t.Fatalf("a second writer: %v", err)
+		}
+		r, err := Recover(folder)
+		if err != nil || int(r.Last) != 10*run {
+			t.Fatal(err, r)
+		}
+		w, err := NewWriter(folder, r, 10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n := range 10 {
+			if err := w.Append([]Op{{Table: "t", Key: fmt.Sprint(n), Value: []byte{byte(run)}}}, func(_ Seq, err error) {
+				if err != nil {
+					t.Error(err)
+				}
+			}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		folder.Close()
+	}
+	if r, err := Recover(os.DirFS(path)); err != nil || len(r.Segments) != 3 || r.Last != 30 || r.Tables["t"]["9"][0] != 2 {
+		t.Fatal(err, r)
+	}
+}
+
+// What can't wait is shed at once and counted.
+func TestShed(t *testing.T) {
+	hold, began := make(chan struct{}), make(chan struct{})
+	disk := &faulty{files: map[string]*faultyFile{}, rng: rand.New(rand.NewSource(1))}
+	w, err := NewWriter(disk, &Recovered{}, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Append(nil, func(Seq, error) { close(began); <-hold })
+	<-began
+	done := func(Seq, error) {}
+	if w.Append(nil, done) != nil || w.Append(nil, done) != nil || !errors.Is(w.Append(nil, done), ErrFull) || w.Shed() != 1 {
+		t.Fatalf("%d are shed", w.Shed())
+	}
+	close(hold)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
