--- a/cmd/chalkferry/store.go
+++ b/cmd/chalkferry/store.go
@@ -11,16 +11,22 @@
 )
 
 type storeCmd struct {
-	Check storeCheckCmd `cmd:"" help:"Say what of a folder is good, and up to where. Changes nothing."`
+	Check storeCheckCmd `cmd:"" help:"Say what of a folder is good, and up to where. Changes nothing without --repair."`
 	List  storeListCmd  `cmd:"" help:"Name the tables and how much they hold."`
 	Dump  storeDumpCmd  `cmd:"" help:"Write all records as JSON lines."`
 }
 
 type storeCheckCmd struct {
-	Dir string `arg:"" type:"existingdir"`
+	Dir    string `arg:"" type:"existingdir"`
+	Repair bool   `help:"Cut a torn end off; what is cut off is kept beside it."`
 }
 
 func (c *storeCheckCmd) Run() error {
+	if c.Repair {
+		if err := c.repair(); err != nil {
+			return err
+		}
+	}
 	r, err := store.Recover(os.DirFS(c.Dir))
 	if err != nil {
 		return err
@@ -35,6 +41,22 @@
 	return nil
 }
 
+func (c *storeCheckCmd) repair() error {
+	folder, err := store.OpenFolder(c.Dir)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	kept, err := folder.Repair()
+	if err != nil {
+		return err
+	}
+	if kept != "" {
+		fmt.Printf("repaired; the segment as it was is kept as %s\n", kept)
+	}
+	return nil
+}
+
 type storeListCmd struct {
 	Dir string `arg:"" type:"existingdir"`
 }
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -66,5 +66,53 @@
 	return d.Sync()
 }
 
+// Repair cuts a torn end off the last segment, or takes away one without a batch. What it cuts is kept: the segment as it was stays beside it under the
+// name that is returned, "" where nothing was torn. Any other damage is left and told.
+func (f *Folder) Repair() (kept string, err error) {
+	r, err := Recover(f)
+	if err != nil || len(r.Segments) == 0 {
+		return "", err
+	}
+	last := r.Segments[len(r.Segments)-1]
+	if r.Torn == "" && last.Last != 0 {
+		return "", nil
+	}
+	name := filepath.Join(f.path, last.Name)
+	kept = last.Name + ".torn"
+	if err := os.Link(name, filepath.Join(f.path, kept)); err != nil {
+		return "", err
+	}
+	if last.Last == 0 { // not one batch: the next writer's first segment has this name
+		err = os.Remove(name)
+	} else if err = f.keepStart(name, last.Good); err == nil {
+		err = os.Rename(name+".new", name) // at once: the good part is always under one name or the other
+	}
+	if err != nil {
+		return "", err
+	}
+	return kept, f.SyncFolder()
+}
+
+// keepStart makes a new file of the first bytes of another.
+func (f *Folder) keepStart(name string, good int) error {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	to, err := os.OpenFile(name+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := to.Write(text[:good]); err != nil {
+		to.Close()
+		return err
+	}
+	if err := to.Sync(); err != nil {
+		to.Close()
+		return err
+	}
+	return to.Close()
+}
+
 // Close gives the lock back.
 func (f *Folder) Close() error { return f.lock.Close() }
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -11,6 +11,7 @@
 type Writer struct {
 	disk    Disk
 	most    int // batches that may wait
+	segment int // bytes after which the next commit begins another segment
 	mu      sync.Mutex
 	waiting []waiting
 	shed    int
@@ -20,6 +21,7 @@
 	ended   chan struct{}
 
 	file File // the rest is the committing goroutine's
+	size int
 	last Seq
 }
 
@@ -36,9 +38,9 @@
 )
 
 // NewWriter goes on behind what was recovered, in a segment of its own: a torn end is never written over. At most so
-// many batches wait.
-func NewWriter(disk Disk, r *Recovered, most int) (*Writer, error) {
-	w := &Writer{disk: disk, most: most, last: r.Last, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+// many batches wait; a segment that has reached so many bytes is followed by another.
+func NewWriter(disk Disk, r *Recovered, most, segment int) (*Writer, error) {
+	w := &Writer{disk: disk, most: most, segment: segment, last: r.Last, wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	if r.Torn != "" {
 		return nil, fmt.Errorf("the end is torn, repair it first: %s", r.Torn)
 	}
@@ -145,6 +147,13 @@
 }
 
 func (w *Writer) write(first Seq, text []byte) error {
+	if w.file != nil && w.size >= w.segment {
+		file := w.file
+		w.file, w.size = nil, 0
+		if err := file.Close(); err != nil {
+			return err
+		}
+	}
 	if w.file == nil {
 		file, err := w.disk.Create(fmt.Sprintf("%016x%s", uint64(first), suffix))
 		if err != nil {
@@ -157,6 +166,7 @@
 		w.file = file
 		text = append(appendHeader(nil, first), text...)
 	}
+	w.size += len(text)
 	if _, err := w.file.Write(text); err != nil {
 		return err
 	}
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -81,7 +81,7 @@
 	for seed := range int64(300) {
 		rng := rand.New(rand.NewSource(seed))
 		disk := &faulty{files: map[string]*faultyFile{}, rng: rng, writes: rng.Intn(12), syncs: rng.Intn(12)}
-		w, err := NewWriter(disk, &Recovered{}, 64)
+		w, err := NewWriter(disk, &Recovered{}, 64, 1+rng.Intn(200))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -137,7 +137,7 @@
 		if err != nil || int(r.Last) != 10*run {
 			t.Fatal(err, r)
 		}
-		w, err := NewWriter(folder, r, 10)
+		w, err := NewWriter(folder, r, 10, 1<<20)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -164,7 +164,7 @@
 func TestShed(t *testing.T) {
 	hold, began := make(chan struct{}), make(chan struct{})
 	disk := &faulty{files: map[string]*faultyFile{}, rng: rand.New(rand.NewSource(1))}
-	w, err := NewWriter(disk, &Recovered{}, 2)
+	w, err := NewWriter(disk, &Recovered{}, 2, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,3 +179,56 @@
 		t.Fatal(err)
 	}
 }
+
+// A torn end is cut off on demand only, kept beside, and the store can be written again.
+func TestRepair(t *testing.T) {
+	folder, names, states := written(t, 2)
+	whole := folder[names[2]].Data
+	for _, cut := range []int{0, headerSize - 1, headerSize, headerSize + 5, len(whole) - 1} {
+		path := t.TempDir()
+		for _, name := range names {
+			text := folder[name].Data
+			if name == names[2] {
+				text = text[:cut]
+			}
+			if err := os.WriteFile(path+"/"+name, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before, err := Recover(os.DirFS(path))
+		if err != nil {
+			t.Fatal(err)
+		}
+		disk, err := OpenFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept, err := disk.Repair()
+		if err != nil || kept == "" {
+			t.Fatalf("cut at %d: %v, kept %q", cut, err, kept)
+		}
+		if text, err := os.ReadFile(path + "/" + kept); err != nil || len(text) != cut {
+			t.Errorf("cut at %d: %v, %d bytes are kept", cut, err, len(text))
+		}
+		after, err := Recover(disk)
+		if err != nil || after.Torn != "" || after.Last != before.Last || !same(after.Tables, states[after.Last]) {
+			t.Fatalf("cut at %d: %v, %+v", cut, err, after)
+		}
+		if again, err := disk.Repair(); err != nil || again != "" {
+			t.Fatal(err, again)
+		}
+		w, err := NewWriter(disk, after, 1, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Append([]Op{{Table: "t", Key: "next"}}, func(seq Seq, err error) {
+			if err != nil || seq != after.Last+1 {
+				t.Error(seq, err)
+			}
+		})
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		disk.Close()
+	}
+}
