--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -454,6 +454,9 @@
 	for n := 0; ; {
 		select {
 		case text := <-read:
+			if text == "" && ctx.Err() != nil { // the run's end has stopped the reader, not the proxy
+				return false, "stopped"
+			}
 			return true, text
 		case <-life.C:
 			return false, "life"
