--- a/cmd/chalkferry/load.go
+++ b/cmd/chalkferry/load.go
@@ -46,15 +46,5 @@
 	if err != nil {
 		return err
 	}
-	clearProgress()
-	r.Print(os.Stdout)
-	if c.JSON != "" {
-		if err := r.WriteJSON(c.JSON); err != nil {
-			return err
-		}
-	}
-	if !r.OK() {
-		return errVerdict
-	}
-	return nil
+	return report(r, c.JSON, "")
 }
--- a/cmd/chalkferry/rehearse.go
+++ b/cmd/chalkferry/rehearse.go
@@ -101,15 +101,20 @@
 	if err != nil {
 		return err
 	}
+	return report(r, c.JSON, c.HTML)
+}
+
+// report shows what was seen, keeps it in the files that are named, and tells the verdict.
+func report(r *rehearse.Report, json, html string) error {
 	clearProgress()
 	r.Print(os.Stdout)
-	if c.JSON != "" {
-		if err := r.WriteJSON(c.JSON); err != nil {
+	if json != "" {
+		if err := r.WriteJSON(json); err != nil {
 			return err
 		}
 	}
-	if c.HTML != "" {
-		if err := r.WriteHTML(c.HTML); err != nil {
+	if html != "" {
+		if err := r.WriteHTML(html); err != nil {
 			return err
 		}
 	}
