One timer for the next call to discovery, so that failed calls no longer double

Change: only the timer that was set last asks; one call at a time. Lists and failed watches are log lines of their own.

TestOneAsk fails with the guard taken out (asked over a thousand times more).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,8 +49,8 @@
 
 const (
 	tokenRound Token = iota
-	tokenAsk
 	tokenInquiry
+	tokenAsk // and on: each timer to ask for the list voids the ones before
 )
 
 type state int
@@ -152,6 +152,7 @@
 	arrivals, told                 int // sessions that did not come back, words to other proxies
 	asking                         []*session
 	askFails                       int
+	asks                           Token   // timers to ask for the list, so far
 	lateOfHeard                    float64 // as of lateShareAt
 	lateShareAt                    time.Duration
 	longestWait                    time.Duration // dial timeout of the most patient listener
@@ -437,7 +438,14 @@
 		return
 	}
 	b.front.Watch()
-	b.front.Timer(b.list.MustAskIn/2, tokenAsk) // guards against a call that is never answered
+	b.askIn(b.list.MustAskIn / 2) // guards against a call that is never answered
+}
+
+// askIn sets when the list is asked for next. Only the timer set last counts: if those of earlier calls still
+// did, each failed call would leave two behind, and calls would double until discovery takes none.
+func (b *Balancer) askIn(after time.Duration) {
+	b.asks++
+	b.front.Timer(after, tokenAsk+b.asks)
 }
 
 // List takes what discovery tells.
@@ -448,7 +456,7 @@
 		b.askFails++
 		b.say(&b.saidListAt, "list: the subscription failed, %d times in a row", b.askFails)
 		span := b.list.MustAskIn / 32 << min(b.askFails, 3)
-		b.front.Timer(span+time.Duration(b.chance.Int63n(int64(span)+1)), tokenAsk)
+		b.askIn(span + time.Duration(b.chance.Int63n(int64(span)+1)))
 		return
 	}
 	if kind != ListCached {
@@ -958,7 +966,7 @@
 func (b *Balancer) Tick(now time.Duration, token Token) {
 	b.now = now
 	switch token {
-	case tokenAsk:
+	case tokenAsk + b.asks:
 		if !b.watching {
 			b.ask()
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -281,7 +282,7 @@
 	for i := range waits {
 		r.b.List(r.now, ListFailed, nil)
 		waits[i], r.asked = r.lastTimer, 0
-		r.b.Tick(r.now, tokenAsk)
+		r.b.Tick(r.now, r.lastToken)
 		if r.asked != 1 {
 			t.Fatal("did not ask again")
 		}
@@ -291,6 +292,30 @@
 	}
 }
 
+// TestOneAsk: from 80 proxies, where each call that failed left two timers behind and calls doubled until
+// discovery took none: however calls end, the list is asked for once at a time and no sooner than said.
+func TestOneAsk(t *testing.T) {
+	for seed := range int64(20) {
+		chance := rand.New(rand.NewSource(seed))
+		r := fleet(1, LoadSight{})
+		r.b.list.MustAskIn = 10 * sec
+		r.b.List(0, ListFailed, nil)
+		asked := r.asked
+		for r.now < 300*sec {
+			at := slices.MinFunc(r.timers, func(a, c timer) int { return cmp.Compare(a.at, c.at) })
+			r.timers = slices.DeleteFunc(r.timers, func(t timer) bool { return t == at })
+			r.now = at.at
+			before := r.asked
+			if r.b.Tick(r.now, at.token); r.asked > before && chance.Intn(4) > 0 {
+				r.b.List(r.now, ListFailed, nil) // else nothing is ever heard of it
+			}
+		}
+		if n := r.asked - asked; n < 300/10 || n > 300/2 {
+			t.Errorf("seed %d: asked %d times in 300 s", seed, n)
+		}
+	}
+}
+
 // TestDepth: from releases and overload, a group keeps to its best few scores, a hot one to as many as it
 // would fill. From 200 proxies: one session among six is no hot group.
 func TestDepth(t *testing.T) {
--- a/choice/rig_test.go
+++ b/choice/rig_test.go
@@ -26,6 +26,7 @@
 	bestHeld  float64                      // most sessions for each unit of size
 	timers    []timer
 	lastTimer time.Duration
+	lastToken Token
 	asked     int
 	probes    int
 	tells     int
@@ -184,7 +185,7 @@
 }
 
 func (r *rig) Timer(after time.Duration, token Token) {
-	r.lastTimer = after
+	r.lastTimer, r.lastToken = after, token
 	r.timers = append(r.timers, timer{r.now + after, token})
 }
 
--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -23,7 +23,7 @@
 
 type place struct {
 	name, address string
-	ready         bool
+	standing      choice.Standing
 }
 
 func newDirectory(zones map[string]choice.ZoneID, start time.Time) *directory {
@@ -53,7 +53,7 @@
 func (d *directory) entriesOf(list discovery.List) []choice.Entry {
 	if list.Complete {
 		for _, p := range d.servers {
-			p.ready = false
+			p.standing = choice.Gone
 		}
 	}
 	slices.SortFunc(list.Servers, func(a, b discovery.Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -72,7 +72,7 @@
 			e.Since = time.UnixMicro(int64(s.UpSinceMs * 1000)).Sub(d.start.Round(0))
 		}
 		p := d.servers[id]
-		p.ready = e.Standing == choice.Ready
+		p.standing = e.Standing
 		if s.HostPort != "" {
 			p.address = s.HostPort
 		}
@@ -111,5 +111,18 @@
 
 func (d *directory) Ready(at choice.ServerID) bool {
 	p := d.servers[at]
-	return p != nil && p.ready
+	return p != nil && p.standing == choice.Ready
+}
+
+// count is how many servers are ready and how many drain.
+func (d *directory) count() (ready, draining int) {
+	for _, p := range d.servers {
+		switch p.standing {
+		case choice.Ready:
+			ready++
+		case choice.Draining:
+			draining++
+		}
+	}
+	return ready, draining
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -323,13 +323,15 @@
 		kind = choice.ListFull
 	}
 	p.balancer.List(p.now(), kind, p.directory.entriesOf(list))
+	ready, draining := p.directory.count()
+	p.log.Info().Uint64("revision", list.Revision).Bool("complete", list.Complete).Int("entries", len(list.Servers)).
+		Int("ready", ready).Int("draining", draining).Msg("list")
 }
 
 // watchFailed leaves the last list standing; the module asks again.
 func (p *Proxy) watchFailed(err error) {
-	if p.failures++; p.failures == 1 {
-		p.log.Warn().Err(err).Msg("the watch of the list failed")
-	}
+	p.failures++
+	p.log.Warn().Err(err).Int("failures", p.failures).Msg("the watch of the list failed")
 	p.balancer.List(p.now(), choice.ListFailed, nil)
 }
 
