Cold servers: a chance for each session in place of turns by a proxy's number

Cause: a cold server's budget was dealt out in turns, a whole dial to one of 80 proxies at a time, and a proxy that had the turn seldom had a session to place in it (choice.go, turn and overBudget).

Change: the ramp alone makes a cold server the top score of a share of keys. A proxy lets it be so for all sessions while it places, in a window, no more than half of the rule's multiple of the window's part of a cold start of what it held in calm, and by chance in proportion when more come; the other half of the figure is for sessions that other servers leave to it. One proxy never dials it more often than its own part, in whole dials. No number of proxies enters, so it is right for those that live. ColdRule.Me is gone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -113,8 +113,7 @@
 	saidAt             time.Duration // when a line about it was logged
 	missed             int           // dials unanswered since the last answer
 	avoidUntil         time.Duration
-	coldSlot           int // the last slot of its start with a dial
-	coldDials          int // in that slot
+	coldDials          tally
 	drops              int // of sessions, in the span since droppedAt
 	droppedAt          time.Duration
 }
@@ -147,7 +146,9 @@
 	loads                          [loadsKept]float64 // of sessions, as noted last
 	noted                          int
 	sessions                       map[SessionID]*session
-	fresh, watching                bool // some load was sampled in this round; the list is subscribed to
+	placed                         tally // sessions
+	salt                           Key   // of this proxy's draws for sessions
+	fresh, watching                bool  // some load was sampled in this round; the list is subscribed to
 	rounds, probes                 int
 	arrivals, told                 int // sessions that did not come back, words to other proxies
 	asking                         []*session
@@ -171,7 +172,7 @@
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
 		load: load, words: words, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
 		loadOf: map[Key]float64{}, groups: map[Key]int{}, meanFactor: 1, limit: threshold(assumedLoad),
-		shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
+		salt: Key(chance.Uint64()), shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
 	for _, l := range listeners {
 		b.longestWait = max(b.longestWait, l.DialTimeout)
 		b.shortTarget = min(b.shortTarget, l.HandshakeTarget)
@@ -406,29 +407,54 @@
 	return b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.Span)
 }
 
-// overBudget guards against pushing a cold server over. All proxies together send it no more than a multiple
-// of what it can surely do, in every window, without a word: time since its start goes in slots, of which a
-// window meets one more than its parts, and a proxy whose part is less than a dial has its turn in one of
-// many.
-func (b *Balancer) overBudget(srv *server) bool {
-	if b.warmth(srv) >= 1 {
+// overBudget guards against pushing a cold server over. The ramp makes it the top score of a share of the keys
+// that grows with what it can surely do. That is half the rule's figure as long as a proxy places, in a window,
+// no more than half of the rule's multiple of the window's part of a cold start of the sessions that it held
+// in calm. When more come, each has a chance in proportion. The other half is for sessions that other servers
+// leave to it. So all proxies together stay within the figure without a word, whatever the number of them
+// that live. One proxy alone never dials it more often than its own part, in whole dials.
+func (b *Balancer) overBudget(s *session, srv *server, top bool) bool {
+	warmth := b.warmth(srv)
+	if warmth >= 1 {
 		return false
 	}
-	slot, dials := b.turn(srv)
-	return dials == 0 || srv.coldSlot == slot && srv.coldDials >= dials
+	part := b.cold.Multiple * b.cold.Window.Seconds() / b.cold.Span.Seconds()
+	if float64(srv.coldDials.count(b.slot())) >= max(math.Ceil(part*b.calm*srv.Size*warmth), 1) {
+		return true
+	}
+	// One more session held, as a proxy that has seen nothing yet knows no better.
+	chance := part / 2 * (b.calm*b.sizes + 1) / float64(max(b.placed.count(b.slot()), 1))
+	if !top {
+		chance *= b.part(srv) * warmth
+	}
+	return draw(Key(s.ID)^b.salt, srv.ID) >= chance
+}
+
+// slot is the part of the window of a cold server's budget that it is now.
+func (b *Balancer) slot() int { return int(coldSlots * b.now / max(b.cold.Window, 1)) }
+
+// tally counts what happened in a window, by slots of it.
+type tally struct {
+	last int
+	n    [coldSlots + 1]int
+}
+
+func (t *tally) count(slot int) (sum int) {
+	if slot > t.last+len(t.n) {
+		*t = tally{last: slot}
+	}
+	for ; t.last < slot; t.last++ {
+		t.n[(t.last+1)%len(t.n)] = 0
+	}
+	for _, n := range t.n {
+		sum += n
+	}
+	return sum
 }
 
-// turn is the slot of a cold server's start that it is now, and how many dials this proxy has in it. What the
-// server could do warm is not told. It is sure that while it warms it can be filled with as many sessions as
-// its size had on servers that were in time, and that it stands a dial in a window when it is coldest.
-func (b *Balancer) turn(srv *server) (slot, dials int) {
-	slot = int(coldSlots * max(b.now-srv.Since, 0) / b.cold.Window)
-	window := b.cold.Window.Seconds() / b.cold.Span.Seconds()
-	warmth := b.cold.From + (1-b.cold.From)*float64(slot)*window/coldSlots
-	least := 1 / (b.cold.From * float64(b.cold.Proxies))
-	part := warmth * max(b.cold.Multiple*window*b.calm*srv.Size, least) / (coldSlots + 1)
-	_, phase := math.Modf(float64(b.cold.Me)/float64(b.cold.Proxies) + draw(0, srv.ID))
-	return slot, int(math.Floor(phase+float64(slot+1)*part) - math.Floor(phase+float64(slot)*part))
+func (t *tally) add(slot int) {
+	t.count(slot)
+	t.n[slot%len(t.n)]++
 }
 
 // The list of servers.
@@ -494,7 +520,7 @@
 		(srv.Standing == Gone || e.Started && (!srv.Started || e.Since > srv.Since)) { // restarted
 		srv.factor = b.meanFactor
 		srv.sampled, srv.missed, srv.avoidUntil = 0, 0, 0
-		srv.coldDials, srv.full, srv.lateAt, srv.delayAt = 0, 0, 0, 0
+		srv.coldDials, srv.full, srv.lateAt, srv.delayAt = tally{}, 0, 0, 0
 	}
 	srv.Entry, srv.listed = e, b.lists
 	srv.Size = cmp.Or(max(e.Size, 0), 1) // 0 if not told
@@ -666,13 +692,16 @@
 func (b *Balancer) place(s *session) {
 	l := &b.listeners[s.Listener]
 	wait := s.deadline - b.now
+	if s.dials == 0 {
+		b.placed.add(b.slot())
+	}
 	if s.dials >= b.dials.MostDials || wait < l.HandshakeTarget/16 || !b.mayRerun(s) {
 		b.giveUp(s)
 		return
 	}
 	var srv *server
 	if s.MidFlow && s.dials == 0 {
-		srv = b.pick(s, (*Balancer).allowed) // only its holder can go on with it
+		srv = b.pick(s, (*Balancer).holding) // only its holder can go on with it
 	}
 	if srv == nil {
 		srv = b.next(s)
@@ -690,10 +719,7 @@
 		wait = max(wait/time.Duration(b.dials.MostDials-s.dials), min(wait, l.HandshakeTarget/2))
 	}
 	if b.warmth(srv) < 1 {
-		if slot, _ := b.turn(srv); slot != srv.coldSlot {
-			srv.coldSlot, srv.coldDials = slot, 0
-		}
-		srv.coldDials++
+		srv.coldDials.add(b.slot())
 	}
 	s.tried[s.dials%len(s.tried)] = srv
 	s.dials++
@@ -707,8 +733,9 @@
 // deeper.
 func (b *Balancer) next(s *session) *server {
 	var able *server
-	for _, c := range b.best(s, b.depth(s), (*Balancer).answering) {
+	for i, c := range b.best(s, b.depth(s), (*Balancer).answering) {
 		switch srv := c.server; {
+		case b.overBudget(s, srv, i == 0):
 		case b.isFull(srv) || !b.fits(s, srv):
 		case s.Returned && s.state != open && b.unheard(srv) && b.chance.Float64() < b.lateShare():
 		case b.loaded(srv, s.Load) <= b.limit:
@@ -757,7 +784,7 @@
 		(l.Group == GroupZone && srv.Zone != s.first.Zone || l.Group == GroupCell && srv.Cell != s.first.Cell) {
 		return false
 	}
-	return !b.overBudget(srv)
+	return true
 }
 
 func (b *Balancer) untried(s *session, srv *server) bool {
@@ -767,13 +794,17 @@
 // answering leaves out servers that have not answered, for a while.
 func (b *Balancer) answering(s *session, srv *server) bool {
 	if s.state == open { // its client would come as a new session
-		return srv != s.server && b.trusted(srv) && !b.overBudget(srv)
+		return srv != s.server && b.trusted(srv)
 	}
 	return b.trusted(srv) && b.untried(s, srv)
 }
 
 func (b *Balancer) lastResort(s *session, srv *server) bool {
-	return !b.isFull(srv) && b.untried(s, srv)
+	return !b.isFull(srv) && b.untried(s, srv) && !b.overBudget(s, srv, false)
+}
+
+func (b *Balancer) holding(s *session, srv *server) bool {
+	return b.allowed(s, srv) && !b.overBudget(s, srv, true)
 }
 
 // fits tells whether a session's load would stay within what the server was learnt to carry.
--- a/choice/types.go
+++ b/choice/types.go
@@ -83,8 +83,7 @@
 	From     float64       // share of its capacity at the start
 	Multiple float64       // falls over when sent more than this times its present capacity
 	Window   time.Duration // for this long
-	Proxies  int           // all proxies together keep the budget
-	Me       int           // this proxy's number among them, from 0
+	Proxies  int           // as many as are configured
 }
 
 // LoadSight says where the load of a server can be seen.
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -51,7 +51,6 @@
 			Peer  float64 `json:"peer"`
 		} `json:"penalties"`
 		GroupSize int `json:"groupSize"`
-		Me        int `json:"me"`
 	}
 	if err := json.Unmarshal(text, &told); err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -100,7 +99,7 @@
 	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span(told.Invariants.MustAskIn)}
 	*cold = choice.ColdRule{Span: span(told.Invariants.Cold), From: told.Invariants.ColdFrom,
 		Multiple: told.Invariants.FallMultiple, Window: span(told.Invariants.TipAfter),
-		Proxies: max(told.GroupSize, 1), Me: told.Me}
+		Proxies: max(told.GroupSize, 1)}
 	*load = choice.LoadSight{OnProbe: told.Telemetry.How == "on_probe" && told.Ceilings.Probes,
 		WithDials: told.Telemetry.How == "inline", Field: slices.Index(told.Telemetry.Fields, "x0"),
 		ProbePrice: told.Penalties.Probe}
