A server that sends a session away by itself drains, whatever the list says yet

The front knows a drain at the first MOVE. Ruled out: turns of the draining server's own shedding (only draining ones send MOVE, by the protocol), handshake times as a sign of lateness (median 34 ms at 1.5 s of delay, 15 ms at none).

Change: the exchange tells the module of a session that its server sent away; that server gets nothing new until the list must have come, or it has started anew.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -111,6 +111,7 @@
 	delay, delayAt     time.Duration // of messages, as noted last
 	lateAt             time.Duration // when it was last seen late
 	saidAt             time.Duration // when a line about it was logged
+	leftAt, awayUntil  time.Duration // when it left the ready ones; while it sends its own sessions away
 	missed             int           // dials unanswered since the last answer
 	avoidUntil         time.Duration
 	coldDials          tally
@@ -520,7 +521,10 @@
 		(srv.Standing == Gone || e.Started && (!srv.Started || e.Since > srv.Since)) { // restarted
 		srv.factor = b.meanFactor
 		srv.sampled, srv.missed, srv.avoidUntil = 0, 0, 0
-		srv.coldDials, srv.full, srv.lateAt, srv.delayAt = tally{}, 0, 0, 0
+		srv.coldDials, srv.full, srv.lateAt, srv.delayAt, srv.awayUntil = tally{}, 0, 0, 0, 0
+	}
+	if srv.Standing == Ready && e.Standing != Ready {
+		srv.leftAt = b.now
 	}
 	srv.Entry, srv.listed = e, b.lists
 	srv.Size = cmp.Or(max(e.Size, 0), 1) // 0 if not told
@@ -747,6 +751,16 @@
 	return able
 }
 
+// drainedFrom tells whether a session that comes back was rather at a server that has left since.
+func (b *Balancer) drainedFrom(s *session, top float64) bool {
+	for _, srv := range b.servers {
+		if srv.Standing != Ready && b.now-srv.leftAt < b.cold.Span && srv.x*draw(s.key(), srv.ID) > top {
+			return true
+		}
+	}
+	return false
+}
+
 // unheard tells whether a proxy with no session at a server has no fresh report of it either.
 func (b *Balancer) unheard(srv *server) bool {
 	return len(srv.held) == 0 && (!b.reports() || srv.sampled == 0 || b.now-srv.sampledAt > roundSpan)
@@ -827,7 +841,7 @@
 // trusted is false for a while after a dial went unanswered, and then for all but one dial at a time until
 // one is answered: a hung server passes probes and the list.
 func (b *Balancer) trusted(srv *server) bool {
-	return b.now >= srv.avoidUntil && (srv.missed == 0 || len(srv.dialing) == 0)
+	return b.now >= max(srv.avoidUntil, srv.awayUntil) && (srv.missed == 0 || len(srv.dialing) == 0)
 }
 
 // mayRerun tells whether another dial may go out after those that may have run.
@@ -899,6 +913,15 @@
 	b.place(s)
 }
 
+// SentAway tells that a server has sent a session away by itself: it drains, though the list may say so much
+// later where discovery has more calls than it can take. It gets nothing new until the list must have come.
+func (b *Balancer) SentAway(now time.Duration, at ServerID) {
+	b.now = now
+	if srv := b.byID[at]; srv != nil {
+		srv.awayUntil = now + b.list.MustAskIn
+	}
+}
+
 // Left tells that a client has gone, or that its answer is overdue.
 func (b *Balancer) Left(now time.Duration, id SessionID) {
 	b.now = now
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -389,6 +389,9 @@
 	}
 	ex.enter(ended)
 	ex.client.End(how, reason)
+	if outcome == choice.Cancelled { // in the server's own words: it drains
+		ex.table.balancer.SentAway(ex.table.now(), ex.at)
+	}
 	ex.settled(outcome, true)
 }
 
