--- a/choice/choice.go
+++ b/choice/choice.go
@@ -111,7 +111,7 @@
 	delay, delayAt     time.Duration // of messages, as noted last
 	lateAt             time.Duration // when it was last seen late
 	saidAt             time.Duration // when a line about it was logged
-	leftAt, awayUntil  time.Duration // when it left the ready ones; while it sends its own sessions away
+	awayUntil          time.Duration // while it sends its own sessions away
 	missed             int           // dials unanswered since the last answer
 	avoidUntil         time.Duration
 	coldDials          tally
@@ -523,9 +523,6 @@
 		srv.sampled, srv.missed, srv.avoidUntil = 0, 0, 0
 		srv.coldDials, srv.full, srv.lateAt, srv.delayAt, srv.awayUntil = tally{}, 0, 0, 0, 0
 	}
-	if srv.Standing == Ready && e.Standing != Ready {
-		srv.leftAt = b.now
-	}
 	srv.Entry, srv.listed = e, b.lists
 	srv.Size = cmp.Or(max(e.Size, 0), 1) // 0 if not told
 }
@@ -751,16 +748,6 @@
 	return able
 }
 
-// drainedFrom tells whether a session that comes back was rather at a server that has left since.
-func (b *Balancer) drainedFrom(s *session, top float64) bool {
-	for _, srv := range b.servers {
-		if srv.Standing != Ready && b.now-srv.leftAt < b.cold.Span && srv.x*draw(s.key(), srv.ID) > top {
-			return true
-		}
-	}
-	return false
-}
-
 // unheard tells whether a proxy with no session at a server has no fresh report of it either.
 func (b *Balancer) unheard(srv *server) bool {
 	return len(srv.held) == 0 && (!b.reports() || srv.sampled == 0 || b.now-srv.sampledAt > roundSpan)
