chalkferry count: adds up the logs of a fleet by second, server and list

Need: what 80 proxies do that is harmless alone shows only when their logs are added up; so far that was done by scripts outside the repository.

Change: internal/counts reads the logs of all proxies (whatever a supervisor puts before a line is passed over) and the command prints sessions, refusals, moves, breaks and failed calls by second, ended dials by server, and for each revision of the list how much later half and all proxies had it.

--- /dev/null
+++ b/cmd/chalkferry/count.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"chalkferry/internal/counts"
+)
+
+type countCmd struct {
+	Log []string `arg:"" type:"existingfile" help:"Logs of the proxies of one fleet, one each, of one clock."`
+}
+
+func (c *countCmd) Run() error {
+	fleet := counts.New()
+	for _, name := range c.Log {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = fleet.Add(strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)), file)
+		file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	fleet.Write(os.Stdout)
+	return nil
+}
--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -20,6 +20,7 @@
 		Compare  compareCmd  `cmd:"" help:"Rehearse by two builds in turn and say how they differ."`
 		Load     loadCmd     `cmd:"" help:"Send sessions on a fixed schedule at any address."`
 		Trace    traceCmd    `cmd:"" help:"Record, check, cut, scale and merge traces."`
+		Count    countCmd    `cmd:"" help:"Add up the logs of a fleet, by second, by server and by list."`
 		Store    storeCmd    `cmd:"" help:"Look into a store's folder."`
 		Version  versionCmd  `cmd:"" help:"Print the version."`
 	}
--- /dev/null
+++ b/internal/counts/counts.go
@@ -0,0 +1,203 @@
+// Package counts adds up the logs of many proxies: what happened in each second, where, and how late each
+// proxy learnt of a list.
+package counts
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kinds are the rows of the table, in its order: reasons of the log's lines, and four that are none.
+var Kinds = []string{"came", "returned", "refused", "torn-down", "no-room", "moved", "still", "silent", "broken",
+	"sent-away", "unanswered", "unreachable", "full", "error", "list", "list failed", "late"}
+
+// Fleet is what the logs of all proxies say.
+type Fleet struct {
+	proxies   int
+	first     time.Time
+	last      time.Time
+	happened  map[string][]time.Time
+	dials     map[string][]time.Time          // by server, of dials that have ended
+	revisions map[uint64]map[string]time.Time // by proxy, when it first had this one or a newer one
+	newest    map[string]uint64
+	Skipped   int // lines that are no log lines
+}
+
+// New makes an empty count.
+func New() *Fleet {
+	return &Fleet{happened: map[string][]time.Time{}, dials: map[string][]time.Time{},
+		revisions: map[uint64]map[string]time.Time{}, newest: map[string]uint64{}}
+}
+
+type entry struct {
+	Time     time.Time `json:"time"`
+	Side     string    `json:"side"`
+	Reason   string    `json:"reason"`
+	Server   string    `json:"server"`
+	ID       string    `json:"id"`
+	Ms       float64   `json:"ms"`
+	Returned bool      `json:"returned"`
+	Message  string    `json:"message"`
+	Revision uint64    `json:"revision"`
+}
+
+// Add reads one proxy's log. Whatever starts it may stand before a line, as a supervisor's own clock does.
+func (f *Fleet) Add(proxy string, log io.Reader) error {
+	f.proxies++
+	lines := bufio.NewScanner(log)
+	lines.Buffer(make([]byte, 0, 16<<10), 1<<20)
+	for lines.Scan() {
+		var e entry
+		at := bytes.IndexByte(lines.Bytes(), '{')
+		if at < 0 || json.Unmarshal(lines.Bytes()[at:], &e) != nil || e.Time.IsZero() {
+			f.Skipped++
+			continue
+		}
+		f.add(proxy, e)
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("%s: %w", proxy, err)
+	}
+	return nil
+}
+
+func (f *Fleet) add(proxy string, e entry) {
+	if f.first.IsZero() || e.Time.Before(f.first) {
+		f.first = e.Time
+	}
+	if e.Time.After(f.last) {
+		f.last = e.Time
+	}
+	began := e.Time.Add(-time.Duration(e.Ms * float64(time.Millisecond)))
+	tell := func(kind string, at time.Time) { f.happened[kind] = append(f.happened[kind], at) }
+	switch {
+	case e.Side == "client" && e.ID != "":
+		tell("came", began)
+		if e.Returned {
+			tell("returned", began)
+		}
+		tell(e.Reason, e.Time)
+	case e.Side == "server":
+		f.dials[e.Server] = append(f.dials[e.Server], began)
+		if slices.Contains([]string{"unanswered", "unreachable", "full", "error"}, e.Reason) {
+			tell(e.Reason, e.Time)
+		}
+	case e.Message == "list":
+		tell("list", e.Time)
+		f.learnt(proxy, e)
+	case e.Message == "the watch of the list failed":
+		tell("list failed", e.Time)
+	case strings.Contains(e.Message, "messages late or sessions dropped"):
+		tell("late", e.Time)
+	}
+}
+
+func (f *Fleet) learnt(proxy string, e entry) {
+	if f.revisions[e.Revision] == nil {
+		f.revisions[e.Revision] = map[string]time.Time{}
+	}
+	if _, known := f.revisions[e.Revision][proxy]; !known {
+		f.revisions[e.Revision][proxy] = e.Time
+	}
+	f.newest[proxy] = max(f.newest[proxy], e.Revision)
+}
+
+// Lateness is how a revision came to the proxies.
+type Lateness struct {
+	Revision uint64
+	First    time.Duration // since the first line of any log
+	Half     time.Duration // after the first proxy, until half of them had it or a newer one; -1: never
+	All      time.Duration
+	Never    int // proxies that had neither by the end
+}
+
+// Learnt tells of each revision how late the proxies had it.
+func (f *Fleet) Learnt() (all []Lateness) {
+	for _, revision := range slices.Sorted(maps.Keys(f.revisions)) {
+		had := map[string]time.Time{}
+		for r, proxies := range f.revisions {
+			for proxy, at := range proxies {
+				if was, known := had[proxy]; r >= revision && (!known || at.Before(was)) {
+					had[proxy] = at
+				}
+			}
+		}
+		times := slices.SortedFunc(maps.Values(had), time.Time.Compare)
+		l := Lateness{Revision: revision, First: times[0].Sub(f.first), Half: -1, All: -1, Never: f.proxies - len(times)}
+		if half := (f.proxies + 1) / 2; len(times) >= half {
+			l.Half = times[half-1].Sub(times[0])
+		}
+		if l.Never == 0 {
+			l.All = times[len(times)-1].Sub(times[0])
+		}
+		all = append(all, l)
+	}
+	return all
+}
+
+// Seconds are the counts of a kind.
+func (f *Fleet) Seconds(kind string) []int { return f.seconds(f.happened[kind]) }
+
+// Dials are those that went to a server, by the second in which they began.
+func (f *Fleet) Dials(server string) []int { return f.seconds(f.dials[server]) }
+
+func (f *Fleet) seconds(times []time.Time) []int {
+	row := make([]int, int(f.last.Sub(f.first)/time.Second)+1)
+	for _, at := range times {
+		row[max(int(at.Sub(f.first)/time.Second), 0)]++
+	}
+	return row
+}
+
+// Servers are all that were dialed, the busiest first.
+func (f *Fleet) Servers() []string {
+	return slices.SortedFunc(maps.Keys(f.dials), func(a, c string) int {
+		return cmp.Or(len(f.dials[c])-len(f.dials[a]), cmp.Compare(a, c))
+	})
+}
+
+// Write prints the counts.
+func (f *Fleet) Write(out io.Writer) {
+	fmt.Fprintf(out, "%d proxies, %.1f s, %d lines that are no log lines\n", f.proxies, f.last.Sub(f.first).Seconds(), f.Skipped)
+	row := func(name string, counts []int) {
+		fmt.Fprintf(out, "%-14s", name)
+		for _, n := range counts {
+			fmt.Fprintf(out, " %4d", n)
+		}
+		fmt.Fprintln(out)
+	}
+	seconds := f.seconds(nil)
+	for i := range seconds {
+		seconds[i] = i
+	}
+	row("second", seconds)
+	for _, kind := range Kinds {
+		if len(f.happened[kind]) > 0 {
+			row(kind, f.Seconds(kind))
+		}
+	}
+	fmt.Fprintln(out, "\ndials by server, of those that have ended")
+	for _, server := range f.Servers() {
+		row(server, f.Dials(server))
+	}
+	fmt.Fprintln(out, "\nlists: when the first proxy had it, how much later half and all had it or a newer one")
+	for _, l := range f.Learnt() {
+		fmt.Fprintf(out, "revision %-6d %7.2f s  half %s  all %s  never %d\n", l.Revision, l.First.Seconds(), span(l.Half),
+			span(l.All), l.Never)
+	}
+}
+
+func span(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.2f s", d.Seconds())
+}
