Wrong prices, fleet size and multiple in the settings are refused by name

Need: a configuration with wrong prices was taken as it stood (start.go, Module): a negative price of probes let a proxy probe without end.

--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -107,6 +107,14 @@
 	switch {
 	case bad != nil:
 		return bad
+	case told.Penalties.Probe < 0:
+		return fmt.Errorf("settings: penalties.probe is %v, below 0", told.Penalties.Probe)
+	case told.Penalties.Peer < 0:
+		return fmt.Errorf("settings: penalties.peer is %v, below 0", told.Penalties.Peer)
+	case told.GroupSize < 0:
+		return fmt.Errorf("settings: groupSize is %d, below 0", told.GroupSize)
+	case cold.Multiple < 0:
+		return fmt.Errorf("settings: fallMultiple is %v, below 0", cold.Multiple)
 	case cold.Span > 0 && cold.Window == 0:
 		return fmt.Errorf("settings: tipAfter is 0")
 	case cold.From <= 0 && cold.Span > 0 || cold.From > 1:
