Slow ways: a late delay that stands still has the sessions that are nearly late there leave

Cause: DelayNoted took a slow way for load, relieved a fifth to two fifths of the sessions each second and only where this proxy knew of room, though clients may come to proxies whose way is good.

Change: after three notes in a row within an eighth of one another all sessions leave whose target is under twice the delay (farOff). Those with time to spare stay. It should also cover servers that are slow for all; it could do harm where all servers are loaded alike and stand at one delay.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,8 @@
 	assumedLoad = 0.5      // of a server about which nothing is told
 	dropShare   = 4        // one in so many of its sessions, dropped in a note's span, shows a server in trouble
 	heavy       = 2        // mean loads of a session that may be moved for its load alone
+	sameDelay   = 8        // delays that differ by one in so many are the same
+	sameNotes   = 2        // in a row show a slow way
 	fullLoad    = 0.75     // known load that takes nothing new, as when messages take half the target
 )
 
@@ -108,6 +110,7 @@
 	carried            float64       // load of this proxy's sessions there
 	full               float64       // what it could carry of them, 0 while never seen late
 	delay, delayAt     time.Duration // of messages, as noted last
+	same               int           // notes in a row that told about the same late delay
 	lateAt             time.Duration // when it was last seen late
 	saidAt             time.Duration // when a line about it was logged
 	awayUntil          time.Duration // while it sends its own sessions away
@@ -399,6 +402,21 @@
 	}
 }
 
+// farOff guards against staying at the end of a slow way: a delay from load grows or shrinks with what is
+// piled up, that of a way stands still however much is moved. Sessions nearly late there leave at once, also
+// where this proxy knows of no room: their clients may come to proxies with a better way. Those with time to
+// spare stay. Of a server that is slow for all it asks more than relief would, and its limit stays learnt.
+func (b *Balancer) farOff(srv *server) {
+
+	b.send(srv, srv.carried, func(s *session) float64 {
+		l := &b.listeners[s.Listener]
+		if l.MessageTarget == 0 || l.MessageTarget > 2*srv.delay {
+			return 0
+		}
+		return l.Utility
+	})
+}
+
 // part is a server's share of the fleet by the listed sizes.
 func (b *Balancer) part(srv *server) float64 { return srv.Size / b.sizes }
 
@@ -1002,8 +1020,17 @@
 		if now-srv.delayAt < noteSpan*3/2 {
 			was, span = srv.delay, max(now-srv.delayAt, noteSpan/2)
 		}
+		if (delay-was).Abs() < delay/sameDelay && was >= b.messageTarget {
+			srv.same++
+		} else {
+			srv.same = 0
+		}
 		srv.delay, srv.delayAt = delay, now
-		if delay >= b.messageTarget {
+		switch {
+		case delay < b.messageTarget:
+		case srv.same >= sameNotes:
+			b.farOff(srv)
+		default:
 			b.tell(srv)
 			b.late(srv, float64(delay-was)/float64(span), delay-b.messageTarget/3)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -505,6 +505,41 @@
 	}
 }
 
+// TestSlowWay: from days on which some proxies had a slow way to servers that were in time for all others. A late
+// delay that stands still over three notes has all sessions leave that are nearly late, even with no room elsewhere;
+// those with time to spare stay, and of a delay that moves only the excess leaves.
+func TestSlowWay(t *testing.T) {
+	for _, c := range []struct {
+		delays [3]time.Duration
+		all    bool
+	}{{[3]time.Duration{150 * ms, 155 * ms, 150 * ms}, true}, {[3]time.Duration{150 * ms, 300 * ms, 450 * ms}, false},
+		{[3]time.Duration{300 * ms, 200 * ms, 150 * ms}, false}, {[3]time.Duration{60 * ms, 60 * ms, 60 * ms}, false}} {
+		r := fleet(3, LoadSight{})
+		for k := range Key(60) {
+			r.settle(r.arrive(ListenerID(k%2), k, 0, 0), Accepted)
+		}
+		far := r.b.ready[0]
+		for _, srv := range r.b.ready[1:] {
+			srv.lateAt, srv.full = 1, 0.1
+		}
+		counts := func() (n [2]int) {
+			for _, s := range far.held {
+				n[s.Listener]++
+			}
+			return n
+		}
+		before := counts()
+		for i, d := range c.delays {
+			r.now = time.Duration(i+1) * sec
+			r.b.DelayNoted(r.now, far.ID, d)
+		}
+		after := counts()
+		if before[0] == 0 || (after[0] == 0) != c.all || c.all && after[1] == 0 || r.fault != "" {
+			t.Errorf("%v: %v held, then %v; %s", c.delays, before, after, r.fault)
+		}
+	}
+}
+
 // TestLyingList: from lists that called all servers gone while they served, and older ones that came again. Where
 // drains alone bind, what was named is still dialed; a drain that was told stays, whatever list comes, until the
 // server has started anew; elsewhere a server that is gone gets nothing.
