Weights of servers of one size, and the usual load, worked out once

Among servers of one size Ross's recursion leaves the weight as it is, so only a new size needs them; the mean of the last loads is kept with each note in place of a sum for each server looked at. Decisions are the same.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -153,6 +153,7 @@
 	carried                        float64            // load of all sessions dialing or held
 	loads                          [loadsKept]float64 // of sessions, as noted last
 	noted                          int
+	usualLoad                      float64 // mean of those, 1 with none
 	sessions                       map[SessionID]*session
 	ramping                        []*server // ready and cold
 	ofListener                     []mean    // loads of its sessions
@@ -179,7 +180,7 @@
 	cold ColdRule, load LoadSight, words WordRule) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
 		load: load, words: words, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
-		loadOf: map[Key]float64{}, groups: map[Key]int{}, meanFactor: 1, limit: threshold(assumedLoad),
+		loadOf: map[Key]float64{}, groups: map[Key]int{}, meanFactor: 1, usualLoad: 1, limit: threshold(assumedLoad),
 		ofListener: make([]mean, len(listeners)), shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
 	for _, l := range listeners {
 		b.longestWait = max(b.longestWait, l.DialTimeout)
@@ -280,7 +281,9 @@
 	product, before, x := 1.0, 0.0, 0.0
 	for i, srv := range bySize {
 		rest, share := float64(len(bySize)-i), srv.Size/total
-		x = math.Pow(rest*(share-before)/product+math.Pow(x, rest), 1/rest)
+		if share > before { // among equals it stays
+			x = math.Pow(rest*(share-before)/product+math.Pow(x, rest), 1/rest)
+		}
 		product *= x
 		before = share
 		srv.base = x
@@ -490,13 +493,13 @@
 // weight is a session's load in usual ones, by its own or its listener's where loads are told.
 func (b *Balancer) weight(s *session) float64 {
 	if s.Load > 0 && b.noted > 0 {
-		return s.Load / b.usual(&session{})
+		return s.Load / b.usualLoad
 	}
 	return b.listenerWeight(s.Listener)
 }
 
 func (b *Balancer) listenerWeight(of ListenerID) float64 {
-	return cmp.Or(b.ofListener[of].value/b.usual(&session{}), 1)
+	return cmp.Or(b.ofListener[of].value/b.usualLoad, 1)
 }
 
 // mean is that of the last few.
@@ -645,14 +648,7 @@
 	if s.Load > 0 {
 		return s.Load
 	}
-	if b.noted == 0 {
-		return 1
-	}
-	sum, n := 0.0, min(b.noted, loadsKept)
-	for _, load := range b.loads[:n] {
-		sum += load
-	}
-	return sum / float64(n)
+	return b.usualLoad
 }
 
 // place is the server's list in which the session stands in its present state.
@@ -1005,6 +1001,11 @@
 		b.loadOf[s.Client] = load
 		b.loads[b.noted%loadsKept] = load
 		b.noted++
+		sum, n := 0.0, min(b.noted, loadsKept)
+		for _, load := range b.loads[:n] {
+			sum += load
+		}
+		b.usualLoad = cmp.Or(sum/float64(n), 1)
 		b.ofListener[s.Listener].add(load)
 		if s.place() != nil {
 			b.weigh(s, load)
@@ -1168,7 +1169,7 @@
 // even moves heavy sessions off a server that carries twice its part of this proxy's load: loads are told
 // only once sessions stand. A light one would cost more elsewhere, for its group, than it relieves here.
 func (b *Balancer) even(srv *server) {
-	fair, mean := b.part(srv)*b.carried, b.usual(&session{})
+	fair, mean := b.part(srv)*b.carried, b.usualLoad
 	if b.part(srv)*float64(len(b.sessions)) < 1 || b.warmth(srv) < 1 {
 		return // too little is held to tell
 	}
