Turns at cold servers weigh sessions by their listener's load and use reported loads

A line for each dial in the log (probe): each counted by its client's last told load, 0.002 for a listener's mean of 0.037, and twice what calm servers held was taken for what they can do, at a load of 0.72. Ruled out: frames that begin anew (one count for each frame), a start told late (both proxies had it 1.9 s after).

Change (choice.go): weight takes the listener's load at least; a part of a turn counts as a whole one only for sessions no heavier than usual; what calm servers can do is what they held over the load that they report, or over full load where nothing is told, and half as much again only where turns are fewer than proxies, most of which have no session in theirs.

TestIdleClients fails without the change of weight (600 dials).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -180,8 +180,8 @@
 	cold ColdRule, load LoadSight, words WordRule) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
 		load: load, words: words, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
-		loadOf: map[Key]float64{}, groups: map[Key]int{}, meanFactor: 1, usualLoad: 1, limit: threshold(assumedLoad),
-		ofListener: make([]mean, len(listeners)), shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
+		loadOf: map[Key]float64{}, groups: map[Key]int{}, ofListener: make([]mean, len(listeners)), meanFactor: 1,
+		usualLoad: 1, limit: threshold(assumedLoad), shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
 	for _, l := range listeners {
 		b.longestWait = max(b.longestWait, l.DialTimeout)
 		b.shortTarget = min(b.shortTarget, l.HandshakeTarget)
@@ -460,9 +460,15 @@
 	srv.frame, srv.sent, srv.turn, srv.lift = frame+1, 0, 0, 0
 	warmth := b.cold.From + (1-b.cold.From)*float64(frame)*b.cold.Window.Seconds()/b.cold.Span.Seconds()
 	all := b.cold.Multiple * b.cold.Window.Seconds() / b.cold.Span.Seconds() * warmth *
-		max(b.calm, 1/assumedLoad/b.sizes) * srv.Size * float64(b.cold.Proxies)
+		max(b.calm, 1/fullLoad/b.sizes) * srv.Size * float64(b.cold.Proxies)
+	if all < float64(b.cold.Proxies) { // few of many proxies have a session to place in their turns
+		all *= fullLoad / assumedLoad
+	}
 	each := b.listenerWeight(ListenerID((frame / 2) % len(b.listeners)))
-	turns := int(math.Ceil(all / each))
+	turns := int(all / each)
+	if each <= 1 { // a part of a turn counts as one, but for sessions heavier than usual
+		turns = int(math.Ceil(all / each))
+	}
 	turns = (turns + 1 - frame%2) / 2
 	_, at := math.Modf(draw(0, srv.ID) + float64(frame)*(math.Phi-1))
 	place := (b.cold.Me + int(at*float64(b.cold.Proxies))) % b.cold.Proxies
@@ -490,12 +496,14 @@
 	return best
 }
 
-// weight is a session's load in usual ones, by its own or its listener's where loads are told.
+// weight is a session's load in usual ones, by its listener's where loads are told, or its own if that is
+// more: the last word on a client's load may be of a moment in which it asked for nothing.
 func (b *Balancer) weight(s *session) float64 {
+	usual := b.listenerWeight(s.Listener)
 	if s.Load > 0 && b.noted > 0 {
-		return s.Load / b.usualLoad
+		return max(s.Load/b.usualLoad, usual)
 	}
-	return b.listenerWeight(s.Listener)
+	return usual
 }
 
 func (b *Balancer) listenerWeight(of ListenerID) float64 {
@@ -1117,8 +1125,8 @@
 			b.even(srv)
 		}
 	}
-	if sizes == b.sizes { // while no server is late, nothing tells how much of what they can do that is
-		held /= assumedLoad
+	if sizes == b.sizes { // while no server is late they can do more than that
+		held /= b.calmLoad()
 	}
 	if sizes > b.sizes/2 {
 		b.calm = max(b.calm, held/sizes)
@@ -1138,6 +1146,21 @@
 	}
 }
 
+// calmLoad is what servers in time are loaded at most: what they report on the mean, else short of full.
+func (b *Balancer) calmLoad() float64 {
+	sum, n := 0.0, 0.0
+	for _, srv := range b.ready {
+		if b.reports() && srv.sampled > 0 {
+			sum += srv.smoothed()
+			n++
+		}
+	}
+	if n == 0 {
+		return fullLoad
+	}
+	return min(max(sum/n, assumedLoad), 1)
+}
+
 // affordsProbes guards against a cost that grows with proxies times servers: all probes of a proxy must cost
 // no more than a small share of what its sessions so far are worth.
 func (b *Balancer) affordsProbes(n int) bool {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -505,6 +505,31 @@
 	}
 }
 
+// TestIdleClients: from a day of two proxies on which a cold server got 15 sessions in its window of budget 5, as their
+// clients had last been told to ask for next to nothing: each counts as its listener's usual session at least.
+func TestIdleClients(t *testing.T) {
+	r := fleet(3, LoadSight{})
+	r.b.cold.Proxies = 2
+	for k := range Key(60) {
+		s := r.arrive(0, k, 0, 0)
+		r.settle(s, Accepted)
+		r.b.LoadNoted(0, s.id, 0, 1)
+	}
+	r.b.round()
+	for k := range Key(600) {
+		r.b.loadOf[k] = 0.001
+	}
+	r.tell(ListDelta, []Entry{{ID: 100, Size: 2, Standing: Ready, Started: true, Since: -2 * sec}})
+	for k := range Key(600) {
+		for s := r.arrive(0, k, 0, 0); s.out != 0; {
+			r.settle(s, Full)
+		}
+	}
+	if n := float64(len(r.dialsTo[100])); n == 0 || n > 6 || r.fault != "" {
+		t.Errorf("%v dials, %s", n, r.fault)
+	}
+}
+
 // TestSlowWay: from days on which some proxies had a slow way to servers that were in time for all others. A late
 // delay that stands still over three notes has all sessions leave that are nearly late, even with no room elsewhere;
 // those with time to spare stay, and of a delay that moves only the excess leaves.
