--- a/choice/choice.go
+++ b/choice/choice.go
@@ -466,6 +466,11 @@
 		all *= fullLoad / assumedLoad
 	}
 	each := b.listenerWeight(ListenerID((frame / 2) % len(b.listeners)))
+	for l := range b.listeners { // a small budget goes to light sessions, of which it holds more
+		if light := b.listenerWeight(ListenerID(l)); all < 2*each && light < each {
+			each = light
+		}
+	}
 	turns := int(all / each)
 	if each <= 1 { // a part of a turn counts as one, but for sessions heavier than usual
 		turns = int(math.Ceil(all / each))
