A server whose start lies ahead of the clock no longer ends a proxy without a cold rule

Cause: warmth compared the age with a span of 0. Change: without a span nothing is cold. TestNoColdRule panics without it ("integer divide by zero").

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -417,7 +417,6 @@
 // where this proxy knows of no room: their clients may come to proxies with a better way. Those with time to
 // spare stay. Of a server that is slow for all it asks more than relief would, and its limit stays learnt.
 func (b *Balancer) farOff(srv *server) {
-
 	b.send(srv, srv.carried, func(s *session) float64 {
 		l := &b.listeners[s.Listener]
 		if l.MessageTarget == 0 || l.MessageTarget > 2*srv.delay {
@@ -435,7 +434,7 @@
 // warmth is the share of its work that a server can surely do: it never warms slower than evenly over the
 // span.
 func (b *Balancer) warmth(srv *server) float64 {
-	if !srv.Started || b.now-srv.Since >= b.cold.Span {
+	if !srv.Started || b.cold.Span <= 0 || b.now-srv.Since >= b.cold.Span {
 		return 1
 	}
 	age := max(b.now-srv.Since, 0)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -193,6 +193,15 @@
 	}
 }
 
+// TestNoColdRule: without a cold rule, a server whose start is told as yet to come, by a clock ahead, is as others.
+func TestNoColdRule(t *testing.T) {
+	r := newRig(ColdRule{Proxies: 3}, LoadSight{}, rand.New(rand.NewSource(1)))
+	r.tell(ListFull, []Entry{{ID: 1, Size: 1, Standing: Ready, Started: true, Since: sec}})
+	if s := r.arrive(0, 1, 1, 0); s.out != 1 {
+		t.Errorf("dialed %d", s.out)
+	}
+}
+
 // TestMidFlow: packets of an open session go to the top score even where it has no room.
 func TestMidFlow(t *testing.T) {
 	r := fleet(5, LoadSight{})
