--- a/choice/choice.go
+++ b/choice/choice.go
@@ -988,7 +988,8 @@
 	if outcome == Failed && len(srv.held) == 0 {
 		srv.errors++
 	}
-	if outcome == Unanswered || outcome == Unreachable || srv.errors > 1 { // one that answers errors may be none
+	if outcome == Unanswered || outcome == Unreachable ||
+		outcome == Failed && srv.errors > 1 { // one that only answers errors may be none
 		srv.missed++
 		srv.avoidUntil = now + b.longestWait*time.Duration(min(srv.missed, 4))
 		if srv.missed == 2 {
