--- a/choice/types.go
+++ b/choice/types.go
@@ -10,6 +10,7 @@
 	TenantID   uint32
 	ZoneID     uint16
 	CellID     uint16
+	ModelID    uint16
 	Token      uint32
 	// Key is a client key or a group key; 0 stands for none.
 	Key uint64
@@ -135,6 +136,7 @@
 	Size     float64
 	Zone     ZoneID
 	Cell     CellID
+	Model    ModelID
 	Standing Standing
 	Started  bool // whether Since is known
 	Since    time.Duration
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -237,8 +237,8 @@
 	}
 	for i := uint64(0); i < n && f.err == nil; i++ {
 		e := choice.Entry{Size: f.F32(), Cell: choice.CellID(f.U16()), Zone: choice.ZoneID(f.U16()),
-			ID: choice.ServerID(f.U32()), Standing: choice.Standing(f.U8())}
-		f.U16()
+			ID: choice.ServerID(f.U32()), Standing: choice.Standing(f.U8()),
+			Model: choice.ModelID(f.U16())}
 		since := f.Span()
 		e.Started, e.Since = since != 0, since-start
 		if f.err == nil && e.Standing > choice.Draining {
