Speeds of models learnt from late servers; depth and trigger fit few sessions a proxy

At fault: multipliers took listed sizes for what servers can do. Now a model's speed falls with each late server more than others' would have had. The trigger took one session held for five times the load where a fair part is a fifth of one (round, loaded): some usual sessions are added (shown). Under overload each server more that holds of a group pays for it, so groups go less deep the more servers are late (depth), and any note makes a server full for new sessions (fullLoad).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,7 +24,6 @@
 	noteSpan    = roundSpan / 2   // messages' delay is told this often while it is long
 	smoothing   = 3               // r: a new sample counts for one r-th
 	probeRounds = 2               // least rounds from one probe of a server to the next
-	mostAsked   = 2               // servers, before a session is placed
 	probeShare  = 0.005           // of the utility of a proxy's sessions, for what its probes cost
 	wordShare   = 0.01            // and for its words to other proxies
 	hysteresis  = 0.1             // eps
@@ -34,7 +33,7 @@
 	triesRest   = 4               // seconds in which all proxies together try a late server's fair sessions
 	mostRest    = 30 * roundSpan
 	mostDepth   = 16       // of scores that any session may go down
-	leastDepth  = 2        // that a group may go down
+	leastDepth  = 1        // that a group may go down, and one more, while servers are in time,
 	spread      = 2        // and so many more for each server that its part would fill
 	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
 	backOff     = 0.85     // of what a late server carries, for the next time
@@ -43,22 +42,20 @@
 	assumedLoad = 0.5      // of a server about which nothing is told
 	dropShare   = 4        // one in so many of its sessions, dropped in a note's span, shows a server in trouble
 	heavy       = 2        // mean loads of a session that may be moved for its load alone
-	sameDelay   = 8        // delays that differ by one in so many are the same
-	sameNotes   = 2        // in a row show a slow way
-	fullLoad    = 0.75     // known load that takes nothing new, as when messages take half the target
+	fullLoad    = 2.0 / 3  // known load that takes nothing new, as when messages take a third of the target
+	modelStep   = 0.25     // of a model's speed, for each late server more than others' servers would have had
+	addedLoads  = 2        // usual ones, added to a proxy's few sessions before they tell of a server's load
 )
 
 const (
 	tokenRound Token = iota
-	tokenInquiry
-	tokenAsk // and on: each timer to ask for the list voids the ones before
+	tokenAsk         // and on: each timer to ask for the list voids the ones before
 )
 
 type state int
 
 const (
 	arrived state = iota // placed nowhere; an answer is owed
-	asking               // reports of servers are awaited; an answer is owed
 	dialing              // one dial is out
 	open                 // a server holds it
 	moving               // sent away in good order; the end of its dial is awaited
@@ -67,8 +64,7 @@
 )
 
 var mayEnter = [...][]state{
-	arrived: {asking, dialing, open, over},
-	asking:  {dialing, over},
+	arrived: {dialing, open, over},
 	dialing: {arrived, open, left, over},
 	open:    {moving, left, over},
 	moving:  {over},
@@ -82,11 +78,9 @@
 	deadline time.Duration
 	dials    int
 	tried    [8]*server
-	server   *server            // of the dial that is out, or the holder
-	weighed  float64            // its load as counted in
-	rank     float64            // in the order of leaving its server
-	asked    [mostAsked]*server // whose reports it waits for
-	askedAt  time.Duration
+	server   *server       // of the dial that is out, or the holder
+	weighed  float64       // its load as counted in
+	rank     float64       // in the order of leaving its server
 	slot     int           // place among the server's sessions
 	dialedAt time.Duration // of the dial that is out
 	mayRun   bool          // some dial may have run
@@ -96,35 +90,42 @@
 
 func (s *session) key() Key { return cmp.Or(s.Group, s.Client, Key(s.ID)) }
 
+// model is what is learnt of the servers of one model: a listed size tells their cores, not how fast they are.
+type model struct {
+	id          ModelID
+	speed       float64 // by which listed sizes count, as against other models'
+	late, heard float64 // of its servers, since the last round
+}
+
 type server struct {
 	Entry
-	listed             int     // the last list that named it
-	base, factor       float64 // multiplier from the listed sizes, and what adapting made of it
-	x                  float64 // both, or the ramp, as of the last list or round
-	samples            [samplesKept]float64
-	sampled            int
-	sampledAt          time.Duration
-	probedAt, resultAt time.Duration // the last probe, the last result of one
-	dialing, held      []*session
-	landed             int           // sessions opened since the last sample
-	carried            float64       // load of this proxy's sessions there
-	full               float64       // what it could carry of them, 0 while never seen late
-	delay, delayAt     time.Duration // of messages, as noted last
-	same               int           // notes in a row that told about the same late delay
-	lateAt             time.Duration // when it was last seen late
-	saidAt             time.Duration // when a line about it was logged
-	awayUntil          time.Duration // while it sends its own sessions away
-	missed             int           // dials unanswered since the last answer
-	errors             int           // dials that failed since, with no session held
-	avoidUntil         time.Duration
-	drained            bool          // a drain was told, which is never untold; a later start ends it
-	drainOf            time.Duration // the start that the drain is of
-	frame              int           // of the window that the turn is worked out for
-	turn               float64       // load in usual sessions that this proxy may send in it
-	lift               float64       // share of keys that it takes for that
-	sent               float64       // of the turn
-	drops              int           // of sessions, in the span since droppedAt
-	droppedAt          time.Duration
+	model          *model
+	able           float64 // its size, by what its model is known to do
+	listed         int     // the last list that named it
+	base, factor   float64 // multiplier from the listed sizes, and what adapting made of it
+	x              float64 // both, or the ramp, as of the last list or round
+	samples        [samplesKept]float64
+	sampled        int
+	sampledAt      time.Duration
+	dialing, held  []*session
+	landed         int           // sessions opened since the last sample
+	carried        float64       // load of this proxy's sessions there
+	full           float64       // what it could carry of them, 0 while never seen late
+	delay, delayAt time.Duration // of messages, as noted last
+	lateAt         time.Duration // when it was last seen late
+	saidAt         time.Duration // when a line about it was logged
+	awayUntil      time.Duration // while it sends its own sessions away
+	missed         int           // dials unanswered since the last answer
+	errors         int           // dials that failed since, with no session held
+	avoidUntil     time.Duration
+	drained        bool          // a drain was told, which is never untold; a later start ends it
+	drainOf        time.Duration // the start that the drain is of
+	frame          int           // of the window that the turn is worked out for
+	turn           float64       // load in usual sessions that this proxy may send in it
+	lift           float64       // share of keys that it takes for that
+	sent           float64       // of the turn
+	drops          int           // of sessions, in the span since droppedAt
+	droppedAt      time.Duration
 }
 
 // Balancer decides for one proxy.
@@ -143,8 +144,10 @@
 	servers                        []*server // in the order of their ids, gone ones too
 	byID                           map[ServerID]*server
 	ready                          []*server
-	lanes                          []lane  // of the ready ones
-	sizes                          float64 // of all ready servers together
+	models                         []*model
+	bySize                         []*server // ready ones, the smallest first
+	lanes                          []lane    // of the ready ones
+	sizes                          float64   // of all ready servers together, listed or able
 	meanFactor                     float64
 	limit                          float64            // the threshold of the last round
 	calm                           float64            // most sessions for each unit of size in time
@@ -160,16 +163,14 @@
 	ofListener                     []mean    // loads of its sessions
 	fresh, watching                bool      // some load was sampled in this round; the list is subscribed to
 	rounds, probes                 int
-	farNotes                       int     // that show a slow way
 	opened, failed                 float64 // dials, each round half of them forgotten
 	arrivals, told                 int     // sessions that did not come back, words to other proxies
-	asking                         []*session
 	askFails                       int
 	asks                           Token   // timers to ask for the list, so far
 	lateOfHeard                    float64 // as of lateShareAt
 	lateShareAt                    time.Duration
 	longestWait                    time.Duration // dial timeout of the most patient listener
-	shortTarget, messageTarget     time.Duration // shortest of handshakes and of messages
+	messageTarget                  time.Duration // the shortest
 	top                            [mostDepth]scored
 }
 
@@ -180,22 +181,17 @@
 
 // New makes a balancer and starts following the list.
 func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules,
-	cold ColdRule, load LoadSight, words WordRule, nines NinesGoal) *Balancer {
+	cold ColdRule, load LoadSight, words WordRule) *Balancer {
 	b := &Balancer{front: front, chance: chance, listeners: listeners, dials: dials, list: list, cold: cold,
 		load: load, words: words, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
 		loadOf: map[Key]float64{}, groups: map[Key]int{}, ofListener: make([]mean, len(listeners)), meanFactor: 1,
-		usualLoad: 1, limit: threshold(assumedLoad), shortTarget: math.MaxInt64, messageTarget: math.MaxInt64}
+		usualLoad: 1, limit: threshold(assumedLoad), messageTarget: math.MaxInt64}
 	for _, l := range listeners {
 		b.longestWait = max(b.longestWait, l.DialTimeout)
-		b.shortTarget = min(b.shortTarget, l.HandshakeTarget)
 		if l.MessageTarget > 0 {
 			b.messageTarget = min(b.messageTarget, l.MessageTarget)
 		}
 	}
-	b.farNotes = sameNotes
-	if nines.Weight > 0 && nines.Top > 1 { // a second late for a tenth takes one nine of several
-		b.farNotes--
-	}
 	b.front.Timer(roundSpan, tokenRound)
 	b.ask()
 	return b
@@ -280,14 +276,23 @@
 	return nil
 }
 
-// multipliers sets base from the listed sizes, which are shares: Ross's recursion, from the smallest share
-// up.
-func multipliers(ready []*server, total float64) {
-	bySize := slices.Clone(ready)
-	slices.SortStableFunc(bySize, func(a, c *server) int { return cmp.Compare(a.Size, c.Size) })
+// multipliers sets base from the sizes, which are shares: Ross's recursion, from the smallest share up. Sizes
+// are the listed ones times their model's speed, and in sum the listed ones.
+func (b *Balancer) multipliers() {
+	b.bySize = append(b.bySize[:0], b.ready...)
+	able := 0.0
+	b.sizes = 0
+	for _, srv := range b.ready {
+		b.sizes += srv.Size
+		able += srv.Size * srv.model.speed
+	}
+	for _, srv := range b.ready {
+		srv.able = srv.Size * srv.model.speed * b.sizes / able
+	}
+	slices.SortStableFunc(b.bySize, func(a, c *server) int { return cmp.Compare(a.able, c.able) })
 	product, before, x := 1.0, 0.0, 0.0
-	for i, srv := range bySize {
-		rest, share := float64(len(bySize)-i), srv.Size/total
+	for i, srv := range b.bySize {
+		rest, share := float64(len(b.bySize)-i), srv.able/b.sizes
 		if share > before { // among equals it stays
 			x = math.Pow(rest*(share-before)/product+math.Pow(x, rest), 1/rest)
 		}
@@ -297,6 +302,29 @@
 	}
 }
 
+// learnModels guards against sizes that tell nothing of speed: servers of a slow model are late more often than
+// others that hold as much, and each proxy hears of too few to learn it of every one. A model's speed falls with
+// each late server more, and rises with each less, than it would have if all models' were late alike.
+func (b *Balancer) learnModels() {
+	late, heard := 0.0, 0.0
+	for _, srv := range b.ready {
+		if len(srv.held) > 0 || srv.lateAt > b.now-roundSpan {
+			srv.model.heard++
+			heard++
+		}
+	}
+	for _, m := range b.models {
+		late += m.late
+	}
+	for _, m := range b.models {
+		if heard > 0 {
+			m.speed *= math.Exp(-modelStep * (m.late - late*m.heard/heard))
+		}
+		m.late, m.heard = 0, 0
+	}
+	b.multipliers()
+}
+
 // smoothed is rho-bar over the kept samples.
 func (srv *server) smoothed() float64 {
 	first := max(srv.sampled-samplesKept, 0)
@@ -386,6 +414,14 @@
 	return max(b.known(srv), assumedLoad*(srv.carried+more)/fair)
 }
 
+// shown is a server's load for the trigger. Where proxies outnumber servers a fair part is less than a session,
+// and any one held would look like five times the load, so some usual ones are added on both sides.
+func (b *Balancer) shown(srv *server) float64 {
+	added := addedLoads * b.usualLoad
+	fair := b.part(srv) * b.warmth(srv) * b.carried
+	return max(b.known(srv), assumedLoad*(srv.carried+added)/(fair+added))
+}
+
 func (b *Balancer) reports() bool { return b.load.OnProbe || b.load.WithDials }
 
 // late learns from late messages and dropped sessions how much a server can carry. While work is piled up the
@@ -412,22 +448,8 @@
 	}
 }
 
-// farOff guards against staying at the end of a slow way: a delay from load grows or shrinks with what is
-// piled up, that of a way stands still however much is moved. Sessions nearly late there leave at once, also
-// where this proxy knows of no room: their clients may come to proxies with a better way. Those with time to
-// spare stay. Of a server that is slow for all it asks more than relief would, and its limit stays learnt.
-func (b *Balancer) farOff(srv *server) {
-	b.send(srv, srv.carried, func(s *session) float64 {
-		l := &b.listeners[s.Listener]
-		if l.MessageTarget == 0 || l.MessageTarget > 2*srv.delay {
-			return 0
-		}
-		return l.Utility
-	})
-}
-
-// part is a server's share of the fleet by the listed sizes.
-func (b *Balancer) part(srv *server) float64 { return srv.Size / b.sizes }
+// part is a server's share of the fleet.
+func (b *Balancer) part(srv *server) float64 { return srv.able / b.sizes }
 
 // Cold servers.
 
@@ -466,7 +488,7 @@
 	srv.frame, srv.sent, srv.turn, srv.lift = frame+1, 0, 0, 0
 	warmth := b.cold.From + (1-b.cold.From)*float64(frame)*b.cold.Window.Seconds()/b.cold.Span.Seconds()
 	all := b.cold.Multiple * b.cold.Window.Seconds() / b.cold.Span.Seconds() * warmth *
-		max(b.calm, 1/fullLoad/b.sizes) * srv.Size * float64(b.cold.Proxies)
+		max(b.calm, 1/fullLoad/b.sizes) * srv.able * float64(b.cold.Proxies)
 	if all < float64(b.cold.Proxies) { // few of many proxies have a session to place in their turns
 		all *= fullLoad / assumedLoad
 	}
@@ -564,7 +586,7 @@
 	for _, e := range entries {
 		b.entry(e)
 	}
-	b.ready, b.lanes, b.sizes = b.ready[:0], b.lanes[:0], 0
+	b.ready, b.lanes = b.ready[:0], b.lanes[:0]
 	for _, srv := range b.servers {
 		if kind != ListDelta && srv.listed != b.lists {
 			srv.Standing = Gone
@@ -572,17 +594,16 @@
 		if b.usable(srv) {
 			b.ready = append(b.ready, srv)
 			b.lanes = append(b.lanes, lane{seed: mix(uint64(srv.ID) + 1)})
-			b.sizes += srv.Size
 		}
 	}
-	multipliers(b.ready, b.sizes)
+	b.multipliers()
 	b.setWeights()
 }
 
 func (b *Balancer) entry(e Entry) {
 	srv := b.byID[e.ID]
 	if srv == nil {
-		srv = &server{factor: b.meanFactor, probedAt: -b.inquirySpan()}
+		srv = &server{factor: b.meanFactor}
 		b.byID[e.ID] = srv
 		at, _ := slices.BinarySearchFunc(b.servers, e.ID, func(s *server, id ServerID) int {
 			return cmp.Compare(s.ID, id)
@@ -610,6 +631,12 @@
 	}
 	srv.Entry, srv.listed = e, b.lists
 	srv.Size = cmp.Or(max(e.Size, 0), 1) // 0 if not told
+	at := slices.IndexFunc(b.models, func(m *model) bool { return m.id == e.Model })
+	if at < 0 {
+		at = len(b.models)
+		b.models = append(b.models, &model{id: e.Model, speed: 1})
+	}
+	srv.model = b.models[at]
 }
 
 // usable tells whether the list lets a server be dialed. Where drains alone bind, a list that calls servers
@@ -687,58 +714,10 @@
 	if err != nil {
 		return err
 	}
-	if !b.inquire(s) {
-		b.place(s)
-	}
+	b.place(s)
 	return nil
 }
 
-// inquire probes the session's best scores of which nothing is heard, where a report tells their load, and
-// lets it wait: each of many proxies hears of few servers, and a probe takes less than a wrong place.
-func (b *Balancer) inquire(s *session) bool {
-	if !b.load.OnProbe || s.MidFlow || s.deadline-b.now < 2*b.inquirySpan() {
-		return false
-	}
-	n := 0
-	for _, c := range b.best(s, mostAsked, (*Balancer).answering) {
-		srv := c.server
-		probed := b.now-srv.probedAt < b.inquirySpan()
-		if !b.unheard(srv) || !probed && !b.affordsProbes(1) {
-			continue
-		}
-		if !probed {
-			b.probe(srv)
-		}
-		s.asked[n] = srv
-		n++
-	}
-	if n > 0 {
-		s.askedAt = b.now
-		b.enter(s, asking, nil)
-		b.asking = append(b.asking, s)
-		b.front.Timer(b.inquirySpan(), tokenInquiry) // guards against a report that never comes
-	}
-	return n > 0
-}
-
-func (b *Balancer) inquirySpan() time.Duration { return b.shortTarget / 2 }
-
-// placeAsking places the sessions that wait for no report any more.
-func (b *Balancer) placeAsking() {
-	waiting := b.asking[:0]
-	for _, s := range b.asking {
-		missing := func(srv *server) bool { return srv != nil && srv.resultAt < s.askedAt }
-		switch {
-		case s.state != asking:
-		case b.now-s.askedAt < b.inquirySpan() && slices.ContainsFunc(s.asked[:], missing):
-			waiting = append(waiting, s)
-		default:
-			b.place(s)
-		}
-	}
-	b.asking = waiting
-}
-
 // Hold takes a session that a server holds already.
 func (b *Balancer) Hold(now time.Duration, a Arrival, at ServerID) error {
 	srv := b.byID[at]
@@ -854,13 +833,14 @@
 }
 
 // depth is how many of its best scores a session may go down: as its group's part of the sessions demands. Of
-// a few sessions one of its group tells little, so as many others as there are servers are added to them.
+// a few sessions one of its group tells little, so as many others as there are servers are added to them. Where
+// many servers are late it goes less deep: each one more that holds of the group makes the overload worse.
 func (b *Balancer) depth(s *session) int {
 	if s.Group == 0 {
 		return mostDepth
 	}
 	fills := float64(len(b.ready)*b.groups[s.Group]) / float64(len(b.sessions)+len(b.ready))
-	return leastDepth + int(math.Ceil(spread*fills))
+	return leastDepth + int(math.Ceil((1+spread*fills)*(1-b.lateShare())))
 }
 
 // allowed holds the rules that no exception may break.
@@ -1011,10 +991,7 @@
 // Left tells that a client has gone, or that its answer is overdue.
 func (b *Balancer) Left(now time.Duration, id SessionID) {
 	b.now = now
-	switch s := b.sessions[id]; {
-	case s != nil && s.state == asking:
-		b.enter(s, over, nil)
-	case s != nil && (s.state == dialing || s.state == open):
+	if s := b.sessions[id]; s != nil && (s.state == dialing || s.state == open) {
 		if s.state == open {
 			s.dialedAt = -1
 		}
@@ -1055,17 +1032,9 @@
 		if now-srv.delayAt < noteSpan*3/2 {
 			was, span = srv.delay, max(now-srv.delayAt, noteSpan/2)
 		}
-		if (delay-was).Abs() < delay/sameDelay && was >= b.messageTarget {
-			srv.same++
-		} else {
-			srv.same = 0
-		}
 		srv.delay, srv.delayAt = delay, now
-		switch {
-		case delay < b.messageTarget:
-		case srv.same >= b.farNotes:
-			b.farOff(srv)
-		default:
+		if delay >= b.messageTarget {
+			srv.model.late++
 			b.tell(srv)
 			b.late(srv, float64(delay-was)/float64(span), delay-b.messageTarget/3)
 		}
@@ -1101,12 +1070,8 @@
 func (b *Balancer) Probed(now time.Duration, at ServerID, outcome Outcome, _ time.Duration,
 	report []float64) {
 	b.now = now
-	if srv := b.byID[at]; srv != nil {
-		srv.resultAt = now
-		if outcome == Accepted {
-			b.reported(srv, report)
-		}
-		b.placeAsking()
+	if srv := b.byID[at]; srv != nil && outcome == Accepted {
+		b.reported(srv, report)
 	}
 }
 
@@ -1125,8 +1090,6 @@
 		if !b.watching {
 			b.ask()
 		}
-	case tokenInquiry:
-		b.placeAsking()
 	case tokenRound:
 		b.front.Timer(roundSpan, tokenRound)
 		b.round()
@@ -1140,14 +1103,14 @@
 	for _, srv := range b.ready {
 		if b.warmth(srv) >= 1 && (srv.lateAt == 0 || b.now-srv.lateAt >= roundSpan) {
 			held += float64(len(srv.held))
-			sizes += srv.Size
+			sizes += srv.able
 		}
 		if b.now-srv.lateAt > roundSpan {
 			// after a short jam, or with the clients of a lost proxy, the limit must not bind for long
 			srv.full *= 1 + regain*float64((b.now-srv.lateAt)/roundSpan)
 		}
 		if !b.reports() {
-			srv.sample(b.loaded(srv, 0))
+			srv.sample(b.shown(srv))
 			b.fresh = true
 			b.even(srv)
 		}
@@ -1163,12 +1126,17 @@
 			b.send(srv, srv.carried/2, func(*session) float64 { return 1 })
 		}
 	}
+	b.learnModels()
 	b.adapt()
 	b.fresh = false
 	b.setWeights()
-	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 && b.affordsProbes(len(b.ready)) {
+	// All probes of a proxy cost no more than a small share of what its sessions so far are worth: their cost grows
+	// with proxies times servers.
+	cost := float64(b.probes+len(b.ready)) * b.load.ProbePrice
+	if b.rounds++; b.load.OnProbe && b.rounds%probeRounds == 0 && cost <= probeShare*float64(b.arrivals) {
 		for _, srv := range b.ready {
-			b.probe(srv)
+			b.probes++
+			b.front.Probe(srv.ID)
 		}
 	}
 }
@@ -1188,18 +1156,6 @@
 	return min(max(sum/n, assumedLoad), 1)
 }
 
-// affordsProbes guards against a cost that grows with proxies times servers: all probes of a proxy must cost
-// no more than a small share of what its sessions so far are worth.
-func (b *Balancer) affordsProbes(n int) bool {
-	return float64(b.probes+n)*b.load.ProbePrice <= probeShare*float64(b.arrivals)
-}
-
-func (b *Balancer) probe(srv *server) {
-	srv.probedAt = b.now
-	b.probes++
-	b.front.Probe(srv.ID)
-}
-
 // relieve moves what a server carries beyond what it is able to, in the order in which falling weights would
 // move keys, so that groups leave whole and all proxies pick the same; only what another has room for. Above
 // full load none is served in time, so the rest goes too, least utility for its load first.
--- a/choice/types.go
+++ b/choice/types.go
@@ -99,12 +99,6 @@
 	ProbePrice float64
 }
 
-// NinesGoal says how what is late or refused in a span counts: by its tenfolds.
-type NinesGoal struct {
-	Weight float64 // of this among the parts of the goal; 0 where it has no part
-	Top    float64 // tenfold steps that the share may lie below the whole to earn all of it
-}
-
 // WordRule says whether proxies may tell one another of late servers.
 type WordRule struct {
 	Allowed bool
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -84,7 +84,6 @@
 		cold           choice.ColdRule
 		load           choice.LoadSight
 		words          choice.WordRule
-		nines          choice.NinesGoal
 		connect, idle  time.Duration
 		passes, groups bool
 		tellsLoad      bool
@@ -94,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := start.Module(settings, &listeners, &dials, &list, &cold, &load, &words, &nines); err != nil {
+	if err := start.Module(settings, &listeners, &dials, &list, &cold, &load, &words); err != nil {
 		return nil, err
 	}
 	listenerIDs, tenantIDs := map[string]choice.ListenerID{}, map[string]choice.TenantID{}
@@ -168,7 +167,7 @@
 		return nil
 	}
 	p.begin = func() {
-		p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), listeners, dials, list, cold, load, words, nines)
+		p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), listeners, dials, list, cold, load, words)
 		p.table.Serve(p.balancer)
 		p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
 		p.sweep()
