Settings switch in a running proxy, one call on the module; load reports leave the module

SIGHUP takes new settings whole or not at all, between two events (Proxy.Reload, change), and the module takes them by one call with New's arguments (Balancer.Switch): what was learnt stays, listeners are known again by name, each session keeps its terms, turns at cold servers are dealt anew after a window. Models of servers are told apart by listed size in the real proxy, whose list names no models.

--- a/choice/types.go
+++ b/choice/types.go
@@ -27,7 +27,6 @@
 	TearDown(id SessionID)
 	// Move ends an open session in good order; its client comes again.
 	Move(id SessionID)
-	Probe(id ServerID)
 	// Tell sends word of a server's message delay to all other proxies; it may be lost.
 	Tell(at ServerID, delay time.Duration)
 	// Timer asks for a call of Tick with the token.
@@ -57,6 +56,7 @@
 
 // Listener is one kind of session.
 type Listener struct {
+	Name            string // the same before and after a change of settings
 	HandshakeTarget time.Duration
 	DialTimeout     time.Duration
 	MessageTarget   time.Duration // 0 where messages have none
@@ -90,15 +90,6 @@
 	Me       int           // this proxy's number among them, from 0
 }
 
-// LoadSight says where the load of a server can be seen.
-type LoadSight struct {
-	OnProbe   bool
-	WithDials bool // reports come with the outcomes of dials
-	Field     int  // place of the load in a report, -1 without one
-	// ProbePrice is what a probe costs, as a share of what a session is worth.
-	ProbePrice float64
-}
-
 // WordRule says whether proxies may tell one another of late servers.
 type WordRule struct {
 	Allowed bool
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -41,6 +41,12 @@
 		tenants: tenants, groups: groups, ids: map[string]*Client{}, log: log}
 }
 
+// Change takes what other settings say; connections that have asked for a session go on with it.
+func (c *Clients) Change(hello time.Duration, listeners map[string]choice.ListenerID,
+	tenants map[string]choice.TenantID, groups bool) {
+	c.hello, c.listeners, c.tenants, c.groups = hello, listeners, tenants, groups
+}
+
 type state int
 
 const (
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,7 +78,7 @@
 // Watcher holds at most one watch.
 type Watcher struct {
 	address string
-	client  http.Client
+	client  *http.Client
 	execute func(func()) // on the event loop
 	list    func(List)
 	failed  func(error)
@@ -89,9 +89,15 @@
 // New makes a watcher that tells lists and failures on the event loop.
 func New(address string, connect, answer time.Duration, execute func(func()), list func(List),
 	failed func(error)) *Watcher {
-	return &Watcher{address: address, execute: execute, list: list, failed: failed, client: http.Client{
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connect}).DialContext,
-			DisableKeepAlives: true, DisableCompression: true, ResponseHeaderTimeout: answer}}}
+	w := &Watcher{address: address, execute: execute, list: list, failed: failed}
+	w.Change(connect, answer)
+	return w
+}
+
+// Change sets other times for the watches to come.
+func (w *Watcher) Change(connect, answer time.Duration) {
+	w.client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connect}).DialContext,
+		DisableKeepAlives: true, DisableCompression: true, ResponseHeaderTimeout: answer}}
 }
 
 // Watch starts a watch for what changed after a revision, in place of the one before.
@@ -111,9 +117,10 @@
 		})
 	}
 	url := fmt.Sprintf("http://%s/api/targets?watch=1&after=%d", w.address, after)
+	client := w.client
 	go func() {
 		defer cancel()
-		err := w.follow(ctx, cancel, url, tell)
+		err := w.follow(ctx, cancel, client, url, tell)
 		tell(func() { w.failed(err) })
 	}()
 }
@@ -127,12 +134,13 @@
 	w.cancel()
 }
 
-func (w *Watcher) follow(ctx context.Context, cancel context.CancelFunc, url string, tell func(func())) error {
+func (w *Watcher) follow(ctx context.Context, cancel context.CancelFunc, client *http.Client, url string,
+	tell func(func())) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
-	answer, err := w.client.Do(request)
+	answer, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/internal/exchange/delays.go
+++ b/internal/exchange/delays.go
@@ -28,6 +28,12 @@
 		tellsDelay: tellsDelay, beats: map[choice.ServerID]time.Duration{}}
 }
 
+// change takes what other settings say; beats are those of servers that tell both.
+func (d *Delays) change(mark time.Duration, tellsLoad, tellsDelay bool) {
+	d.mark, d.tellsLoad, d.tellsDelay = mark, tellsLoad, tellsDelay
+	clear(d.beats)
+}
+
 const (
 	mostDelay = 10 // spans that a server may tell as a delay
 	offBeat   = 64 // a note may be off its beat by the span over this
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -106,6 +106,16 @@
 // Serve names the module that decides.
 func (t *Table) Serve(b *choice.Balancer) { t.balancer, t.delays.balancer = b, b }
 
+// Change takes what other settings say. Sessions that go back to their holder come to the module later, by the ids
+// that listeners have now.
+func (t *Table) Change(retry, stillFor, mark time.Duration, tellsLoad, tellsDelay bool, ids []choice.ListenerID) {
+	t.retry, t.stillFor = retry, stillFor
+	t.delays.change(mark, tellsLoad, tellsDelay)
+	for _, ex := range t.sessions {
+		ex.arrival.Listener = ids[ex.arrival.Listener]
+	}
+}
+
 // Len is the number of sessions.
 func (t *Table) Len() int { return len(t.sessions) }
 
@@ -242,7 +252,7 @@
 
 func (ex *Exchange) settled(outcome choice.Outcome, isOver bool) {
 	t := ex.table
-	t.balancer.Settled(t.now(), ex.arrival.ID, choice.DialNo(ex.dials-1), ex.at, outcome, t.now()-ex.dialedAt, isOver, nil)
+	t.balancer.Settled(t.now(), ex.arrival.ID, choice.DialNo(ex.dials-1), ex.at, outcome, t.now()-ex.dialedAt, isOver)
 }
 
 // What the client side reads.
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"errors"
 	"hash/fnv"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -157,23 +156,6 @@
 	return decimal(Rest(text))
 }
 
-// Report reads the numbers of an answer to STATS, in the order of the names; absent ones are left as they are.
-func Report(text []byte, names []string, into []float64) bool {
-	found := false
-	for _, pair := range bytes.FieldsFunc(Rest(text), func(r rune) bool { return r == ' ' || r == ',' }) {
-		name, value, _ := bytes.Cut(pair, []byte("="))
-		for i := range names {
-			if string(name) != names[i] {
-				continue
-			}
-			if v, err := strconv.ParseFloat(string(value), 64); err == nil && !math.IsNaN(v) && !math.IsInf(v, 0) {
-				into[i], found = v, true
-			}
-		}
-	}
-	return found
-}
-
 // Busy writes a refusal, with the time after which to come back if there is one.
 func Busy(comeBack time.Duration) []byte {
 	if comeBack <= 0 {
--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,6 +20,7 @@
 	ids     map[string]choice.ServerID
 	servers map[choice.ServerID]*place
 	entries []choice.Entry
+	sizes   []float64 // that were listed, by their models' ids
 	// drainsAlone: what is gone, or left out, without having drained may still be dialed.
 	drainsAlone bool
 }
@@ -30,8 +32,30 @@
 }
 
 func newDirectory(zones map[string]choice.ZoneID, start time.Time, drainsAlone bool) *directory {
-	return &directory{zones: zones, start: start, drainsAlone: drainsAlone, ids: map[string]choice.ServerID{},
+	d := &directory{zones: map[string]choice.ZoneID{}, start: start, ids: map[string]choice.ServerID{},
 		servers: map[choice.ServerID]*place{}}
+	d.change(zones, drainsAlone)
+	return d
+}
+
+// change takes what other settings say. A zone keeps the id that it got first, as servers stand under it.
+func (d *directory) change(zones map[string]choice.ZoneID, drainsAlone bool) {
+	for _, name := range slices.SortedFunc(maps.Keys(zones), func(a, b string) int { return cmp.Compare(zones[a], zones[b]) }) {
+		if _, known := d.zones[name]; !known {
+			d.zones[name] = choice.ZoneID(len(d.zones))
+		}
+	}
+	d.drainsAlone = drainsAlone
+}
+
+// model is the id of the servers of one size: the list tells no more of what they are.
+func (d *directory) model(size float64) choice.ModelID {
+	at := slices.Index(d.sizes, size)
+	if at < 0 {
+		at = len(d.sizes)
+		d.sizes = append(d.sizes, size)
+	}
+	return choice.ModelID(at)
 }
 
 // id of a server: a hash of its name. Where two names meet, the one that came later is hashed on; of one list
@@ -63,7 +87,8 @@
 	d.entries = d.entries[:0]
 	for _, s := range list.Servers {
 		id := d.id(s.ID)
-		e := choice.Entry{ID: id, Size: s.Size, Zone: d.zones[s.Zone], Cell: choice.CellID(s.Cell)}
+		e := choice.Entry{ID: id, Size: s.Size, Zone: d.zones[s.Zone],
+			Cell: choice.CellID(s.Cell), Model: d.model(s.Size)}
 		switch s.Phase {
 		case discovery.Ready:
 			e.Standing = choice.Ready
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -25,7 +25,7 @@
 		}
 		p.leaving = true
 		p.log.Info().Int("sessions", p.table.Len()).Msg("leaving")
-		if p.passes {
+		if p.terms.passes {
 			p.timers.After(p.leaveSpan(passShare), p.passOn)
 			return
 		}
@@ -35,14 +35,14 @@
 
 // leaveSpan is a share of the time that a proxy surely has.
 func (p *Proxy) leaveSpan(share float64) time.Duration {
-	return time.Duration(share * float64(min(p.patience, mostPatient)))
+	return time.Duration(share * float64(min(p.terms.patience, mostPatient)))
 }
 
 // passOn ends the process once no session waits for its answer. What is open is not ended: its packets go on by
 // another proxy.
 func (p *Proxy) passOn() {
 	if p.table.Len() > p.table.Open() {
-		p.timers.After(p.patience/leaveSteps/leaveSteps, p.passOn)
+		p.timers.After(p.terms.patience/leaveSteps/leaveSteps, p.passOn)
 		return
 	}
 	p.log.Info().Int("sessions", p.table.Len()).Msg("left")
@@ -63,7 +63,7 @@
 
 // stop ends the engine once the last lines have had their time.
 func (p *Proxy) stop() {
-	p.timers.After(p.linger, func() {
+	p.timers.After(p.linger(), func() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -7,33 +7,76 @@
 	"slices"
 
 	"github.com/rs/zerolog"
+
+	"chalkferry/internal/peers"
 )
 
-// Reload takes over what may change of a new configuration: discovery's address and the limits. The whole file is
-// checked as at a start, and one that is wrong changes nothing. Sessions go on.
+// Reload takes over what may change of a new configuration: the settings, discovery's address, whom words go to, and
+// the limits. The whole file is checked as at a start, and one that is wrong changes nothing. Sessions go on. It
+// returns once the loop has taken all over, between two events.
 func (p *Proxy) Reload(text []byte) error {
 	next, err := New(text, zerolog.Nop())
 	if err != nil {
 		return err
 	}
 	<-p.ready
+	var end *peers.Peers
+	if p.peers == nil { // opened before anything changes, as it may fail
+		if end, err = p.hear(next.at, next.terms); err != nil {
+			return err
+		}
+	}
+	taken := make(chan struct{})
 	p.execute(func() {
+		defer close(taken)
 		differ := changed(p.text, text)
 		p.text = text
 		p.limitMemory(next.limits)
 		p.room.Take(p.limits.Sockets - next.limits.Sockets)
 		p.limits = next.limits
-		if next.discovery != p.discovery {
+		if end != nil {
+			p.peers = end
+			differ = slices.DeleteFunc(differ, func(name string) bool { return name == "peer_listen" })
+		}
+		settings := !bytes.Equal(compact(p.settings), compact(next.settings))
+		if settings {
+			p.change(next.terms)
+			p.settings = next.settings
+		}
+		if p.peers != nil {
+			p.peers.Address(next.at.PeersAll, next.at.Peers)
+		}
+		p.at.PeersAll, p.at.Peers = next.at.PeersAll, next.at.Peers
+		if next.at.Discovery != p.at.Discovery {
 			// Asked at once: the module waits for word of the watch it knows, and that one's end may take long.
-			p.discovery, p.failures = next.discovery, 0
-			p.watcher.Move(next.discovery)
+			p.at.Discovery, p.failures = next.at.Discovery, 0
+			p.watcher.Move(next.at.Discovery)
 			p.watcher.Watch(p.revision)
 		}
-		p.log.Info().Str("discovery", p.discovery).Strs("at_next_start", differ).Msg("configuration read again")
+		p.log.Info().Str("discovery", p.at.Discovery).Bool("settings", settings).Strs("at_next_start", differ).
+			Msg("configuration read again")
 	})
+	<-taken
 	return nil
 }
 
+// change takes other terms, on the loop between two events. Sessions go on: the module keeps each by the terms it came
+// under, and lines that are out are answered by those who have them.
+func (p *Proxy) change(t *terms) {
+	ids := p.terms.renumber(t)
+	p.terms = t
+	p.connector.Change(t.connect)
+	p.table.Change(t.connect, t.still, t.mark, t.tellsLoad, t.tellsDelay, ids)
+	p.clients.Change(t.hello, t.listenerIDs, t.tenantIDs, t.groups)
+	p.directory.change(t.zones, t.list.DrainsBindAlone)
+	p.watcher.Change(t.connect*2, t.list.MustAskIn/2)
+	if !t.words.Allowed && p.peers != nil {
+		p.peers.Close()
+		p.peers = nil
+	}
+	p.balancer.Switch(p.now(), t.listeners, t.dials, t.list, t.cold, t.words)
+}
+
 // changed names the parts of a configuration that differ and are read at a start only. The list of servers that
 // the file has is one for starts, too, but it differs each time.
 func changed(was, is []byte) []string {
@@ -43,7 +86,7 @@
 	}
 	names := maps.Clone(parts[0])
 	maps.Copy(names, parts[1])
-	for _, name := range []string{"discovery", "limits", "known"} {
+	for _, name := range []string{"discovery", "limits", "known", "settings", "peers", "peers_all"} {
 		delete(names, name)
 	}
 	maps.DeleteFunc(names, func(name string, _ json.RawMessage) bool {
--- /dev/null
+++ b/internal/proxy/terms.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"time"
+
+	"chalkferry/choice"
+	"chalkferry/internal/start"
+)
+
+// terms are what a configuration says of the platform. All of them may change while the proxy runs.
+type terms struct {
+	listeners []choice.Listener
+	dials     choice.DialLimits
+	list      choice.ListRules
+	cold      choice.ColdRule
+	words     choice.WordRule
+
+	listenerIDs    map[string]choice.ListenerID
+	tenantIDs      map[string]choice.TenantID
+	zones          map[string]choice.ZoneID
+	connect        time.Duration
+	passes, groups bool
+	tellsLoad      bool
+	tellsDelay     bool
+
+	patience time.Duration // the longest dial timeout
+	hello    time.Duration // for a connection to ask for a session
+	mark     time.Duration // a message that takes longer is noted
+	still    time.Duration // a server that says nothing for so long is left
+}
+
+// read takes the terms from the text of the settings.
+func read(settings []byte) (*terms, error) {
+	t := &terms{listenerIDs: map[string]choice.ListenerID{}, tenantIDs: map[string]choice.TenantID{},
+		zones: map[string]choice.ZoneID{}, hello: mostHello, still: mostStill}
+	if err := start.Module(settings, &t.listeners, &t.dials, &t.list, &t.cold, &t.words); err != nil {
+		return nil, err
+	}
+	if err := start.Names(settings, t.listenerIDs, t.tenantIDs, t.zones); err != nil {
+		return nil, err
+	}
+	if err := start.Connections(settings, &t.connect, &t.passes, &t.groups); err != nil {
+		return nil, err
+	}
+	if err := start.Notes(settings, &t.tellsLoad, &t.tellsDelay); err != nil {
+		return nil, err
+	}
+	var longest time.Duration
+	for _, l := range t.listeners {
+		t.patience = max(t.patience, l.DialTimeout)
+		t.hello = min(t.hello, l.DialTimeout)
+		if l.MessageTarget > 0 && (t.mark == 0 || l.MessageTarget/3 < t.mark) {
+			t.mark = l.MessageTarget / 3
+		}
+		longest = max(longest, l.MessageTarget)
+	}
+	if longest > 0 {
+		t.still = min(t.still, 2*longest) // a line later than that is of no use to any listener
+	}
+	// A real list must be watched, also where the bench hands it out.
+	t.list.MustWatch = true
+	if t.list.MustAskIn == 0 {
+		t.list.MustAskIn = 4 * t.patience
+	}
+	return t, nil
+}
+
+// renumber gives the ids that sessions' listeners have by other terms; one that is no more counts as the first.
+func (t *terms) renumber(by *terms) []choice.ListenerID {
+	ids := make([]choice.ListenerID, len(t.listeners))
+	for name, id := range t.listenerIDs {
+		ids[id] = by.listenerIDs[name]
+	}
+	return ids
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -40,6 +40,9 @@
 	return &Connector{execute: execute, timers: t, room: room, take: take, timeout: timeout}
 }
 
+// Change sets another time for connections to stand.
+func (c *Connector) Change(timeout time.Duration) { c.timeout = timeout }
+
 // Opener takes over a connection that stands.
 type Opener interface {
 	// Open is called on the event loop.
