--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,8 +31,8 @@
 	triesRest   = 4               // seconds in which all proxies together try a late server's fair sessions
 	mostRest    = 30 * roundSpan
 	mostDepth   = 16       // of scores that any session may go down
-	leastDepth  = 1        // that a group may go down, and one more, while servers are in time,
-	spread      = 2        // and so many more for each server that its part would fill
+	leastDepth  = 2        // that a group may go down
+	spread      = 2        // and so many more for each server that its part would fill, while servers are in time
 	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
 	backOff     = 0.85     // of what a late server carries, for the next time
 	mostDrain   = 0.4      // of what a server can do, kept free for what is piled up
@@ -866,7 +866,7 @@
 		return mostDepth
 	}
 	fills := float64(len(b.ready)*b.groups[s.Group]) / float64(len(b.sessions)+len(b.ready))
-	return leastDepth + int(math.Ceil((1+spread*fills)*(1-b.lateShare())))
+	return leastDepth + int(math.Ceil(spread*fills*(1-b.lateShare())))
 }
 
 // allowed holds the rules that no exception may break.
