--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,6 +41,7 @@
 	dropShare   = 4        // one in so many of its sessions, dropped in a note's span, shows a server in trouble
 	fullLoad    = 2.0 / 3  // known load that takes nothing new, as when messages take a third of the target
 	modelStep   = 0.25     // of a model's speed, for each late server more than others' servers would have had
+	mostSpeed   = 4.0      // times what the listed size tells, or that part of it
 	fewLoads    = 2        // usual ones: a smaller part of a proxy's sessions tells nothing of a server's load
 )
 
@@ -349,6 +350,7 @@
 	for _, m := range b.models {
 		if heard > 0 {
 			m.speed *= math.Exp(-modelStep * (m.late - late*m.heard/heard))
+			m.speed = min(max(m.speed, 1/mostSpeed), mostSpeed) // however long one model has the bad luck
 		}
 		m.late, m.heard = 0, 0
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -698,12 +698,15 @@
 }
 
 // TestModels: from fleets of one listed size whose models differ by half in speed. Servers of one model are late and
-// the others are not: its share of the keys falls, the shares stay whole, and one late alike teaches nothing.
+// the others are not: its share of the keys falls, the shares stay whole, and one late alike teaches nothing. However long
+// it lasts a model keeps a part.
 func TestModels(t *testing.T) {
 	for _, c := range []struct {
-		late        [2]int // servers of each model, in each of ten rounds
+		late        [2]int // servers of each model, in each round
+		rounds      int
 		least, most float64
-	}{{[2]int{0, 1}, 0.55, 0.95}, {[2]int{1, 0}, 0.05, 0.45}, {[2]int{1, 1}, 0.49, 0.51}, {[2]int{}, 0.49, 0.51}} {
+	}{{[2]int{0, 1}, 4, 0.55, 0.85}, {[2]int{1, 0}, 4, 0.15, 0.45}, {[2]int{1, 1}, 10, 0.49, 0.51}, {[2]int{}, 10, 0.49, 0.51},
+		{[2]int{0, 1}, 5000, 0.9, 0.95}} {
 		r := newRig(someCold, rand.New(rand.NewSource(1)))
 		entries := []Entry{}
 		for i := range ServerID(20) {
@@ -713,7 +716,7 @@
 		for i := range 200 {
 			r.b.Hold(0, Arrival{ID: SessionID(i), Client: Key(i)}, ServerID(1+i%20))
 		}
-		for range 10 {
+		for range c.rounds {
 			r.now += roundSpan
 			for model, n := range c.late {
 				for i := range n {
