--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,7 +42,6 @@
 	fullLoad    = 2.0 / 3  // known load that takes nothing new, as when messages take a third of the target
 	modelStep   = 0.25     // of a model's speed, for each late server more than others' servers would have had
 	mostSpeed   = 4.0      // times what the listed size tells, or that part of it
-	fewLoads    = 2        // usual ones: a smaller part of a proxy's sessions tells nothing of a server's load
 )
 
 const (
@@ -438,14 +437,6 @@
 	return max(b.known(srv), assumedLoad*(srv.carried+more)/fair)
 }
 
-// shown is a server's load for the trigger. Where proxies outnumber servers a fair part is less than a session,
-// and any one held would look like five times the load: what a fair part lacks of a few is added on both sides.
-func (b *Balancer) shown(srv *server) float64 {
-	fair := b.part(srv) * b.warmth(srv) * b.carried
-	lacks := max(fewLoads*b.usualLoad-fair, 0)
-	return max(b.known(srv), assumedLoad*(srv.carried+lacks)/(fair+lacks))
-}
-
 // late learns from late messages and dropped sessions how much a server can carry. While work is piled up the
 // delay grows by the load beyond capacity, and shrinks by what is short of it. What is piled up keeps all
 // sessions late, so the server is relieved of more until that has gone.
@@ -1099,7 +1090,7 @@
 			// after a short jam, or with the clients of a lost proxy, the limit must not bind for long
 			srv.full *= 1 + regain*float64((b.now-srv.lateAt)/roundSpan)
 		}
-		srv.sample(b.shown(srv))
+		srv.sample(b.loaded(srv, 0))
 	}
 	if sizes == b.sizes { // while no server is late they can do more than that
 		held /= fullLoad
