--- a/choice/choice.go
+++ b/choice/choice.go
@@ -162,6 +162,7 @@
 	sessions                       map[SessionID]*session
 	ramping                        []*server     // ready and cold
 	coldHeld                       time.Duration // cold servers get nothing until then
+	opened, failed                 float64       // dials, each round half of them forgotten
 	watching                       bool          // the list is subscribed to
 	arrivals, told                 int           // sessions that did not come back, words to other proxies
 	askFails                       int
@@ -774,7 +775,7 @@
 // place dials the best server for a session, or gives the session up.
 func (b *Balancer) place(s *session) {
 	wait := s.deadline - b.now
-	if s.dials >= s.MostDials || wait < s.HandshakeTarget/16 || !b.mayRerun(s) {
+	if s.dials >= s.MostDials || wait < s.HandshakeTarget/16 || !b.mayRerun(s) || b.spare(s) {
 		b.giveUp(s)
 		return
 	}
@@ -905,6 +906,13 @@
 	return b.now >= max(srv.avoidUntil, srv.awayUntil) && (srv.missed == 0 || len(srv.dialing) == 0)
 }
 
+// spare guards against dials that together keep down what all servers need to open a session: where more than
+// two in three that were sent lately failed or had no answer, whatever the server, some are given up, so that
+// about three go out for each that opens. A few bad servers alone never come to that.
+func (b *Balancer) spare(s *session) bool {
+	return !s.MidFlow && b.failed > 2*b.opened && b.chance.Float64() < (b.failed-2*b.opened)/(b.failed+1)
+}
+
 // mayRerun tells whether another dial may go out after those that may have run.
 func (b *Balancer) mayRerun(s *session) bool {
 	return !s.mayRun || s.Effect == Repeatable || s.Effect == Referenced && b.now-s.firstAt < s.RepeatWindow
@@ -930,6 +938,7 @@
 	}
 	s.mayRun = true
 	s.server.missed, s.server.errors, s.server.avoidUntil = 0, 0, 0
+	b.opened++
 	b.enter(s, open, s.server)
 }
 
@@ -957,6 +966,9 @@
 		s.mayRun, s.first, s.firstAt = true, srv, s.dialedAt
 	}
 	b.enter(s, arrived, nil)
+	if outcome == Unanswered || outcome == Failed {
+		b.failed++
+	}
 	if outcome == Failed && len(srv.held) == 0 {
 		srv.errors++
 	}
@@ -1074,6 +1086,7 @@
 
 // round ends one round of load samples and starts the next.
 func (b *Balancer) round() {
+	b.opened, b.failed = b.opened/2, b.failed/2
 	held, sizes := 0.0, 0.0 // of the servers in time
 	for _, srv := range b.ready {
 		if b.warmth(srv) >= 1 && (srv.lateAt == 0 || b.now-srv.lateAt >= roundSpan) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -67,6 +67,7 @@
 		{1, Accepted, 1, none},
 	} {
 		r := fleet(6)
+		r.b.opened = 9 // an hour in which dials are answered
 		s := r.arrive(c.listener, 9, 9, 0)
 		for s.out != 0 {
 			r.settle(s, c.outcome)
@@ -254,6 +255,7 @@
 		if outcome == Full { // which after errors proves that it is there
 			r.top(1).errors = 2
 		}
+		r.b.opened = 99
 		ghost, tries := r.top(1), 0
 		for range 30 {
 			r.now += 50 * ms
@@ -551,6 +553,48 @@
 	}
 }
 
+// TestSharedFault: from an incident with 379 proxies whose dials kept a store down that all servers ask, 28 dials for a
+// session. Where nearly all fail, whatever the server, few go out, and each session is answered at once; with one
+// server in six that fails, none is given up for it; when dials open again all go out soon.
+func TestSharedFault(t *testing.T) {
+	for bad, most := range map[ServerID]int{0: 200, 1: 300, 6: 100} { // the servers that fail, dials for 200 sessions
+		r := fleet(6)
+		dials, given, late := 0, 0, 0
+		for step := range 400 {
+			r.now += 100 * ms
+			if step%20 == 0 {
+				r.b.round()
+			}
+			s := r.arrive(0, Key(step), 0, 0)
+			works := step >= 200
+			for s.out != 0 {
+				if dials++; s.out > bad || works {
+					r.settle(s, Accepted)
+				} else {
+					r.settle(s, Failed)
+				}
+			}
+			if step == 199 && dials > most {
+				t.Errorf("%d servers fail: %d dials for 200 sessions", bad, dials)
+			}
+			if !s.isOpen {
+				given++
+				if s.answer != "refused" || s.comeBack <= 0 {
+					t.Errorf("answered %q, come back after %v", s.answer, s.comeBack)
+				}
+				if step >= 280 {
+					late++
+				}
+			} else {
+				r.b.Settled(r.now, s.id, DialNo(s.dials-1), 1, Accepted, 0, true)
+			}
+		}
+		if bad < 6 && given > 0 || late > 0 || r.fault != "" {
+			t.Errorf("%d servers fail: %d sessions given up, %d of them late; %s", bad, given, late, r.fault)
+		}
+	}
+}
+
 // TestIdleClients: from a day of two proxies on which a cold server got 15 sessions in its window of budget 5, as their
 // clients had last been told to ask for next to nothing: each counts as its listener's usual session at least.
 func TestIdleClients(t *testing.T) {
--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -20,7 +20,8 @@
 	ids     map[string]choice.ServerID
 	servers map[choice.ServerID]*place
 	entries []choice.Entry
-	models  map[string]choice.ModelID // as they came
+	models  map[string]choice.ModelID // as they came, where models are told apart
+	apart   bool
 	// drainsAlone: what is gone, or left out, without having drained may still be dialed.
 	drainsAlone bool
 }
@@ -31,21 +32,21 @@
 	drained       bool // before it was gone
 }
 
-func newDirectory(zones map[string]choice.ZoneID, start time.Time, drainsAlone bool) *directory {
+func newDirectory(zones map[string]choice.ZoneID, start time.Time, drainsAlone, apart bool) *directory {
 	d := &directory{zones: map[string]choice.ZoneID{}, start: start, ids: map[string]choice.ServerID{},
 		servers: map[choice.ServerID]*place{}, models: map[string]choice.ModelID{}}
-	d.change(zones, drainsAlone)
+	d.change(zones, drainsAlone, apart)
 	return d
 }
 
 // change takes what other settings say. A zone keeps the id that it got first, as servers stand under it.
-func (d *directory) change(zones map[string]choice.ZoneID, drainsAlone bool) {
+func (d *directory) change(zones map[string]choice.ZoneID, drainsAlone, apart bool) {
 	for _, name := range slices.SortedFunc(maps.Keys(zones), func(a, b string) int { return cmp.Compare(zones[a], zones[b]) }) {
 		if _, known := d.zones[name]; !known {
 			d.zones[name] = choice.ZoneID(len(d.zones))
 		}
 	}
-	d.drainsAlone = drainsAlone
+	d.drainsAlone, d.apart = drainsAlone, apart
 }
 
 // id of a server: a hash of its name. Where two names meet, the one that came later is hashed on; of one list
@@ -77,10 +78,13 @@
 	d.entries = d.entries[:0]
 	for _, s := range list.Servers {
 		id := d.id(s.ID)
-		if _, known := d.models[s.Model]; !known {
-			d.models[s.Model] = choice.ModelID(len(d.models))
+		if _, known := d.models[s.Model]; !known && d.apart {
+			d.models[s.Model] = choice.ModelID(len(d.models) + 1)
+		}
+		e := choice.Entry{ID: id, Size: s.Size, Zone: d.zones[s.Zone], Cell: choice.CellID(s.Cell)}
+		if d.apart {
+			e.Model = d.models[s.Model]
 		}
-		e := choice.Entry{ID: id, Size: s.Size, Zone: d.zones[s.Zone], Cell: choice.CellID(s.Cell), Model: d.models[s.Model]}
 		switch s.Phase {
 		case discovery.Ready:
 			e.Standing = choice.Ready
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -95,7 +95,7 @@
 		ready: make(chan struct{}), left: make(chan struct{}), limits: limits, text: text, settings: settings}
 	p.timers = timers.New(p.now, p.wake)
 	p.room = socket.NewRoom(limits.Sockets - keptSockets)
-	p.directory = newDirectory(t.zones, p.start, t.list.DrainsBindAlone)
+	p.directory = newDirectory(t.zones, p.start, t.list.DrainsBindAlone, t.models)
 	p.connector = servers.NewConnector(p.execute, p.timers, p.room, p.take, t.connect)
 	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, log)
 	p.table = exchange.NewTable(dialer, p.now, p.later, func(d time.Duration, call func()) { p.timers.After(d, call) },
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -68,7 +68,7 @@
 	p.connector.Change(t.connect)
 	p.table.Change(t.connect, t.still, t.mark, t.tellsLoad, t.tellsDelay, ids)
 	p.clients.Change(t.hello, t.listenerIDs, t.tenantIDs, t.groups)
-	p.directory.change(t.zones, t.list.DrainsBindAlone)
+	p.directory.change(t.zones, t.list.DrainsBindAlone, t.models)
 	p.watcher.Change(t.connect*2, t.list.MustAskIn/2)
 	if !t.words.Allowed && p.peers != nil {
 		p.peers.Close()
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -22,6 +22,7 @@
 	passes, groups bool
 	tellsLoad      bool
 	tellsDelay     bool
+	models         bool // servers of one model are learnt of together
 
 	patience time.Duration // the longest dial timeout
 	hello    time.Duration // for a connection to ask for a session
@@ -42,7 +43,7 @@
 	if err := start.Connections(settings, &t.connect, &t.passes, &t.groups); err != nil {
 		return nil, err
 	}
-	if err := start.Notes(settings, &t.tellsLoad, &t.tellsDelay); err != nil {
+	if err := start.Notes(settings, &t.tellsLoad, &t.tellsDelay, &t.models); err != nil {
 		return nil, err
 	}
 	var longest time.Duration
--- a/internal/start/proxy.go
+++ b/internal/start/proxy.go
@@ -143,10 +143,12 @@
 	return nil
 }
 
-// Notes tells what servers say on open sessions: a session's load, the delay of messages.
-func Notes(settings []byte, load, delay *bool) error {
+// Notes tells what servers say on open sessions, a session's load and the delay of messages, and whether speeds of
+// models are learnt from that.
+func Notes(settings []byte, load, delay, models *bool) error {
 	var told struct {
-		Domain struct {
+		LearnModels bool `json:"learnModels"`
+		Domain      struct {
 			TellsLoad  bool `json:"tellsLoad"`
 			TellsDelay bool `json:"tellsDelay"`
 		} `json:"domain"`
@@ -154,6 +156,6 @@
 	if err := json.Unmarshal(settings, &told); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	*load, *delay = told.Domain.TellsLoad, told.Domain.TellsDelay
+	*load, *delay, *models = told.Domain.TellsLoad, told.Domain.TellsDelay, told.LearnModels
 	return nil
 }
