--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,7 @@
 	mostRest    = 30 * roundSpan
 	mostDepth   = 16       // of scores that any session may go down
 	leastDepth  = 2        // that a group may go down
-	spread      = 2        // and so many more for each server that its part would fill, while servers are in time
+	spread      = 2        // and more for each server that its part would fill, while servers are in time
 	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
 	backOff     = 0.85     // of what a late server carries, for the next time
 	mostDrain   = 0.4      // of what a server can do, kept free for what is piled up
@@ -95,7 +95,7 @@
 
 func (s *session) key() Key { return cmp.Or(s.Group, s.Client, Key(s.ID)) }
 
-// model is what is learnt of the servers of one model: a listed size tells their cores, not how fast they are.
+// model is what is learnt of the servers of one model: a listed size tells cores, not how fast they are.
 type model struct {
 	id          ModelID
 	speed       float64 // by which listed sizes count, as against other models'
@@ -182,17 +182,18 @@
 // New makes a balancer and starts following the list.
 func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules,
 	cold ColdRule, words WordRule) *Balancer {
-	b := &Balancer{front: front, chance: chance, byID: map[ServerID]*server{}, sessions: map[SessionID]*session{},
-		loadOf: map[Key]float64{}, groups: map[Key]int{}, meanFactor: 1, usualLoad: 1, limit: threshold(assumedLoad)}
+	b := &Balancer{front: front, chance: chance, byID: map[ServerID]*server{},
+		sessions: map[SessionID]*session{}, loadOf: map[Key]float64{}, groups: map[Key]int{},
+		meanFactor: 1, usualLoad: 1, limit: threshold(assumedLoad)}
 	b.take(listeners, dials, list, cold, words)
 	b.front.Timer(roundSpan, tokenRound)
 	b.ask()
 	return b
 }
 
-// Switch takes other settings. What was learnt stays, and each session keeps its terms; ids of listeners are by
-// the new settings from now on. Turns at cold servers are dealt anew, and nothing goes there for a window, so that
-// none meets turns by both rules.
+// Switch takes other settings. What was learnt stays, and each session keeps its terms; ids of listeners are
+// by the new settings from now on. Turns at cold servers are dealt anew, and nothing goes there for a window,
+// so that none meets turns by both rules.
 func (b *Balancer) Switch(now time.Duration, listeners []Listener, dials DialLimits, list ListRules,
 	cold ColdRule, words WordRule) {
 	b.now = now
@@ -333,9 +334,9 @@
 	}
 }
 
-// learnModels guards against sizes that tell nothing of speed: servers of a slow model are late more often than
-// others that hold as much, and each proxy hears of too few to learn it of every one. A model's speed falls with
-// each late server more, and rises with each less, than it would have if all models' were late alike.
+// learnModels guards against sizes that tell nothing of speed: servers of a slow model are late more often
+// than others that hold as much, and each proxy hears of too few to learn it of every one. A model's speed
+// falls with each late server more, and rises with each less, than if all models' were late alike.
 func (b *Balancer) learnModels() {
 	late, heard := 0.0, 0.0
 	for _, m := range b.models {
@@ -830,7 +831,7 @@
 	return able
 }
 
-// lateShare is the share of late servers among those that this proxy hears of, as only its sessions bring word.
+// lateShare is the share of late servers among those it hears of, as only its sessions bring word.
 func (b *Balancer) lateShare() float64 {
 	if b.now-b.lateShareAt > noteSpan/4 {
 		late, heard := 0.0, 2.0 // in time, and two more, so that one of few tells little
@@ -847,7 +848,7 @@
 }
 
 // depth is how many of its best scores a session may go down: as its group's part of the sessions demands. Of
-// a few sessions one of its group tells little, so as many others as there are servers are added to them. Where
+// a few sessions one of its group tells little, so as many others as there are servers are added. Where
 // many servers are late it goes less deep: each one more that holds of the group makes the overload worse.
 func (b *Balancer) depth(s *session) int {
 	if s.Group == 0 {
