Groups are parted where proxies are several times the servers

At fault: key() took the group alone, and depth() needs sessions of a group at this proxy, which has six of 1,000. Change: partOf parts a group by its clients in as many parts as proxies are times the servers, three at most, while the proxy has fewer sessions than there are servers. Harm: each server that holds any of a group pays for it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,6 +32,7 @@
 	mostRest    = 30 * roundSpan
 	mostDepth   = 16       // of scores that any session may go down
 	leastDepth  = 2        // that a group may go down
+	mostParts   = 3        // of a group
 	spread      = 2        // and more for each server that its part would fill, while servers are in time
 	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
 	backOff     = 0.85     // of what a late server carries, for the next time
@@ -79,6 +80,7 @@
 type session struct {
 	Arrival
 	*terms
+	mark     Key // by which it is placed
 	state    state
 	deadline time.Duration
 	dials    int
@@ -93,8 +95,6 @@
 	firstAt  time.Duration
 }
 
-func (s *session) key() Key { return cmp.Or(s.Group, s.Client, Key(s.ID)) }
-
 // model is what is learnt of the servers of one model: a listed size tells cores, not how fast they are.
 type model struct {
 	id          ModelID
@@ -277,7 +277,7 @@
 // best returns the highest scores for the session's key among the ready servers that may pass, at most depth
 // of them, in one pass over the fleet. They are good until the next call.
 func (b *Balancer) best(s *session, depth int, may func(*Balancer, *session, *server) bool) []scored {
-	top, key := b.top[:0], mix(uint64(s.key()))
+	top, key := b.top[:0], mix(uint64(s.mark))
 	depth = min(depth, len(b.top))
 	least := 0.0
 	for i := range b.lanes {
@@ -532,7 +532,7 @@
 	var best *server
 	most := 0.0
 	for _, srv := range b.ramping {
-		g := draw(s.key(), srv.ID)
+		g := draw(s.mark, srv.ID)
 		if b.overBudget(s, srv) || g <= 1-srv.lift || srv.base*g <= most {
 			continue
 		}
@@ -769,10 +769,29 @@
 		b.arrivals++
 	}
 	s := &session{Arrival: a, terms: b.terms[a.Listener], deadline: now + a.Left}
+	s.mark = cmp.Or(a.Group, a.Client, Key(a.ID))
+	if a.Group != 0 {
+		s.mark = b.partOf(a.Group, cmp.Or(a.Client, Key(a.ID)))
+	}
 	b.sessions[a.ID] = s
 	return s, nil
 }
 
+// partOf parts a group by its clients where proxies are several times the servers and hold few sessions: each has
+// a small part of one server's load and can't see which groups are large, all would send a group to its one
+// server however much it is, and few hear that the server is late. Parts are nested, the first is the group's own
+// and each other one has an order of servers of its own. Harm: each server that holds any of a group pays for it.
+func (b *Balancer) partOf(group, client Key) Key {
+	parts := 1
+	if len(b.sessions) < len(b.ready) {
+		parts = min(b.cold.Proxies/len(b.ready), mostParts)
+	}
+	if part := int(unit(mix(uint64(client)), mix(uint64(group))) * float64(parts)); part > 0 {
+		return Key(mix(uint64(group) + uint64(part)))
+	}
+	return group
+}
+
 // place dials the best server for a session, or gives the session up.
 func (b *Balancer) place(s *session) {
 	wait := s.deadline - b.now
@@ -1125,7 +1144,7 @@
 		if to == nil || b.loaded(to, s.Load) > b.limit {
 			return 0
 		}
-		return to.x * draw(s.key(), to.ID) / (srv.x * draw(s.key(), srv.ID))
+		return to.x * draw(s.mark, to.ID) / (srv.x * draw(s.mark, srv.ID))
 	})
 	b.send(srv, rest, func(s *session) float64 {
 		return s.weighed / max(s.Utility, 1e-9)
--- a/choice/rig_test.go
+++ b/choice/rig_test.go
@@ -243,7 +243,7 @@
 func anyServer(*Balancer, *session, *server) bool { return true }
 
 func (r *rig) top(key Key) *server {
-	return r.b.pick(&session{Arrival: Arrival{Client: key}}, anyServer)
+	return r.b.pick(&session{mark: key}, anyServer)
 }
 
 func (r *rig) arrive(listener ListenerID, client, group Key, left time.Duration) *owed {
