A budget of dials beyond each session's first is kept in every window

Need: three deployments ration further dials (invariants.freeResends, furtherRatio, budgetWindow). The module knew no such rule: what failed was dialed again at once. Change: start reads the three, whole or not at all, each checked by name; Switch takes them; affords() counts time stamps of sessions taken and of further dials in the window that ends now, a 64th more for dials and less for sessions, as the clock of others may cut it elsewhere. Spent, a session is given up at once by the usual rules. What was dialed before a wider window came with a switch is not known, so nothing is dialed again until it passed. Also guards against storms of retries whatever their cause. Harm: a session whose first dial fails is refused more often. Without the settings no pick differs.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,6 +16,7 @@
 	"math/bits"
 	"math/rand"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -42,6 +43,7 @@
 	dropShare   = 4        // one in so many of its sessions, dropped in a note's span, shows a server in trouble
 	fullLoad    = 2.0 / 3  // known load that takes nothing new, as when messages take a third of the target
 	modelStep   = 0.25     // of a model's speed, for each late server more than others' servers would have had
+	windowEdge  = 64       // a window may be cut a part of it earlier or later
 	mostSpeed   = 4.0      // times what the listed size tells, or that part of it
 )
 
@@ -136,6 +138,7 @@
 	front  Front
 	chance *rand.Rand
 	terms  []*terms // by listeners' ids
+	budget DialBudget
 	list   ListRules
 	cold   ColdRule
 	words  WordRule
@@ -162,6 +165,8 @@
 	sessions                       map[SessionID]*session
 	ramping                        []*server     // ready and cold
 	coldHeld                       time.Duration // cold servers get nothing until then
+	taken, further                 ring          // times of sessions, and of dials beyond their first
+	furtherHeld                    time.Duration // no further dials until then
 	opened, failed                 float64       // dials, each round half of them forgotten
 	watching                       bool          // the list is subscribed to
 	arrivals, told                 int           // sessions that did not come back, words to other proxies
@@ -180,12 +185,12 @@
 }
 
 // New makes a balancer and starts following the list.
-func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, list ListRules,
-	cold ColdRule, words WordRule) *Balancer {
+func New(front Front, chance *rand.Rand, listeners []Listener, dials DialLimits, budget DialBudget,
+	list ListRules, cold ColdRule, words WordRule) *Balancer {
 	b := &Balancer{front: front, chance: chance, byID: map[ServerID]*server{},
 		sessions: map[SessionID]*session{}, loadOf: map[Key]float64{}, groups: map[Key]int{},
 		meanFactor: 1, usualLoad: 1, limit: threshold(assumedLoad)}
-	b.take(listeners, dials, list, cold, words)
+	b.take(listeners, dials, budget, list, cold, words)
 	b.front.Timer(roundSpan, tokenRound)
 	b.ask()
 	return b
@@ -194,9 +199,12 @@
 // Switch takes other settings. What was learnt stays, and each session keeps its terms; ids of listeners are
 // by the new settings from now on. Turns at cold servers are dealt anew, and nothing goes there for a window,
 // so that none meets turns by both rules.
-func (b *Balancer) Switch(now time.Duration, listeners []Listener, dials DialLimits, list ListRules,
-	cold ColdRule, words WordRule) {
+func (b *Balancer) Switch(now time.Duration, listeners []Listener, dials DialLimits, budget DialBudget,
+	list ListRules, cold ColdRule, words WordRule) {
 	b.now = now
+	if more := budget.Window - b.budget.Window; more > 0 { // what was dialed then is not known any more
+		b.furtherHeld = max(b.furtherHeld, now+more)
+	}
 	if cold != b.cold {
 		b.coldHeld = now + max(cold.Window, b.cold.Window)
 		for _, srv := range b.servers {
@@ -204,17 +212,17 @@
 		}
 	}
 	watched := b.list.MustWatch
-	b.take(listeners, dials, list, cold, words)
+	b.take(listeners, dials, budget, list, cold, words)
 	b.listReady()
 	if !watched {
 		b.ask()
 	}
 }
 
-func (b *Balancer) take(listeners []Listener, dials DialLimits, list ListRules, cold ColdRule,
-	words WordRule) {
+func (b *Balancer) take(listeners []Listener, dials DialLimits, budget DialBudget, list ListRules,
+	cold ColdRule, words WordRule) {
 	was := b.terms
-	b.terms, b.list, b.cold, b.words = nil, list, cold, words
+	b.terms, b.budget, b.list, b.cold, b.words = nil, budget, list, cold, words
 	b.longestWait, b.messageTarget = 0, math.MaxInt64
 	for _, l := range listeners {
 		next := &terms{l, dials, &mean{}}
@@ -735,6 +743,9 @@
 	if err != nil {
 		return err
 	}
+	if b.budget.Window > 0 { // those held from before are not taken anew
+		b.taken.add(now, now-b.budget.Window)
+	}
 	b.place(s)
 	return nil
 }
@@ -795,7 +806,8 @@
 // place dials the best server for a session, or gives the session up.
 func (b *Balancer) place(s *session) {
 	wait := s.deadline - b.now
-	if s.dials >= s.MostDials || wait < s.HandshakeTarget/16 || !b.mayRerun(s) || b.spare(s) {
+	if s.dials >= s.MostDials || wait < s.HandshakeTarget/16 || !b.mayRerun(s) || b.spare(s) ||
+		s.dials > 0 && !b.affords() {
 		b.giveUp(s)
 		return
 	}
@@ -824,6 +836,9 @@
 	if b.warmth(srv) < 1 {
 		srv.sent += b.weight(s)
 	}
+	if s.dials > 0 && b.budget.Window > 0 {
+		b.further.add(b.now, b.now-b.budget.Window)
+	}
 	s.tried[s.dials%len(s.tried)] = srv
 	s.dials++
 	s.dialedAt = b.now
@@ -933,6 +948,42 @@
 	return !s.MidFlow && b.failed > 2*b.opened && b.chance.Float64() < (b.failed-2*b.opened)/(b.failed+1)
 }
 
+// affords tells whether the budget of dials beyond each session's first has one left: in the window that ends
+// now, and a little longer for dials and shorter for sessions, as others' clocks may cut it elsewhere.
+func (b *Balancer) affords() bool {
+	window, edge := b.budget.Window, b.budget.Window/windowEdge
+	if window == 0 {
+		return true
+	}
+	most := b.budget.Free + b.budget.Share*float64(b.taken.since(b.now-window+edge))
+	return b.now >= b.furtherHeld && float64(b.further.since(b.now-window-edge)+1) <= most
+}
+
+// ring has times in their order, as many as there are in a window.
+type ring struct {
+	at       []time.Duration
+	first, n int
+}
+
+// add takes a time in and forgets those well before since.
+func (r *ring) add(at, since time.Duration) {
+	for r.n > 0 && r.at[r.first] < since-(at-since)/windowEdge {
+		r.first, r.n = (r.first+1)%len(r.at), r.n-1
+	}
+	if r.n == len(r.at) {
+		grown := make([]time.Duration, max(2*r.n, samplesKept))
+		copy(grown[copy(grown, r.at[r.first:]):], r.at[:r.first])
+		r.at, r.first = grown, 0
+	}
+	r.at[(r.first+r.n)%len(r.at)] = at
+	r.n++
+}
+
+// since is how many times there are from then on.
+func (r *ring) since(then time.Duration) int {
+	return r.n - sort.Search(r.n, func(i int) bool { return r.at[(r.first+i)%len(r.at)] >= then })
+}
+
 // mayRerun tells whether another dial may go out after those that may have run.
 func (b *Balancer) mayRerun(s *session) bool {
 	return !s.mayRun || s.Effect == Repeatable || s.Effect == Referenced && b.now-s.firstAt < s.RepeatWindow
--- a/choice/rig_test.go
+++ b/choice/rig_test.go
@@ -33,6 +33,9 @@
 	lenient   bool // drains alone bind
 	listeners []Listener
 	dials     DialLimits
+	budget    DialBudget
+	taken     []time.Duration
+	further   []time.Duration // dials beyond each session's first
 	cold      ColdRule
 	next      SessionID
 }
@@ -71,7 +74,7 @@
 func newRig(cold ColdRule, chance *rand.Rand) *rig {
 	r := &rig{most: 9, listeners: someListeners, dials: DialLimits{MostDials: 4, MaxComeBack: 2 * sec}, cold: cold, sessions: map[SessionID]*owed{}, standing: map[ServerID]Entry{},
 		dialsTo: map[ServerID][]time.Duration{}, coldDials: map[ServerID][]time.Duration{}}
-	r.b = New(r, chance, someListeners, DialLimits{MostDials: 4, MaxComeBack: 2 * sec},
+	r.b = New(r, chance, someListeners, DialLimits{MostDials: 4, MaxComeBack: 2 * sec}, DialBudget{},
 		ListRules{MustWatch: true, MustAskIn: 10 * sec}, cold, WordRule{})
 	return r
 }
@@ -110,6 +113,10 @@
 		r.fail("referenced session %d leaves its group", id)
 	}
 	r.coldBudget(to, e)
+	if s.dials > 0 {
+		r.further = append(r.further, r.now)
+		r.checkBudget(id)
+	}
 	s.out, s.outSince, s.outUntil = to, r.now, r.now+limit
 	s.dials++
 }
@@ -130,6 +137,15 @@
 	}
 }
 
+// checkBudget checks the window that ends now, which holds the dial at hand.
+func (r *rig) checkBudget(id SessionID) {
+	after := r.now - r.budget.Window
+	most := r.budget.Free + r.budget.Share*float64(inWindow(r.taken, after))
+	if n := inWindow(r.further, after); r.budget.Window > 0 && float64(n) > most {
+		r.fail("session %d is dialed again as number %d of %.2f in %v", id, n, most, r.budget.Window)
+	}
+}
+
 func inWindow(dials []time.Duration, after time.Duration) (n int) {
 	for _, at := range dials {
 		if at > after {
@@ -231,13 +247,14 @@
 	r.b.List(r.now, kind, entries)
 }
 
-// change switches to the settings of another deployment, or back.
-func (r *rig) change(other bool) {
+// change switches to the settings of another deployment, or back, with a budget of dials or without.
+func (r *rig) change(other bool, budget DialBudget) {
+	r.budget = budget
 	r.listeners, r.cold, r.dials = someListeners, someCold, DialLimits{MostDials: 4, MaxComeBack: 2 * sec}
 	if other {
 		r.listeners, r.cold, r.dials = otherListeners, otherCold, DialLimits{MostDials: 2}
 	}
-	r.b.Switch(r.now, r.listeners, r.dials, ListRules{MustWatch: true, MustAskIn: 10 * sec}, r.cold, WordRule{Allowed: other})
+	r.b.Switch(r.now, r.listeners, r.dials, budget, ListRules{MustWatch: true, MustAskIn: 10 * sec}, r.cold, WordRule{Allowed: other})
 }
 
 func anyServer(*Balancer, *session, *server) bool { return true }
@@ -255,6 +272,7 @@
 	s := &owed{id: r.next, listener: l, arrived: r.now, deadline: r.now + left, DialLimits: r.dials}
 	r.sessions[s.id] = s
 	r.order = append(r.order, s)
+	r.taken = append(r.taken, r.now)
 	a := Arrival{ID: s.id, Listener: listener, Left: left, Client: client, Group: group}
 	if err := r.b.Arrive(r.now, a); err != nil {
 		r.fail("%v", err)
@@ -333,7 +351,7 @@
 		[]func(time.Duration, ServerID, time.Duration){r.b.DelayNoted, r.b.Told}[chance.Intn(2)](r.now, id,
 			time.Duration(chance.Int63n(int64(8*sec))))
 	case 11:
-		r.change(chance.Intn(8) == 0)
+		r.change(chance.Intn(8) == 0, []DialBudget{{}, {1, 0.1, 2 * sec}, {0, 0.3, 5 * sec}}[chance.Intn(3)])
 	}
 	for _, s := range r.order {
 		if s.answer == "" && !s.gone && !s.isOpen && s.out == 0 {
--- a/choice/types.go
+++ b/choice/types.go
@@ -72,6 +72,14 @@
 	MaxComeBack time.Duration // 0 where clients take no advice
 }
 
+// DialBudget bounds a proxy's dials beyond each session's first: in any window no more than a few, and a share of
+// the sessions that it took in that window, refused ones too. No bound with a window of 0.
+type DialBudget struct {
+	Free   float64       // dials
+	Share  float64       // dials for each session taken
+	Window time.Duration // in which both are counted
+}
+
 // ListRules say how the list of servers is followed. Dials to a server stop as soon as its drain is told.
 type ListRules struct {
 	MustWatch bool          // the list comes only to those who asked
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -202,15 +202,16 @@
 	var (
 		listeners []choice.Listener
 		dials     choice.DialLimits
+		budget    choice.DialBudget
 		list      choice.ListRules
 		cold      choice.ColdRule
 		words     choice.WordRule
 	)
-	if err := start.Module(info, &listeners, &dials, &list, &cold, &words); err != nil {
+	if err := start.Module(info, &listeners, &dials, &budget, &list, &cold, &words); err != nil {
 		return err
 	}
 	chance := rand.New(rand.NewSource(int64(seed)))
 	l.proxies[inst] = proxy{start: clock, balancer: choice.New(front{inst: inst, reply: &l.reply}, chance,
-		listeners, dials, list, cold, words)}
+		listeners, dials, budget, list, cold, words)}
 	return nil
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -138,7 +138,7 @@
 		50*ms, stillFor, NewDelays(33*ms, sec, true, true))
 	r.b = choice.New(front{r.Table, r}, rand.New(rand.NewSource(1)),
 		[]choice.Listener{{HandshakeTarget: 300 * ms, DialTimeout: 1200 * ms, MessageTarget: 100 * ms, Utility: 1}},
-		choice.DialLimits{MostDials: 3}, choice.ListRules{MustWatch: true, MustAskIn: 10 * sec},
+		choice.DialLimits{MostDials: 3}, choice.DialBudget{}, choice.ListRules{MustWatch: true, MustAskIn: 10 * sec},
 		choice.ColdRule{Span: 20 * sec, From: 0.2, Multiple: 3, Window: 3 * sec, Proxies: 3},
 		choice.WordRule{})
 	r.Serve(r.b)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -109,8 +109,8 @@
 		return err
 	}
 	p.begin = func() {
-		p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.list,
-			t.cold, t.words)
+		p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
+			t.list, t.cold, t.words)
 		p.table.Serve(p.balancer)
 		p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
 		p.sweep()
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -74,7 +74,7 @@
 		p.peers.Close()
 		p.peers = nil
 	}
-	p.balancer.Switch(p.now(), t.listeners, t.dials, t.list, t.cold, t.words)
+	p.balancer.Switch(p.now(), t.listeners, t.dials, t.budget, t.list, t.cold, t.words)
 }
 
 // changed names the parts of a configuration that differ and are read at a start only. The list of servers that
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -11,6 +11,7 @@
 type terms struct {
 	listeners []choice.Listener
 	dials     choice.DialLimits
+	budget    choice.DialBudget
 	list      choice.ListRules
 	cold      choice.ColdRule
 	words     choice.WordRule
@@ -34,7 +35,7 @@
 func read(settings []byte) (*terms, error) {
 	t := &terms{listenerIDs: map[string]choice.ListenerID{}, tenantIDs: map[string]choice.TenantID{},
 		zones: map[string]choice.ZoneID{}, hello: mostHello, still: mostStill}
-	if err := start.Module(settings, &t.listeners, &t.dials, &t.list, &t.cold, &t.words); err != nil {
+	if err := start.Module(settings, &t.listeners, &t.dials, &t.budget, &t.list, &t.cold, &t.words); err != nil {
 		return nil, err
 	}
 	if err := start.Names(settings, t.listenerIDs, t.tenantIDs, t.zones); err != nil {
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -12,8 +12,8 @@
 )
 
 // Module takes from the text of the settings what the named parts of the module want.
-func Module(text []byte, listeners *[]choice.Listener, dials *choice.DialLimits, list *choice.ListRules,
-	cold *choice.ColdRule, words *choice.WordRule) error {
+func Module(text []byte, listeners *[]choice.Listener, dials *choice.DialLimits, budget *choice.DialBudget,
+	list *choice.ListRules, cold *choice.ColdRule, words *choice.WordRule) error {
 	var told struct {
 		Discovery string `json:"discovery"`
 		Listeners []struct {
@@ -38,6 +38,10 @@
 			TipAfter     float64 `json:"tipAfter"`
 			MustAskIn    float64 `json:"mustAskIn"`
 			DrainsAlone  bool    `json:"drainBindsAlone"`
+
+			FreeResends  *float64 `json:"freeResends"`
+			FurtherRatio *float64 `json:"furtherRatio"`
+			BudgetWindow *float64 `json:"budgetWindow"`
 		} `json:"invariants"`
 		Domain struct {
 			MessageAim []float64 `json:"messageAim"`
@@ -92,6 +96,10 @@
 	if told.Ceilings.RetryAfter {
 		dials.MaxComeBack = span(told.Ceilings.MaxRetryAfter)
 	}
+	if err := furtherDials(told.Invariants.FreeResends, told.Invariants.FurtherRatio, told.Invariants.BudgetWindow,
+		budget); err != nil {
+		return err
+	}
 	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span(told.Invariants.MustAskIn),
 		DrainsBindAlone: told.Invariants.DrainsAlone}
 	*cold = choice.ColdRule{Span: span(told.Invariants.Cold), From: told.Invariants.ColdFrom,
@@ -124,6 +132,31 @@
 	return nil
 }
 
+// furtherDials takes the budget of dials beyond each session's first: stated whole, or not at all.
+func furtherDials(free, ratio, window *float64, budget *choice.DialBudget) error {
+	if free == nil && ratio == nil && window == nil {
+		*budget = choice.DialBudget{}
+		return nil
+	}
+	for _, of := range []struct {
+		name  string
+		value *float64
+	}{{"freeResends", free}, {"furtherRatio", ratio}, {"budgetWindow", window}} {
+		if of.value == nil {
+			return fmt.Errorf("settings: a budget of dials without %s", of.name)
+		}
+		if *of.value < 0 || of.value == window && *window == 0 {
+			return fmt.Errorf("settings: %s is %v, out of range", of.name, *of.value)
+		}
+	}
+	span, err := millis(*window)
+	if err != nil || span == 0 {
+		return fmt.Errorf("settings: budgetWindow is %v, out of range", *window)
+	}
+	*budget = choice.DialBudget{Free: *free, Share: *ratio, Window: span}
+	return nil
+}
+
 func millis(ms float64) (time.Duration, error) {
 	if !(ms >= 0 && ms < 1e12) {
 		return 0, fmt.Errorf("settings: time %v is out of range", ms)
--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -1,6 +1,7 @@
 package start
 
 import (
+	"strings"
 	"testing"
 
 	"chalkferry/choice"
@@ -17,11 +18,12 @@
 		var (
 			listeners []choice.Listener
 			dials     choice.DialLimits
+			budget    choice.DialBudget
 			list      choice.ListRules
 			cold      choice.ColdRule
 			words     choice.WordRule
 		)
-		if err := Module([]byte(text), &listeners, &dials, &list, &cold, &words); err != nil {
+		if err := Module([]byte(text), &listeners, &dials, &budget, &list, &cold, &words); err != nil {
 			t.Fatalf("%s: %v", text, err)
 		}
 		if list.DrainsBindAlone != alone || cold.Proxies != 3 || cold.Me != 2 {
@@ -29,3 +31,36 @@
 		}
 	}
 }
+
+// TestBudget: a budget of dials reaches the module's part whole, or is refused by name; left out there is none.
+func TestBudget(t *testing.T) {
+	const head = `{"listeners":[{"dialTimeout":800,"handshakeTarget":200,"effect":"read_like"}],"invariants":{`
+	for text, want := range map[string]string{
+		`}}`: "",
+		`"freeResends":3,"furtherRatio":0.15,"budgetWindow":5000}}`:  "",
+		`"freeResends":0,"furtherRatio":0,"budgetWindow":1}}`:        "",
+		`"freeResends":3,"furtherRatio":0.15}}`:                      "budgetWindow",
+		`"freeResends":3,"budgetWindow":5000}}`:                      "furtherRatio",
+		`"furtherRatio":0.15,"budgetWindow":5000}}`:                  "freeResends",
+		`"freeResends":-1,"furtherRatio":0.15,"budgetWindow":5000}}`: "freeResends",
+		`"freeResends":3,"furtherRatio":-0.1,"budgetWindow":5000}}`:  "furtherRatio",
+		`"freeResends":3,"furtherRatio":0.15,"budgetWindow":0}}`:     "budgetWindow",
+		`"freeResends":3,"furtherRatio":0.15,"budgetWindow":1e300}}`: "out of range",
+		`"freeResends":3,"furtherRatio":"x","budgetWindow":5000}}`:   "furtherRatio",
+	} {
+		var (
+			listeners []choice.Listener
+			dials     choice.DialLimits
+			budget    choice.DialBudget
+			list      choice.ListRules
+			cold      choice.ColdRule
+			words     choice.WordRule
+		)
+		switch err := Module([]byte(head+text), &listeners, &dials, &budget, &list, &cold, &words); {
+		case want == "" && err != nil, want != "" && (err == nil || !strings.Contains(err.Error(), want)):
+			t.Errorf("%s: %v, not %q", text, err, want)
+		case want == "" && (budget.Window > 0) != strings.Contains(text, "budgetWindow"):
+			t.Errorf("%s: %+v", text, budget)
+		}
+	}
+}
