A dial that no other can follow gets all the time; groups parted at three proxies a server

A dial that no other can follow gets all. Harm: a hung server keeps such a session for its whole time. TestLastDial fails on the old code. Groups are parted only from three proxies a server on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	mostRest    = 30 * roundSpan
 	mostDepth   = 16       // of scores that any session may go down
 	leastDepth  = 2        // that a group may go down
-	mostParts   = 3        // of a group
+	parts       = 3        // of a group, with that many proxies for each server or more
 	spread      = 2        // and more for each server that its part would fill, while servers are in time
 	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
 	backOff     = 0.85     // of what a late server carries, for the next time
@@ -793,11 +793,10 @@
 // server however much it is, and few hear that the server is late. Parts are nested, the first is the group's own
 // and each other one has an order of servers of its own. Harm: each server that holds any of a group pays for it.
 func (b *Balancer) partOf(group, client Key) Key {
-	parts := 1
-	if len(b.sessions) < len(b.ready) {
-		parts = min(b.cold.Proxies/len(b.ready), mostParts)
+	if b.cold.Proxies < parts*len(b.ready) || len(b.sessions) >= len(b.ready) {
+		return group
 	}
-	if part := int(unit(mix(uint64(client)), mix(uint64(group))) * float64(parts)); part > 0 {
+	if part := int(unit(mix(uint64(client)), mix(uint64(group))) * parts); part > 0 {
 		return Key(mix(uint64(group) + uint64(part)))
 	}
 	return group
@@ -830,7 +829,7 @@
 		b.giveUp(s)
 		return
 	}
-	if s.Effect == Repeatable {
+	if s.Effect == Repeatable && b.affords() { // one that no other can follow gets all the time
 		wait = max(wait/time.Duration(s.MostDials-s.dials), min(wait, s.HandshakeTarget/2))
 	}
 	if b.warmth(srv) < 1 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -419,6 +419,18 @@
 	}
 }
 
+// TestLastDial: from days with a slow store, where a dial was cut short for others that the budget then forbade.
+func TestLastDial(t *testing.T) {
+	for budget, want := range map[DialBudget]time.Duration{{}: 300 * ms, {Window: 2 * sec}: 1200 * ms, {Free: 1, Window: 2 * sec}: 300 * ms} {
+		r := fleet(9)
+		r.change(false, budget)
+		r.now += 3 * sec
+		if s := r.arrive(0, 1, 0, 0); s.outUntil-s.outSince != want {
+			t.Errorf("%+v: a dial of %v", budget, s.outUntil-s.outSince)
+		}
+	}
+}
+
 // TestFlood: from overload under 71 and 735 proxies, where every client sent away went to the few servers
 // that nobody had heard to be late, and made them late: it passes an unheard server as often as heard ones
 // are late.
