--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,8 @@
 	mostRest    = 30 * roundSpan
 	mostDepth   = 16       // of scores that any session may go down
 	leastDepth  = 2        // that a group may go down
-	parts       = 3        // of a group, with that many proxies for each server or more
+	parts       = 2        // of a group, where there are
+	someProxies = 3        // for each server, or more
 	spread      = 2        // and more for each server that its part would fill, while servers are in time
 	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
 	backOff     = 0.85     // of what a late server carries, for the next time
@@ -793,7 +794,7 @@
 // server however much it is, and few hear that the server is late. Parts are nested, the first is the group's own
 // and each other one has an order of servers of its own. Harm: each server that holds any of a group pays for it.
 func (b *Balancer) partOf(group, client Key) Key {
-	if b.cold.Proxies < parts*len(b.ready) || len(b.sessions) >= len(b.ready) {
+	if b.cold.Proxies < someProxies*len(b.ready) || len(b.sessions) >= len(b.ready) {
 		return group
 	}
 	if part := int(unit(mix(uint64(client)), mix(uint64(group))) * parts); part > 0 {
