Groups go in parts only where a proxy hears of less than one server in eight

Change: the second condition is what a proxy hears of, one server a session at most and two more, below an eighth of all (before: fewer sessions than servers).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,7 +34,8 @@
 	mostDepth   = 16       // of scores that any session may go down
 	leastDepth  = 2        // that a group may go down
 	parts       = 2        // of a group, where there are
-	someProxies = 3        // for each server, or more
+	someProxies = 3        // for each server, or more, and each
+	heardOf     = 8        // hears of less than one server in so many
 	spread      = 2        // and more for each server that its part would fill, while servers are in time
 	leastShare  = 1.0 / 32 // a lowered weight leaves this share of the usual one
 	backOff     = 0.85     // of what a late server carries, for the next time
@@ -789,12 +790,12 @@
 	return s, nil
 }
 
-// partOf parts a group by its clients where proxies are several times the servers and hold few sessions: each has
-// a small part of one server's load and can't see which groups are large, all would send a group to its one
-// server however much it is, and few hear that the server is late. Parts are nested, the first is the group's own
-// and each other one has an order of servers of its own. Harm: each server that holds any of a group pays for it.
+// partOf parts a group by its clients where proxies are several times the servers and each hears of few, of one
+// for each session at most and two more: it can't see which groups are large, all would send a group to its one
+// server however much it is, and few hear that the server is late. The first part is the group's own, the other
+// has an order of servers of its own. Harm: each server that holds any of a group pays for it.
 func (b *Balancer) partOf(group, client Key) Key {
-	if b.cold.Proxies < someProxies*len(b.ready) || len(b.sessions) >= len(b.ready) {
+	if b.cold.Proxies < someProxies*len(b.ready) || (len(b.sessions)+2)*heardOf > len(b.ready) {
 		return group
 	}
 	if part := int(unit(mix(uint64(client)), mix(uint64(group))) * parts); part > 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -431,6 +431,31 @@
 	}
 }
 
+// TestParts sends a group's clients through proxies that hold nothing else. Where these are several times the
+// servers, and the servers many, its sessions stand at two servers in like parts, the same for all proxies; else at one.
+func TestParts(t *testing.T) {
+	const clients = 600
+	for _, c := range []struct{ proxies, servers, places int }{{3, 24, 1}, {24, 24, 1}, {71, 24, 1}, {72, 24, 2}, {300, 24, 2},
+		{300, 12, 1}} {
+		at := map[ServerID]int{}
+		for k := range Key(clients) {
+			cold := someCold
+			cold.Proxies = c.proxies
+			r := newRig(cold, rand.New(rand.NewSource(int64(k))))
+			r.list(ListFull, c.servers)
+			at[r.arrive(0, k+1, 9, 0).out]++
+		}
+		if len(at) != c.places {
+			t.Errorf("%d proxies, %d servers: the group has the servers %v", c.proxies, c.servers, at)
+		}
+		for id, n := range at {
+			if n < clients/c.places*3/4 {
+				t.Errorf("%d proxies, %d servers: %d of %d sessions at server %d", c.proxies, c.servers, n, clients, id)
+			}
+		}
+	}
+}
+
 // TestFlood: from overload under 71 and 735 proxies, where every client sent away went to the few servers
 // that nobody had heard to be late, and made them late: it passes an unheard server as often as heard ones
 // are late.
