--- a/internal/fleet/budget_test.go
+++ b/internal/fleet/budget_test.go
@@ -178,6 +178,29 @@
 	}
 }
 
+// TestLentOn: a member that has spent its own part, and holds another's, lends nothing, however much it may spend.
+func TestLentOn(t *testing.T) {
+	now := 100 * sec
+	var fleet []*Budget
+	for me := range MemberID(worldAmount) {
+		fleet = append(fleet, member(0, me, 1, sound))
+	}
+	word, _ := fleet[0].Borrow(now, 1, 1)
+	answer, ok := fleet[1].Hear(now, word)
+	if !ok {
+		t.Fatal("nothing is lent")
+	}
+	fleet[0].own.add(now, 1)
+	fleet[0].Hear(now, answer)
+	word, _ = fleet[2].Borrow(now, 0, 1)
+	if answer, ok := fleet[0].Hear(now, word); ok || fleet[0].Free(now) != 1 {
+		t.Errorf("lends on %+v, with %d free", answer, fleet[0].Free(now))
+	}
+	if answer, ok := fleet[1].Hear(now, Word{Ask, 2, 1, LeaseID{2, 1, 9}, 1}); ok {
+		t.Errorf("lends the same again: %+v", answer)
+	}
+}
+
 // TestPassedOver: words that fit nothing change nothing and are not answered.
 func TestPassedOver(t *testing.T) {
 	b := member(0, 0, 7, sound)
