--- a/internal/fleet/counts.go
+++ b/internal/fleet/counts.go
@@ -37,6 +37,7 @@
 type Report struct {
 	Of          MemberID
 	Incarnation Incarnation
+	Number      uint64 // of the member's reports
 	Age         time.Duration
 	Counts      []Count
 }
@@ -65,7 +66,8 @@
 type reported struct {
 	incarnation Incarnation
 	known       bool
-	asOf        time.Duration // by this process's clock
+	number      uint64        // of its latest report
+	asOf        time.Duration // when that was told, by this process's clock
 	counts      []Count       // in the order of their keys
 }
 
@@ -103,7 +105,8 @@
 // be lost.
 func (c *Counts) Tell(n int) Report {
 	own := &c.members[c.me]
-	report := Report{Of: c.me, Incarnation: own.incarnation}
+	own.number++
+	report := Report{Of: c.me, Incarnation: own.incarnation, Number: own.number}
 	if n >= len(own.counts) {
 		report.Counts = slices.Clone(own.counts)
 		return report
@@ -125,7 +128,7 @@
 	}
 	m := &c.members[of]
 	from = min(max(from, 0), len(m.counts))
-	return Report{of, m.incarnation, now - m.asOf, slices.Clone(m.counts[from:min(from+n, len(m.counts))])}, true
+	return Report{of, m.incarnation, m.number, now - m.asOf, slices.Clone(m.counts[from:min(from+n, len(m.counts))])}, true
 }
 
 // Hear takes a report. It tells whether anything in it was new.
@@ -136,12 +139,12 @@
 	m := &c.members[r.Of]
 	switch {
 	case !m.known || r.Incarnation > m.incarnation: // what the process before held went with it
-		*m = reported{incarnation: r.Incarnation, known: true, asOf: now - r.Age}
+		*m = reported{incarnation: r.Incarnation, known: true, number: r.Number, asOf: now - r.Age}
 		news = true
 	case r.Incarnation < m.incarnation:
 		return false
-	case now-r.Age > m.asOf:
-		m.asOf, news = now-r.Age, true
+	case r.Number > m.number: // an old one that comes again must not make a dead member look alive
+		m.number, m.asOf, news = r.Number, now-r.Age, true
 	}
 	for _, count := range r.Counts {
 		at, known := m.find(count.Key)
--- a/internal/fleet/counts_test.go
+++ b/internal/fleet/counts_test.go
@@ -129,7 +129,6 @@
 			t.Errorf("after %v: %+v, not %+v", after, f, want)
 		}
 	}
-	old.Age = 7 * sec
 	if a.Hear(7*sec, old) || a.Of(7*sec, key).Value != 5 {
 		t.Error("an old report that comes again counts anew")
 	}
@@ -138,11 +137,11 @@
 	if a.Hear(8*sec, b.Tell(9)); a.Of(8*sec, key).Value != 6 {
 		t.Errorf("after a restart %+v", a.Of(8*sec, key))
 	}
-	if old.Age = 0; a.Hear(8*sec, old) || a.Of(8*sec, key).Value != 6 {
+	if a.Hear(8*sec, old) || a.Of(8*sec, key).Value != 6 {
 		t.Error("a report of the process before counts")
 	}
 	for id := range uint64(1000) { // words without end
-		a.Hear(8*sec, Report{Of: 1, Incarnation: 2, Counts: []Count{{CountKey{ByServer, id}, 1, 1}}})
+		a.Hear(8*sec, Report{Of: 1, Incarnation: 2, Number: 1, Counts: []Count{{CountKey{ByServer, id}, 1, 1}}})
 	}
 	if n := len(a.members[1].counts); n != 9 {
 		t.Errorf("%d keys of 9", n)
