--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -21,6 +21,7 @@
 		Load     loadCmd     `cmd:"" help:"Send sessions on a fixed schedule at any address."`
 		Trace    traceCmd    `cmd:"" help:"Record, check, cut, scale and merge traces."`
 		Count    countCmd    `cmd:"" help:"Add up the logs of a fleet, by second, by server and by list."`
+		Fleet    fleetCmd    `cmd:"" help:"Ask a proxy what it believes of its fleet."`
 		Store    storeCmd    `cmd:"" help:"Look into a store's folder."`
 		Version  versionCmd  `cmd:"" help:"Print the version."`
 	}
--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -10,11 +10,13 @@
 	"github.com/rs/zerolog"
 
 	"chalkferry/internal/proxy"
+	"chalkferry/internal/sharing"
 )
 
 type serveCmd struct {
 	File    string `arg:"" optional:"" name:"configuration" env:"RELAY_CONFIG" help:"The configuration, a JSON file."`
 	Profile string `help:"A file for a profile of the CPU, written when the proxy ends in good order."`
+	Fleet   string `help:"A TOML file: share what this proxy holds with the others that it names. Off without it."`
 	Level   string `default:"info" enum:"debug,info,warn,error" help:"Least level of what is logged."`
 }
 
@@ -35,6 +37,18 @@
 	if err != nil {
 		return err
 	}
+	if c.Fleet != "" { // nothing else turns it on
+		terms, err := sharing.Read(c.Fleet)
+		if err != nil {
+			return err
+		}
+		end, err := sharing.Start(terms, log)
+		if err != nil {
+			return err
+		}
+		defer end.Close()
+		p.Share(end.Tell)
+	}
 	go func() {
 		for sig := range told {
 			if sig != syscall.SIGHUP {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -480,6 +480,13 @@
 	}
 }
 
+// EachOpen calls back with each open session and where it is held.
+func (t *Table) EachOpen(call func(at choice.ServerID, of choice.Arrival)) {
+	for _, ex := range t.open {
+		call(ex.at, ex.arrival)
+	}
+}
+
 // Open is the number of open sessions.
 func (t *Table) Open() int { return len(t.open) }
 
--- a/internal/fleet/counts.go
+++ b/internal/fleet/counts.go
@@ -18,28 +18,30 @@
 
 // CountKey names one count.
 type CountKey struct {
-	Kind CountKind
-	ID   uint64
+	Kind CountKind `cbor:"0,keyasint"`
+	ID   uint64    `cbor:"1,keyasint"`
 }
 
+func (k CountKey) String() string { return fmt.Sprintf("%d/%016x", k.Kind, k.ID) }
+
 func (k CountKey) compare(o CountKey) int {
 	return cmp.Or(cmp.Compare(k.Kind, o.Kind), cmp.Compare(k.ID, o.ID))
 }
 
 // Count is what a member has of one key, as of its change of that number.
 type Count struct {
-	Key     CountKey
-	Value   uint32 // sessions held
-	Version uint64
+	Key     CountKey `cbor:"0,keyasint"`
+	Value   uint32   `cbor:"1,keyasint"` // sessions held
+	Version uint64   `cbor:"2,keyasint"`
 }
 
 // Report is what one member told of its own counts, as old as Age when it is sent. Another member may pass it on.
 type Report struct {
-	Of          MemberID
-	Incarnation Incarnation
-	Number      uint64 // of the member's reports
-	Age         time.Duration
-	Counts      []Count
+	Of          MemberID      `cbor:"0,keyasint"`
+	Incarnation Incarnation   `cbor:"1,keyasint"`
+	Number      uint64        `cbor:"2,keyasint"` // of the member's reports
+	Age         time.Duration `cbor:"3,keyasint"`
+	Counts      []Count       `cbor:"4,keyasint"`
 }
 
 // Figure is a count over the fleet. What members have that were not heard of lately counts less and less, so Value
@@ -73,7 +75,7 @@
 
 // NewCounts makes the counts of one process among as many members as are configured. A member counts in full for the
 // span lately since it was heard of, and then less, evenly, to nothing after the span fade. No member may have more
-// than most keys: more are passed over, as they would cost memory without end. The error tells which argument can't be.
+// than most keys that are not 0: more are passed over, as they would cost memory without end. The error tells which argument can't be.
 func NewCounts(now time.Duration, me MemberID, members int, incarnation Incarnation, lately, fade time.Duration,
 	most int) (*Counts, error) {
 	switch {
@@ -92,9 +94,10 @@
 	own := &c.members[c.me]
 	at, known := own.find(key)
 	switch {
-	case known && own.counts[at].Value == value, !known && (value == 0 || len(own.counts) >= c.most):
+	case known && own.counts[at].Value == value, !known && (value == 0 || !own.hasRoom(c.most)):
 		return
 	case !known:
+		at, _ = own.find(key)
 		own.counts = slices.Insert(own.counts, at, Count{Key: key})
 	}
 	c.changes++
@@ -149,7 +152,8 @@
 	for _, count := range r.Counts {
 		at, known := m.find(count.Key)
 		switch {
-		case !known && len(m.counts) < c.most:
+		case !known && m.hasRoom(c.most):
+			at, _ = m.find(count.Key)
 			m.counts = slices.Insert(m.counts, at, count)
 			news = true
 		case known && count.Version > m.counts[at].Version:
@@ -175,6 +179,26 @@
 	return f
 }
 
+// Keys are all that any member was heard to count, in their order.
+func (c *Counts) Keys() (keys []CountKey) {
+	for i := range c.members {
+		for _, count := range c.members[i].counts {
+			keys = append(keys, count.Key)
+		}
+	}
+	slices.SortFunc(keys, CountKey.compare)
+	return slices.Compact(keys)
+}
+
+// Member tells how long ago a member was heard of, and which of its processes.
+func (c *Counts) Member(now time.Duration, of MemberID) (process Incarnation, age time.Duration, known bool) {
+	if of < 0 || int(of) >= len(c.members) || !c.members[of].known {
+		return 0, 0, false
+	}
+	_, age = c.weight(now, of)
+	return c.members[of].incarnation, age, true
+}
+
 func (c *Counts) weight(now time.Duration, of MemberID) (weight float64, age time.Duration) {
 	m := &c.members[of]
 	switch age = now - m.asOf; {
@@ -188,6 +212,25 @@
 	return max(0, 1-float64(age-c.lately)/float64(c.fade)), age
 }
 
+// hasRoom tells whether one more key may come. It drops the count that has been 0 for longest where there is none:
+// servers come and go under new names. Whoever then hears only an old number of that key counts it until the member's
+// process ends, so there should be room for several times what a member holds at a time.
+func (m *reported) hasRoom(most int) bool {
+	if len(m.counts) < most {
+		return true
+	}
+	oldest := -1
+	for i, count := range m.counts {
+		if count.Value == 0 && (oldest < 0 || count.Version < m.counts[oldest].Version) {
+			oldest = i
+		}
+	}
+	if oldest >= 0 {
+		m.counts = slices.Delete(m.counts, oldest, oldest+1)
+	}
+	return oldest >= 0
+}
+
 func (m *reported) find(key CountKey) (at int, known bool) {
 	return slices.BinarySearchFunc(m.counts, key, func(c Count, key CountKey) int { return c.Key.compare(key) })
 }
--- a/internal/fleet/counts_test.go
+++ b/internal/fleet/counts_test.go
@@ -146,6 +146,14 @@
 	if n := len(a.members[1].counts); n != 9 {
 		t.Errorf("%d keys of 9", n)
 	}
+	for id := range uint64(20) { // servers come and go under new names
+		b.Set(CountKey{ByServer, id}, 3)
+		b.Set(CountKey{ByServer, id}, 0)
+	}
+	b.Set(CountKey{ByServer, 99}, 4)
+	if at, known := b.members[1].find(CountKey{ByServer, 99}); !known || b.members[1].counts[at].Value != 4 || len(b.members[1].counts) != 9 {
+		t.Errorf("no room for a new server: %+v", b.members[1].counts)
+	}
 	for _, r := range []Report{{Of: -1}, {Of: 2}, {Of: 0, Incarnation: 9}, {Of: 1, Incarnation: 2, Age: -1}} {
 		if a.Hear(8*sec, r) {
 			t.Errorf("%+v is news", r)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"chalkferry/internal/exchange"
 	"chalkferry/internal/peers"
 	"chalkferry/internal/servers"
+	"chalkferry/internal/sharing"
 	"chalkferry/internal/socket"
 	"chalkferry/internal/start"
 	"chalkferry/internal/timers"
@@ -60,6 +61,7 @@
 	revision  uint64
 	failures  int
 	peers     *peers.Peers
+	share     func([]sharing.Fact) // nil where nothing is shared
 	leaving   bool
 	left      chan struct{}   // closed when the process is to end with its connections as they are
 	at        start.Addresses // by the configuration as read last
@@ -114,6 +116,9 @@
 		p.table.Serve(p.balancer)
 		p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
 		p.sweep()
+		if p.share != nil {
+			p.tellFleet()
+		}
 	}
 	return p, nil
 }
