--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -15,15 +15,8 @@
 		head + rest + `}}`:                        false,
 		head + rest + `,"drainBindsAlone":true}}`: true,
 	} {
-		var (
-			listeners []choice.Listener
-			dials     choice.DialLimits
-			budget    choice.DialBudget
-			list      choice.ListRules
-			cold      choice.ColdRule
-			words     choice.WordRule
-		)
-		if err := Module([]byte(text), &listeners, &dials, &budget, &list, &cold, &words); err != nil {
+		_, list, cold, err := module(text)
+		if err != nil {
 			t.Fatalf("%s: %v", text, err)
 		}
 		if list.DrainsBindAlone != alone || cold.Proxies != 3 || cold.Me != 2 {
@@ -48,15 +41,7 @@
 		`"freeResends":3,"furtherRatio":0.15,"budgetWindow":1e300}}`: "out of range",
 		`"freeResends":3,"furtherRatio":"x","budgetWindow":5000}}`:   "furtherRatio",
 	} {
-		var (
-			listeners []choice.Listener
-			dials     choice.DialLimits
-			budget    choice.DialBudget
-			list      choice.ListRules
-			cold      choice.ColdRule
-			words     choice.WordRule
-		)
-		switch err := Module([]byte(head+text), &listeners, &dials, &budget, &list, &cold, &words); {
+		switch budget, _, _, err := module(head + text); {
 		case want == "" && err != nil, want != "" && (err == nil || !strings.Contains(err.Error(), want)):
 			t.Errorf("%s: %v, not %q", text, err, want)
 		case want == "" && (budget.Window > 0) != strings.Contains(text, "budgetWindow"):
@@ -64,3 +49,14 @@
 		}
 	}
 }
+
+// module reads the parts that the tests look at.
+func module(text string) (budget choice.DialBudget, list choice.ListRules, cold choice.ColdRule, err error) {
+	var (
+		listeners []choice.Listener
+		dials     choice.DialLimits
+		words     choice.WordRule
+	)
+	err = Module([]byte(text), &listeners, &dials, &budget, &list, &cold, &words)
+	return budget, list, cold, err
+}
