--- a/choice/choice.go
+++ b/choice/choice.go
@@ -790,10 +790,10 @@
 	return s, nil
 }
 
-// partOf parts a group by its clients where proxies are several times the servers and each hears of few, of one
-// for each session at most and two more: it can't see which groups are large, all would send a group to its one
-// server however much it is, and few hear that the server is late. The first part is the group's own, the
-// other has an order of servers of its own. Harm: each server that holds any of a group pays for it.
+// partOf parts a group by its clients where proxies are several times the servers and each hears of few, of
+// one for each session at most and two more: it can't see which groups are large, all would send a group to
+// its one server however much it is, and few hear that the server is late. The first part is the group's own,
+// the other has an order of servers of its own. Harm: each server that holds any of a group pays for it.
 func (b *Balancer) partOf(group, client Key) Key {
 	if b.cold.Proxies < someProxies*len(b.ready) || (len(b.sessions)+2)*heardOf > len(b.ready) {
 		return group
