A watch takes indented lists, and one that begins with silence is given up in time

Told from a fault of the module: its calls come as asked, the time goes by in ResponseHeaderTimeout.

Lines at fault: follow's Scanner and ResponseHeaderTimeout, Drop. Now a decoder reads objects however they stand, any byte shows life, a list is 4 MiB at most, and a watch has half of the 3 s left after the first silence to begin.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,8 +2,6 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,9 +17,13 @@
 // Heartbeat is how often a watch with no changes brings an empty line.
 const Heartbeat = 2 * time.Second
 
+// told is, by the protocol, how long after a watch has fallen silent what it misses counts as told.
+const told = 6 * time.Second
+
 const (
-	silence  = Heartbeat * 3 / 2 // without a line: the watch is dead
-	mostLine = 4 << 20
+	silence  = Heartbeat * 3 / 2    // without a byte: the watch is dead
+	opening  = (told - silence) / 2 // for the next one to begin, as that may say nothing either
+	mostList = 4 << 20              // bytes
 )
 
 // Server is one entry of the list.
@@ -95,7 +97,8 @@
 	return w
 }
 
-// Change sets other times for the watches to come.
+// Change sets other times for the watches to come. However long they are, a watch has to begin in time for another
+// one to come before what is missed counts as told.
 func (w *Watcher) Change(connect, answer time.Duration) {
 	w.client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connect}).DialContext,
 		DisableKeepAlives: true, DisableCompression: true, ResponseHeaderTimeout: answer}}
@@ -132,11 +135,15 @@
 // Drop ends the watch at hand; nothing of it is told any more.
 func (w *Watcher) Drop() {
 	w.watch++
-	w.cancel()
+	if w.cancel != nil {
+		w.cancel()
+	}
 }
 
 func (w *Watcher) follow(ctx context.Context, cancel context.CancelFunc, client *http.Client, url string,
 	tell func(func())) error {
+	quiet := time.AfterFunc(opening, cancel) // guards against a machine that is cut off, or takes calls and says nothing
+	defer quiet.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -149,24 +156,40 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", answer.Status)
 	}
-	quiet := time.AfterFunc(silence, cancel) // guards against a machine that is cut off and says nothing
-	defer quiet.Stop()
-	lines := bufio.NewScanner(answer.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), mostLine)
-	for lines.Scan() {
-		quiet.Reset(silence)
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
+	quiet.Reset(silence)
+	body := &pulse{from: answer.Body, beat: func() { quiet.Reset(silence) }}
+	lists := json.NewDecoder(body) // an object may stand on one line or on many, or come in any pieces
+	for {
+		var text json.RawMessage
+		if err := lists.Decode(&text); errors.Is(err, io.EOF) {
+			return errors.New("the watch ended")
+		} else if err != nil {
+			return fmt.Errorf("the watch broke: %w", err)
 		}
+		body.read = 0
 		list, err := Parse(text)
 		if err != nil {
 			return err
 		}
 		tell(func() { w.list(list) })
 	}
-	if err := lines.Err(); err != nil && !errors.Is(err, io.EOF) {
-		return fmt.Errorf("the watch broke: %w", err)
+}
+
+// pulse tells of each read that brings something, and guards against a list without end.
+type pulse struct {
+	from io.Reader
+	beat func()
+	read int // since the last list
+}
+
+func (p *pulse) Read(to []byte) (int, error) {
+	if p.read > mostList {
+		return 0, fmt.Errorf("a list of over %d bytes", mostList)
+	}
+	n, err := p.from.Read(to)
+	if n > 0 {
+		p.read += n
+		p.beat()
 	}
-	return errors.New("the watch ended")
+	return n, err
 }
