Crossings: clients that have left, the end of the process, sessions across settings

Each test failed on the code before (same tests, with a hook for connects): - TestLeftWhileStill, TestSpeaksOutOfTurn: a connect that came up while the loop stood still had its first line sent after the client's FIN or RST, as the loop takes queued connects before it reads (servers.Dial.Open). The machine is asked about the client right before the line goes. - TestLeftWithLineUnsent: a line that this machine had not taken followed the goodbye for half the longest dial timeout (End as Finished flushes; gnet writes what it can in a close). A dial whose client leaves is reset, a line not wholly written is cut. - TestBrokenUnwritten: a connection that broke with the line unwritten counted as one that may have run; once-only sessions were torn down. TestQueuedAtTheEnd, TestNoneLetIn: what the kernel had taken was cut off without a word (passOn, stop). Now the phases serving, leaving, closing, gone, and a last call before the kill. - TestStoppedLoop: a connect waited for a loop that had ended. - TestIdleAndLine, TestCrowdedOut: BUSY to an idle client was lost by a reset when its line crossed; TestPings: the 17th PING was an error. - TestPushed: where lists are pushed a new process was ready before it had asked, and a failed watch came back after up to half of 4 longest timeouts (19 s) while all counts as told at once; now within stopSendingWithin. - TestReloadsAtOnce: p.peers was read beside the loop, two reloads opened it. - TestUnder: a session on its way back to its holder came under the first listener when its own was gone (terms.renumber).

The module gains Under and AskAgainIn, without which every pick is as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -221,6 +221,9 @@
 	}
 }
 
+// Under is what sessions of a listener come under now.
+func (b *Balancer) Under(l ListenerID) Under { return Under{b.terms[l]} }
+
 func (b *Balancer) take(listeners []Listener, dials DialLimits, budget DialBudget, list ListRules,
 	cold ColdRule, words WordRule) {
 	was := b.terms
@@ -599,7 +602,7 @@
 		b.watching = false
 		b.askFails++
 		b.say(&b.saidListAt, "list: the subscription failed, %d times in a row", b.askFails)
-		span := b.list.MustAskIn / 32 << min(b.askFails, 3)
+		span := cmp.Or(b.list.AskAgainIn, b.list.MustAskIn/4) / 8 << min(b.askFails, 3)
 		b.askIn(span + time.Duration(b.chance.Int63n(int64(span)+1)))
 		return
 	}
@@ -769,8 +772,12 @@
 
 func (b *Balancer) admit(now time.Duration, a Arrival) (*session, error) {
 	b.now = now
-	if int(a.Listener) >= len(b.terms) {
-		return nil, fmt.Errorf("session %d names listener %d of %d", a.ID, a.Listener, len(b.terms))
+	under := a.Under.terms
+	if under == nil {
+		if int(a.Listener) >= len(b.terms) {
+			return nil, fmt.Errorf("session %d names listener %d of %d", a.ID, a.Listener, len(b.terms))
+		}
+		under = b.terms[a.Listener]
 	}
 	if b.sessions[a.ID] != nil {
 		return nil, fmt.Errorf("session %d comes twice", a.ID)
@@ -781,7 +788,7 @@
 	if !a.Returned {
 		b.arrivals++
 	}
-	s := &session{Arrival: a, terms: b.terms[a.Listener], deadline: now + a.Left}
+	s := &session{Arrival: a, terms: under, deadline: now + a.Left}
 	s.mark = cmp.Or(a.Group, a.Client, Key(a.ID))
 	if a.Group != 0 {
 		s.mark = b.partOf(a.Group, cmp.Or(a.Client, Key(a.ID)))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -936,3 +936,21 @@
 		}
 	}
 }
+
+// TestUnder: a session that the module is told of after a Switch keeps the terms that it came under, though its
+// listener is no more; without them it comes under its listener's now.
+func TestUnder(t *testing.T) {
+	r := fleet(3)
+	was := r.b.Under(0)
+	once := append([]Listener(nil), r.listeners...)
+	once[0].Name, once[0].Effect, once[0].DialTimeout = "other", OnceOnly, once[0].DialTimeout+sec
+	r.b.Switch(r.now, once, r.dials, DialBudget{}, ListRules{MustWatch: true, MustAskIn: 10 * sec}, r.cold, WordRule{})
+	for id, under := range map[SessionID]Under{1001: was, 1002: {}} {
+		if err := r.b.Hold(r.now, Arrival{ID: id, Left: sec, Under: under}, 1); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := r.b.sessions[id].Name == "other", under == (Under{}); got != want {
+			t.Errorf("session %d comes under %+v", id, *r.b.sessions[id].terms)
+		}
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -84,6 +84,8 @@
 type ListRules struct {
 	MustWatch bool          // the list comes only to those who asked
 	MustAskIn time.Duration // without a subscription, ask at least this often
+	// AskAgainIn: of calls that fail, the next comes after twice this at the latest; 0: by MustAskIn.
+	AskAgainIn time.Duration
 	// DrainsBindAlone: what is listed as gone, or left out, without having drained may still be dialed.
 	DrainsBindAlone bool
 }
@@ -146,8 +148,13 @@
 	Client   Key
 	MidFlow  bool
 	Returned bool
+	Under    Under
 }
 
+// Under are the terms that a session came under, kept for one that the module is told of later, perhaps after a
+// Switch. The zero Under stands for the terms of the session's listener now.
+type Under struct{ terms *terms }
+
 // Outcome is how a dial ended.
 type Outcome int
 
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	perSession = 3  // descriptors that a session needs beside its client's
-	mostPings  = 16 // on one connection
+	perSession = 3 // descriptors that a session needs beside its client's
 )
 
 // Clients has what all clients share.
@@ -31,6 +30,9 @@
 	tenants   map[string]choice.TenantID
 	groups    bool
 	ids       map[string]*Client // of sessions that wait for an answer or are open
+	quiet     map[*Client]bool   // those that have asked for nothing
+	holds     bool               // PINGs are not answered yet
+	held      []*Client          // for each of those
 	log       zerolog.Logger
 }
 
@@ -38,7 +40,7 @@
 	holder func(name []byte) choice.ServerID, listeners map[string]choice.ListenerID,
 	tenants map[string]choice.TenantID, groups bool, log zerolog.Logger) *Clients {
 	return &Clients{table: table, timers: t, room: room, now: now, hello: hello, holder: holder, listeners: listeners,
-		tenants: tenants, groups: groups, ids: map[string]*Client{}, log: log}
+		tenants: tenants, groups: groups, ids: map[string]*Client{}, quiet: map[*Client]bool{}, log: log}
 }
 
 // Change takes what other settings say; connections that have asked for a session go on with it.
@@ -47,6 +49,29 @@
 	c.hello, c.listeners, c.tenants, c.groups = hello, listeners, tenants, groups
 }
 
+// HoldPings has PINGs wait for AnswerPings: the front deals out connections to a proxy that has answered one, and to
+// one that starts what the list has to tell may count as told before it has come.
+func (c *Clients) HoldPings() { c.holds = true }
+
+// AnswerPings answers those that wait, and others at once from now on.
+func (c *Clients) AnswerPings() {
+	c.holds = false
+	for _, client := range c.held {
+		client.pong()
+	}
+	c.held = nil
+}
+
+// Quiet is how many connections have asked for nothing.
+func (c *Clients) Quiet() int { return len(c.quiet) }
+
+// Dismiss ends those in good order.
+func (c *Clients) Dismiss() {
+	for client := range c.quiet { // each stands for itself, in any order
+		client.dismiss()
+	}
+}
+
 type state int
 
 const (
@@ -75,11 +100,19 @@
 func (c *Clients) New() *Client {
 	client := &Client{clients: c, since: c.now()}
 	// Guards against clients that connect and say nothing, or never end a line: each holds a descriptor.
-	client.idle = c.timers.After(c.hello, func() { client.drop("idle") })
+	client.idle = c.timers.After(c.hello, client.dismiss)
+	c.quiet[client] = true
 	client.spare = c.room.Spare(func() { client.drop("crowded-out") })
 	return client
 }
 
+// dismiss ends in good order what has asked for nothing: a line that crosses the answer costs the client nothing.
+func (c *Client) dismiss() {
+	if c.state == quiet {
+		c.Answer([]byte("BUSY\r\n"), "idle")
+	}
+}
+
 // drop ends at once what has asked for nothing.
 func (c *Client) drop(reason string) {
 	if c.state == quiet {
@@ -136,9 +169,13 @@
 
 // first takes the line that a connection begins with; more tells that something has come behind it.
 func (c *Client) first(text []byte, more bool) {
-	if string(text) == "PING" && c.pings < mostPings {
+	if string(text) == "PING" { // as many as it likes: the connection ends unless it asks for a session soon
 		c.pings++
-		c.conn.Write([]byte("PONG\r\n"))
+		if c.clients.holds {
+			c.clients.held = append(c.clients.held, c)
+			return
+		}
+		c.pong()
 		return
 	}
 	opening, err := line.ParseOpen(text)
@@ -180,11 +217,18 @@
 	c.opening = c.ex.Opening()
 }
 
+func (c *Client) pong() {
+	if c.state == quiet {
+		c.conn.Write([]byte("PONG\r\n"))
+	}
+}
+
 // asked takes the connection from those that have asked for nothing.
 func (c *Client) asked() {
 	c.clients.timers.Stop(c.idle)
 	c.clients.room.Keep(c.spare)
 	c.spare = nil
+	delete(c.clients.quiet, c)
 }
 
 // pass hands all whole lines on at once.
@@ -228,6 +272,22 @@
 	c.ended(how)
 }
 
+// Waits tells whether the client still waits for its answer, as its machine knows it. What the loop would find when
+// it comes to read is done at once.
+func (c *Client) Waits() bool {
+	if c.state != waits {
+		return false
+	}
+	switch c.conn.Peer() {
+	case socket.Left:
+		c.Ended(socket.Finished)
+	case socket.Speaks: // it was to wait
+		c.ended(socket.Finished)
+		c.wrong(line.ErrMalformed)
+	}
+	return c.state == waits
+}
+
 func (c *Client) Write(lines []byte) { c.conn.Write(lines) }
 
 // Up lets lines pass; some may have come already.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -20,6 +20,9 @@
 	// Answer sends a last line and ends the connection in good order.
 	Answer(last []byte, reason string)
 	End(how socket.End, reason string)
+	// Waits tells whether the client still waits for its answer. One that has left, or speaks out of turn, is ended
+	// by it, though the event loop has not read that yet.
+	Waits() bool
 }
 
 // Server is the side of one dial.
@@ -106,13 +109,35 @@
 // Serve names the module that decides.
 func (t *Table) Serve(b *choice.Balancer) { t.balancer, t.delays.balancer = b, b }
 
-// Change takes what other settings say. Sessions that go back to their holder come to the module later, by the ids
-// that listeners have now.
-func (t *Table) Change(retry, stillFor, mark time.Duration, tellsLoad, tellsDelay bool, ids []choice.ListenerID) {
+// Change takes what other settings say; each session keeps what it came under.
+func (t *Table) Change(retry, stillFor, mark time.Duration, tellsLoad, tellsDelay bool) {
 	t.retry, t.stillFor = retry, stillFor
 	t.delays.change(mark, tellsLoad, tellsDelay)
-	for _, ex := range t.sessions {
-		ex.arrival.Listener = ids[ex.arrival.Listener]
+}
+
+// Forget drops what is known of a server that has left the list, unless sessions are there.
+func (t *Table) Forget(at choice.ServerID) {
+	if t.held[at] == 0 {
+		delete(t.heard, at)
+		delete(t.suspect, at)
+		delete(t.delays.servers, at)
+		delete(t.delays.beats, at)
+	}
+}
+
+// GiveUp answers all sessions that wait, as the process is about to end. One that no dial went out for is refused; of
+// others it is not told whether they have run.
+func (t *Table) GiveUp() {
+	for _, ex := range t.sessions { // each stands for itself, in any order
+		if ex.state == open {
+			continue
+		}
+		last := line.Busy(0)
+		if ex.dials > 0 || ex.state == resuming {
+			last = []byte("ERR\r\n")
+		}
+		ex.ClientEnded(socket.Reset)
+		ex.client.Answer(last, "proxy-leaves")
 	}
 }
 
@@ -171,7 +196,8 @@
 	ex := &Exchange{table: t, arrival: a, text: slices.Clone(text), client: client, until: t.now() + a.Left}
 	ex.opening, _ = line.ParseOpen(ex.text)
 	t.sessions[a.ID] = ex
-	if holder != 0 {
+	if holder != 0 { // the module is told later, perhaps by other settings
+		ex.arrival.Under = t.balancer.Under(a.Listener)
 		ex.state, ex.at = resuming, holder
 		ex.resume()
 		return ex
@@ -276,21 +302,23 @@
 		return
 	}
 	ex.enter(ended)
-	if was == resuming {
-		if ex.server != nil {
-			ex.server.End(how, "client-left")
-		}
-		return
+	if was != open {
+		how = socket.Reset // a first line that this machine still holds must not follow the client's goodbye
 	}
-	ex.table.balancer.Left(ex.table.now(), ex.arrival.ID)
-	if was != placing {
-		if ex.server != nil {
-			ex.server.End(how, "client-left")
-		}
+	if was != resuming {
+		ex.table.balancer.Left(ex.table.now(), ex.arrival.ID)
+	}
+	if was != placing && ex.server != nil {
+		ex.server.End(how, "client-left")
+	}
+	if was == dialing || was == open {
 		ex.settled(choice.Cancelled, true)
 	}
 }
 
+// ClientWaits tells whether the client still waits; if not, the session has ended.
+func (ex *Exchange) ClientWaits() bool { return ex.client.Waits() }
+
 // What the server side reads.
 
 // Opened passes the server's word that the session stands.
@@ -480,10 +508,10 @@
 	}
 }
 
-// EachOpen calls back with each open session and where it is held.
-func (t *Table) EachOpen(call func(at choice.ServerID, of choice.Arrival)) {
+// EachOpen calls back with each open session's first line and where it is held.
+func (t *Table) EachOpen(call func(at choice.ServerID, of *line.Open)) {
 	for _, ex := range t.open {
-		call(ex.at, ex.arrival)
+		call(ex.at, &ex.opening)
 	}
 }
 
--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -29,7 +29,9 @@
 type place struct {
 	name, address string
 	standing      choice.Standing
-	drained       bool // before it was gone
+	drained       bool    // before it was gone
+	since         float64 // its start, as listed
+	edition       int
 }
 
 func newDirectory(zones map[string]choice.ZoneID, start time.Time, drainsAlone, apart bool) *directory {
@@ -98,9 +100,13 @@
 		p := d.servers[id]
 		p.standing = e.Standing
 		p.drained = e.Standing == choice.Draining || p.drained && e.Standing == choice.Gone
+		if s.HostPort != "" && s.HostPort != p.address || s.UpSinceMs > p.since {
+			p.edition++
+		}
 		if s.HostPort != "" {
 			p.address = s.HostPort
 		}
+		p.since = max(p.since, s.UpSinceMs)
 		d.entries = append(d.entries, e)
 	}
 	return d.entries
@@ -116,6 +122,23 @@
 	return "", "", false
 }
 
+// Edition is another number once the server is listed at another address, or as started anew.
+func (d *directory) Edition(at choice.ServerID) int {
+	if p := d.servers[at]; p != nil {
+		return p.edition
+	}
+	return 0
+}
+
+// eachGone calls back with each server that was listed once and is no more, in any order.
+func (d *directory) eachGone(call func(choice.ServerID)) {
+	for id, p := range d.servers {
+		if p.standing == choice.Gone {
+			call(id)
+		}
+	}
+}
+
 // named puts the names of servers into a line of the module, which knows only their ids.
 func (d *directory) named(text string) string {
 	const word = "server "
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -2,17 +2,37 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
-	leaveSteps  = 16
-	mostPatient = 3 * time.Second // by the protocol, a kill may follow so long after, or after the longest dial timeout
-	passShare   = 0.8             // of that time, to the end of a proxy whose sessions pass through
-	waitShare   = 0.5             // and to the first move at one where they end
-	moveShare   = 0.4             // and from the first to the last
+	leaveSteps = 16
+	passShare  = 0.8 // of the time that a proxy surely has, to the end of one whose sessions pass through
+	waitShare  = 0.5 // and to the first move at one where they end
+	moveShare  = 0.4 // and from the first to the last
+)
+
+// phase is how far a proxy is on its way out.
+type phase int
+
+const (
+	serving phase = iota
+	leaving       // told to end; what comes is still served
+	closing       // nothing new is let in; what has come still gets its answer, and last lines their time
+	gone          // the process ends
 )
 
+// enterPhase is the one place where a proxy's phase changes; each follows the one before.
+func (p *Proxy) enterPhase(next phase) {
+	if next != p.phase+1 {
+		panic(fmt.Sprintf("the proxy goes from phase %d to %d", p.phase, next))
+	}
+	p.phase = next
+}
+
 // Leave is told that the process is to end: what comes is still served. Where sessions end at the proxy they
 // are moved before, spread out so that their clients don't all come again at once; where they pass through it others
 // take over. Neither at once: new connections still come here, moved clients among them, and in a rolling restart
@@ -20,16 +40,17 @@
 func (p *Proxy) Leave() {
 	<-p.ready
 	p.execute(func() {
-		if p.leaving {
+		if p.phase != serving {
 			return
 		}
-		p.leaving = true
+		p.enterPhase(leaving)
 		p.log.Info().Int("sessions", p.table.Len()).Msg("leaving")
+		p.timers.After(p.leaveSpan(1)+killMargin/2, p.lastCall)
 		if p.terms.passes {
-			p.timers.After(p.leaveSpan(passShare), p.passOn)
+			p.timers.After(max(p.leaveSpan(passShare), stillComes*5/4), p.windUp)
 			return
 		}
-		p.timers.After(p.leaveSpan(waitShare), func() { p.moveSome(leaveSteps) })
+		p.timers.After(max(p.leaveSpan(waitShare), stillComes), func() { p.moveSome(leaveSteps) })
 	})
 }
 
@@ -38,21 +59,10 @@
 	return time.Duration(share * float64(min(p.terms.patience, mostPatient)))
 }
 
-// passOn ends the process once no session waits for its answer. What is open is not ended: its packets go on by
-// another proxy.
-func (p *Proxy) passOn() {
-	if p.table.Len() > p.table.Open() {
-		p.timers.After(p.terms.patience/leaveSteps/leaveSteps, p.passOn)
-		return
-	}
-	p.log.Info().Int("sessions", p.table.Len()).Msg("left")
-	close(p.left)
-}
-
 // moveSome moves a part of what is open in each step, and what has come since in further ones.
 func (p *Proxy) moveSome(steps int) {
 	if steps <= 0 && p.table.Len() == 0 {
-		p.stop()
+		p.windUp()
 		return
 	}
 	if n := p.table.Open(); n > 0 {
@@ -61,13 +71,83 @@
 	p.timers.After(p.leaveSpan(moveShare)/leaveSteps, func() { p.moveSome(steps - 1) })
 }
 
-// stop ends the engine once the last lines have had their time.
-func (p *Proxy) stop() {
-	p.timers.After(p.linger(), func() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			p.engine.Stop(ctx)
-		}()
+// windUp looks again and again for what is left to do before the process may end: sessions that wait for their
+// answers, then clients in the kernel's queue, and last lines on their way. What is open where sessions pass through
+// is not ended: its packets go on by another proxy.
+func (p *Proxy) windUp() {
+	waiting := p.table.Len() - p.table.Open()
+	switch {
+	case p.phase == gone:
+		return
+	case waiting > 0:
+	case !p.terms.passes && p.table.Open() > 0: // it has come since
+		p.table.MoveSome(p.table.Open())
+	case p.phase == leaving:
+		p.enterPhase(closing)
+		p.endsBy = p.now() + stillComes/2
+		p.letNoneIn()
+		p.came = true // two looks without one show that the queue is empty
+	case p.came:
+		p.came = false
+	case p.clients.Quiet() > 0: // a line that crosses the answer is answered by it
+		p.clients.Dismiss()
+	case p.now() < p.endsBy && (p.room.Spares() > 0 || p.connector.Out() > 0):
+	default:
+		p.end()
+		return
+	}
+	p.timers.After(p.leaveSpan(1)/leaveSteps/leaveSteps, p.windUp)
+}
+
+// letNoneIn has the kernel pass over new connections, while those that it has taken are still accepted. To close the
+// listener would reset them, with a first line unread.
+func (p *Proxy) letNoneIn() {
+	fd, err := p.engine.Dup()
+	if err != nil {
+		p.log.Warn().Err(err).Msg("the listener can't be shut")
+		return
+	}
+	defer unix.Close(fd)
+	none := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	if err := unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+		&unix.SockFprog{Len: 1, Filter: &none}); err != nil {
+		p.log.Warn().Err(err).Msg("the listener can't be shut")
+	}
+}
+
+// lastCall ends the process before it is killed, whatever hangs: what still waits is answered, what may be moved is.
+func (p *Proxy) lastCall() {
+	if p.phase == gone {
+		return
+	}
+	p.log.Warn().Int("sessions", p.table.Len()).Int("open", p.table.Open()).Msg("last call")
+	p.table.GiveUp()
+	p.clients.Dismiss()
+	if !p.terms.passes {
+		p.table.MoveSome(p.table.Open())
+	}
+	p.timers.After(killMargin/8, func() { // for the last lines
+		if p.phase == leaving {
+			p.enterPhase(closing)
+		}
+		if p.phase == closing {
+			p.end()
+		}
 	})
 }
+
+// end ends the process, or the engine where nothing is open any more.
+func (p *Proxy) end() {
+	p.enterPhase(gone)
+	p.log.Info().Int("sessions", p.table.Len()).Msg("left")
+	p.connector.Stop()
+	if p.terms.passes {
+		close(p.left)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		p.engine.Stop(ctx)
+	}()
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -33,8 +33,7 @@
 	keptSockets = 32      // for discovery, the loop and what the runtime opens
 	mostWaiting = 1 << 18 // bytes for one slow reader
 	noteSpan    = time.Second
-	mostHello   = 3 * time.Second / 2 // half of what a client may be left with neither an answer nor a close
-	sweeps      = 10                  // in a note's span
+	sweeps      = 10 // in a note's span
 )
 
 // Proxy is one proxy.
@@ -62,7 +61,10 @@
 	failures  int
 	peers     *peers.Peers
 	share     func([]sharing.Fact) // nil where nothing is shared
-	leaving   bool
+	phase     phase
+	came      bool            // a client has connected since the last look at what is left
+	endsBy    time.Duration   // once nothing new is taken: how long last lines have
+	reloading chan struct{}   // holds the one configuration that is being taken over
 	left      chan struct{}   // closed when the process is to end with its connections as they are
 	at        start.Addresses // by the configuration as read last
 	limits    start.Limits    // the same
@@ -94,7 +96,7 @@
 		known.Complete = true
 	}
 	p := &Proxy{log: log, start: time.Now(), at: at, terms: t, revision: known.Revision,
-		ready: make(chan struct{}), left: make(chan struct{}), limits: limits, text: text, settings: settings}
+		ready: make(chan struct{}), left: make(chan struct{}), reloading: make(chan struct{}, 1), limits: limits, text: text, settings: settings}
 	p.timers = timers.New(p.now, p.wake)
 	p.room = socket.NewRoom(limits.Sockets - keptSockets)
 	p.directory = newDirectory(t.zones, p.start, t.list.DrainsBindAlone, t.models)
@@ -114,6 +116,9 @@
 		p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
 			t.list, t.cold, t.words)
 		p.table.Serve(p.balancer)
+		if p.terms.pushed {
+			p.clients.HoldPings()
+		}
 		p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
 		p.sweep()
 		if p.share != nil {
@@ -123,9 +128,18 @@
 	return p, nil
 }
 
-// mostStill keeps a session that brings nothing back well below the seven seconds after which, by the protocol, it
-// must be ended or moved.
-const mostStill = time.Second
+// By the protocol page.
+const (
+	lineSpan    = 2 * time.Second        // clients of open sessions send a line so often
+	mostPatient = 3 * time.Second        // a kill follows no sooner after SIGTERM than that or the longest dial timeout,
+	killMargin  = 700 * time.Millisecond // and this
+	stillComes  = 400 * time.Millisecond // after SIGTERM, new connections
+)
+
+const (
+	mostStill = lineSpan / 2    // a session that brings nothing back must be ended or moved in seven seconds
+	mostHello = mostPatient / 2 // a client that asks for nothing
+)
 
 func (p *Proxy) limitMemory(limits start.Limits) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(limits.MemoryMB) * (1 << 20)))
@@ -188,6 +202,7 @@
 		opener.Open(conn)
 		return nil, gnet.None
 	}
+	p.came = true
 	client := p.clients.New()
 	c := p.take(conn, client)
 	client.Serve(c)
@@ -270,11 +285,13 @@
 	}
 	p.revision = list.Revision
 	p.failures = 0
+	defer p.clients.AnswerPings()
 	kind := choice.ListDelta
 	if list.Complete {
 		kind = choice.ListFull
 	}
 	p.balancer.List(p.now(), kind, p.directory.entriesOf(list))
+	p.directory.eachGone(p.table.Forget)
 	ready, draining := p.directory.count()
 	p.log.Info().Uint64("revision", list.Revision).Bool("complete", list.Complete).Int("entries", len(list.Servers)).
 		Int("ready", ready).Int("draining", draining).Msg("list")
@@ -285,6 +302,7 @@
 	p.failures++
 	p.log.Warn().Err(err).Int("failures", p.failures).Msg("the watch of the list failed")
 	p.balancer.List(p.now(), choice.ListFailed, nil)
+	p.clients.AnswerPings() // nothing more is known to wait for
 }
 
 // hear opens the end for words of other proxies, where they may tell one another something.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -1,14 +1,10 @@
 package proxy
 
 import (
-	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -22,174 +18,6 @@
 	"chalkferry/internal/discovery"
 )
 
-const configuration = `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-"limits":{"cores":1,"memory_mb":64,"sockets":%d},
-"settings":{"areas":["a"],"discovery":"ask","groupSize":1,
-"ceilings":{"connectTimeout":100,"connIdle":10000,"mostDials":3},
-"domain":{"mode":"proxy","groups":true,"messageAim":[100],"tellsDelay":true},
-"invariants":{"mustAskIn":4000,"cold":20000,"coldFrom":0.2,"fallMultiple":3,"tipAfter":3000},
-"listeners":[{"name":"chat","dialTimeout":800,"handshakeTarget":200,"effect":"read_like","utility":1}]}}`
-
-// serve is a server of the test's own: it shows first lines, greets, echoes lines, and ends as a line asks it to.
-func serve(t *testing.T, first ...func(words []string)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				lines := bufio.NewScanner(conn)
-				for lines.Scan() {
-					switch text := lines.Text(); {
-					case strings.HasPrefix(text, "OPEN"):
-						for _, see := range first {
-							see(strings.Fields(text))
-						}
-						fmt.Fprint(conn, "UP 1\r\n")
-					case text == "BYE":
-						fmt.Fprint(conn, "BYE\r\n")
-						return
-					case text == "CUT":
-						conn.(*net.TCPConn).SetLinger(0)
-						return
-					default:
-						fmt.Fprint(conn, text, "\r\n")
-					}
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// list is a discovery of the test's own, with one watch after another.
-func list(t *testing.T, lines <-chan string) string {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		for {
-			select {
-			case line := <-lines:
-				if line == "" {
-					return
-				}
-				fmt.Fprintln(w, line)
-				w.(http.Flusher).Flush()
-			case <-r.Context().Done():
-				return
-			}
-		}
-	}))
-	t.Cleanup(s.CloseClientConnections)
-	return s.Listener.Addr().String()
-}
-
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
-// run starts a proxy with a list that names one server.
-func run(t *testing.T, sockets int) (p *Proxy, at string, lists chan string) {
-	p, at, lists, _ = runAs(t, "proxy", sockets)
-	return
-}
-
-func runAs(t *testing.T, mode string, sockets int, first ...func([]string)) (p *Proxy, at string, lists chan string, ended chan error) {
-	lists = make(chan string, 8)
-	at = free(t)
-	text := strings.Replace(fmt.Sprintf(configuration, at, list(t, lists), sockets), `"proxy"`, fmt.Sprintf("%q", mode), 1)
-	p, err := New([]byte(text), zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	ended = make(chan error, 1)
-	go func() { ended <- p.Run() }()
-	select {
-	case <-p.ready:
-	case err := <-ended:
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		p.engine.Stop(ctx)
-	})
-	lists <- entry(1, serve(t, first...), "ready")
-	for range 500 {
-		ready := make(chan int, 1)
-		p.execute(func() { ready <- int(p.revision) })
-		if <-ready == 1 {
-			return p, at, lists, ended
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatal("the list is not taken")
-	return
-}
-
-func entry(revision int, at, phase string) string {
-	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[{"id":"s-1","host_port":%q,"locality":"a",`+
-		`"phase":%q,"size":1}]}`, revision, at, phase)
-}
-
-// dialog is a client's connection.
-type dialog struct {
-	net.Conn
-	*bufio.Reader
-	t *testing.T
-}
-
-func connect(t *testing.T, at string) dialog {
-	conn, err := net.Dial("tcp", at)
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn.SetDeadline(time.Now().Add(10 * time.Second))
-	t.Cleanup(func() { conn.Close() })
-	return dialog{conn, bufio.NewReader(conn), t}
-}
-
-func (d dialog) Read(p []byte) (int, error) { return d.Reader.Read(p) }
-
-func (d dialog) say(text, want string) {
-	d.t.Helper()
-	fmt.Fprint(d.Conn, text)
-	d.hear(want)
-}
-
-func (d dialog) hear(want string) {
-	d.t.Helper()
-	if got, err := d.ReadString('\n'); got != want {
-		d.t.Fatalf("%q, %v, want %q", got, err, want)
-	}
-}
-
-// ends checks that nothing more comes but the end.
-func (d dialog) ends(want error) {
-	d.t.Helper()
-	if n, err := d.Reader.Read(make([]byte, 1)); n > 0 || !errors.Is(err, want) {
-		d.t.Fatalf("%d bytes, %v, want %v", n, err, want)
-	}
-}
-
-var sessions int
-
-// opening asks for a session with a new id.
-func opening() string {
-	sessions++
-	return fmt.Sprintf("OPEN %x 2 c=chat,d=800,g=3\r\n", sessions)
-}
-
 func TestSessions(t *testing.T) {
 	p, at, lists := run(t, 256)
 	up := func() dialog {
@@ -388,7 +216,7 @@
 	asked := opening()
 	usual.say(asked, "UP 1\r\n")
 	silent := connect(t, at)
-	for _, bad := range []string{asked, opening() + "M 1\r\n", opening() + opening(), strings.Repeat("PING\r\n", 300),
+	for _, bad := range []string{asked, opening() + "M 1\r\n", opening() + opening(), strings.Repeat("PING\r\n", 300) + "PONG\r\n",
 		strings.Replace(opening(), "800", "8e2", 1), strings.Replace(opening(), "c=chat", "c=chat,t=none", 1)} {
 		d := connect(t, at)
 		fmt.Fprint(d.Conn, bad)
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -20,8 +20,12 @@
 		return err
 	}
 	<-p.ready
+	p.reloading <- struct{}{} // one after the other: two at once would open the same end for words
+	defer func() { <-p.reloading }()
+	hears := make(chan bool)
+	p.execute(func() { hears <- p.peers != nil })
 	var end *peers.Peers
-	if p.peers == nil { // opened before anything changes, as it may fail
+	if !<-hears { // opened before anything changes, as it may fail; nothing else opens or closes one meanwhile
 		if end, err = p.hear(next.at, next.terms); err != nil {
 			return err
 		}
@@ -63,10 +67,9 @@
 // change takes other terms, on the loop between two events. Sessions go on: the module keeps each by the terms it came
 // under, and lines that are out are answered by those who have them.
 func (p *Proxy) change(t *terms) {
-	ids := p.terms.renumber(t)
 	p.terms = t
 	p.connector.Change(t.connect)
-	p.table.Change(t.connect, t.still, t.mark, t.tellsLoad, t.tellsDelay, ids)
+	p.table.Change(t.connect, t.still, t.mark, t.tellsLoad, t.tellsDelay)
 	p.clients.Change(t.hello, t.listenerIDs, t.tenantIDs, t.groups)
 	p.directory.change(t.zones, t.list.DrainsBindAlone, t.models)
 	p.watcher.Change(t.connect*2, t.list.MustAskIn/2)
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -3,6 +3,7 @@
 import (
 	"chalkferry/choice"
 	"chalkferry/internal/fleet"
+	"chalkferry/internal/line"
 	"chalkferry/internal/sharing"
 )
 
@@ -17,19 +18,13 @@
 		name string
 	}
 	held := map[name]uint32{}
-	tenants := map[choice.TenantID]string{}
-	for text, id := range p.terms.tenantIDs {
-		tenants[id] = text
-	}
-	p.table.EachOpen(func(at choice.ServerID, of choice.Arrival) {
+	p.table.EachOpen(func(at choice.ServerID, of *line.Open) { // by the names that they came under
 		if place := p.directory.servers[at]; place != nil {
 			held[name{fleet.ByServer, place.name}]++
 		}
-		if int(of.Listener) < len(p.terms.listeners) {
-			held[name{fleet.ByListener, p.terms.listeners[of.Listener].Name}]++
-		}
-		if text, known := tenants[of.Tenant]; known {
-			held[name{fleet.ByTenant, text}]++
+		held[name{fleet.ByListener, string(of.Listener)}]++
+		if of.Tenant != nil {
+			held[name{fleet.ByTenant, string(of.Tenant)}]++
 		}
 	})
 	facts := make([]sharing.Fact, 0, len(held))
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -24,6 +24,7 @@
 	tellsLoad      bool
 	tellsDelay     bool
 	models         bool // servers of one model are learnt of together
+	pushed         bool // what discovery has to tell counts as told, watched or not
 
 	patience time.Duration // the longest dial timeout
 	hello    time.Duration // for a connection to ask for a session
@@ -50,28 +51,19 @@
 	var longest time.Duration
 	for _, l := range t.listeners {
 		t.patience = max(t.patience, l.DialTimeout)
-		t.hello = min(t.hello, l.DialTimeout)
 		if l.MessageTarget > 0 && (t.mark == 0 || l.MessageTarget/3 < t.mark) {
 			t.mark = l.MessageTarget / 3
 		}
 		longest = max(longest, l.MessageTarget)
 	}
+	t.hello = min(t.hello, t.patience) // which listener's it is, its line will tell
 	if longest > 0 {
 		t.still = min(t.still, 2*longest) // a line later than that is of no use to any listener
 	}
 	// A real list must be watched, also where the bench hands it out.
-	t.list.MustWatch = true
+	t.pushed, t.list.MustWatch = !t.list.MustWatch, true
 	if t.list.MustAskIn == 0 {
 		t.list.MustAskIn = 4 * t.patience
 	}
 	return t, nil
 }
-
-// renumber gives the ids that sessions' listeners have by other terms; one that is no more counts as the first.
-func (t *terms) renumber(by *terms) []choice.ListenerID {
-	ids := make([]choice.ListenerID, len(t.listeners))
-	for name, id := range t.listenerIDs {
-		ids[id] = by.listenerIDs[name]
-	}
-	return ids
-}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -23,6 +23,8 @@
 type Directory interface {
 	Address(at choice.ServerID) (address, name string, known bool)
 	Ready(at choice.ServerID) bool
+	// Edition is another number once the server is listed at another address, or as started anew.
+	Edition(at choice.ServerID) int
 }
 
 // Connector connects beside the event loop.
@@ -33,16 +35,31 @@
 	room    *socket.Room
 	take    func(gnet.Conn, socket.Owner) *socket.Conn
 	timeout time.Duration
+	out     int           // under way
+	stopped chan struct{} // closed once the event loop may answer nothing more
+	// Dial connects; a test may put its own here before the first dial.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 func NewConnector(execute func(func()), t *timers.Timers, room *socket.Room,
 	take func(gnet.Conn, socket.Owner) *socket.Conn, timeout time.Duration) *Connector {
-	return &Connector{execute: execute, timers: t, room: room, take: take, timeout: timeout}
+	return &Connector{execute: execute, timers: t, room: room, take: take, timeout: timeout,
+		stopped: make(chan struct{}),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", address)
+		}}
 }
 
 // Change sets another time for connections to stand.
 func (c *Connector) Change(timeout time.Duration) { c.timeout = timeout }
 
+// Out is how many connects are under way.
+func (c *Connector) Out() int { return c.out }
+
+// Stop is to be called once the event loop ends: a connection that is still handed over to it is not waited for.
+func (c *Connector) Stop() { close(c.stopped) }
+
 // Opener takes over a connection that stands.
 type Opener interface {
 	// Open is called on the event loop.
@@ -52,20 +69,27 @@
 // connect calls either opener.Open or failed, on the event loop.
 func (c *Connector) connect(address string, opener Opener, failed func()) context.CancelFunc {
 	c.room.Take(connecting)
+	c.out++
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	dial := c.Dial
 	go func() {
 		defer cancel()
-		var dialer net.Dialer
-		conn, err := dialer.DialContext(ctx, "tcp", address)
+		conn, err := dial(ctx, address)
 		if err == nil {
 			var joined <-chan gnet.RegisteredResult
 			if joined, err = c.Loop.Enroll(gnet.NewContext(context.Background(), opener), conn); err != nil {
 				conn.Close()
 			} else {
-				err = (<-joined).Err
+				select {
+				case result := <-joined:
+					err = result.Err
+				case <-c.stopped: // guards against a loop that has ended with the hand-over still before it
+					return
+				}
 			}
 		}
 		c.execute(func() {
+			c.out--
 			c.room.Give(connecting)
 			if err != nil {
 				failed()
@@ -91,6 +115,7 @@
 	at      choice.ServerID
 	state   state
 	first   []byte
+	edition int // of the server that was chosen
 	since   time.Duration
 	limit   *timers.Timer
 	cancel  context.CancelFunc
@@ -119,13 +144,14 @@
 	if !known || s.room.Free() < connecting {
 		return nil
 	}
-	d := &Dial{servers: s, ex: ex, at: at, first: first, since: s.now()}
+	d := &Dial{servers: s, ex: ex, at: at, first: first, edition: s.directory.Edition(at), since: s.now()}
 	d.limit = s.timers.After(limit, d.late)
 	d.cancel = s.connector.connect(address, d, func() { d.fail(choice.Unreachable, socket.Reset, "unreachable") })
 	return d
 }
 
-// Open sends the first line. A server that has left the list by now takes nothing new.
+// Open sends the first line. A server that has left the list by now takes nothing new, one that is listed anew is not
+// the one that was chosen, and of a client that has left no byte goes out.
 func (d *Dial) Open(conn gnet.Conn) {
 	d.conn = d.servers.connector.take(conn, d)
 	switch {
@@ -135,6 +161,11 @@
 	case !d.servers.directory.Ready(d.at) && !d.ex.Resumes():
 		d.fail(choice.Unreachable, socket.Reset, "drains")
 		return
+	case d.servers.directory.Edition(d.at) != d.edition:
+		d.fail(choice.NotSent, socket.Reset, "listed-anew")
+		return
+	case !d.ex.ClientWaits():
+		return // it has ended this dial, too
 	}
 	d.state = asked
 	d.conn.Write(d.first)
@@ -161,13 +192,18 @@
 
 // End ends the dial for good; nothing that still comes counts.
 func (d *Dial) End(how socket.End, reason string) {
-	if d.state == over {
+	was := d.state
+	if was == over {
 		return
 	}
 	d.state = over
 	d.cancel()
 	d.servers.timers.Stop(d.limit)
-	if d.conn != nil {
+	switch {
+	case d.conn == nil:
+	case was == asked && d.conn.Unsent() > 0: // the rest of a first line given up must not go out later
+		d.conn.Cut()
+	default:
 		d.conn.EndAs(how)
 	}
 	_, name, _ := d.servers.directory.Address(d.at)
@@ -261,6 +297,8 @@
 // Ended tells that the server has ended the connection.
 func (d *Dial) Ended(how socket.End) {
 	switch {
+	case d.state == asked && d.conn.Unsent() > 0: // the line's last byte was never written
+		d.fail(choice.Unreachable, how, "unreachable")
 	case d.state == asked:
 		d.fail(choice.Broken, how, "broken")
 	case d.state == up && d.parting == choice.Accepted:
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -58,6 +58,7 @@
 	last   *timers.Timer
 	spare  *list.Element
 	unread int // bytes that have come since the goodbye
+	unsent int // bytes of what was written last that this machine never took, once the connection has ended
 }
 
 // New takes over a connection, for which the room was taken already.
@@ -102,7 +103,43 @@
 		c.later(func() { c.owner.Ended(Reset) })
 		return
 	}
-	c.conn.Write(lines)
+	if n, err := c.conn.Write(lines); err != nil && n == 0 {
+		c.unsent = len(lines)
+	}
+}
+
+// Unsent is how many bytes of what was written this machine has not taken yet: the other end can't have them. After
+// the end of the connection it is how many it never took.
+func (c *Conn) Unsent() int {
+	if c.state == closed {
+		return c.unsent
+	}
+	return c.conn.OutboundBuffered()
+}
+
+// Peer is what the other end has done that the event loop has not read yet.
+type Peer int
+
+const (
+	Waits  Peer = iota // nothing
+	Speaks             // something has come
+	Left               // it has ended the connection
+)
+
+// Peer asks the machine, which knows of a goodbye before the loop does: the loop may have stood still, or have more
+// to read than one turn takes.
+func (c *Conn) Peer() Peer {
+	if c.state != open {
+		return Left
+	}
+	var first [1]byte
+	switch n, _, err := unix.Recvfrom(c.conn.Fd(), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); {
+	case err == nil && n > 0:
+		return Speaks
+	case err == nil, err == unix.ECONNRESET, err == unix.EPIPE, err == unix.ETIMEDOUT:
+		return Left
+	}
+	return Waits
 }
 
 // Finish sends a last line, if any, and ends the connection in good order. Closing while something unread has
@@ -135,15 +172,25 @@
 	}
 }
 
-// Drop sends a last line and gives the descriptor back at once; what the other end still sends may cost it the line.
+// Drop sends a last line and gives the descriptor back at once. What has come by then is read away, as closing would
+// reset the connection over it and the other end lose the line; what comes later may still cost it that.
 func (c *Conn) Drop(lines []byte) {
 	if c.state != open {
 		return
 	}
 	c.conn.Write(lines)
-	if c.state == open { // the write may have failed
-		c.close()
+	if c.state != open { // the write may have failed
+		return
+	}
+	var away [4 << 10]byte
+	for read := 0; read < c.most; { // guards against one that sends on and on
+		n, err := unix.Read(c.conn.Fd(), away[:])
+		if err != nil || n == 0 {
+			break
+		}
+		read += n
 	}
+	c.close()
 }
 
 // Reset cuts the connection off.
@@ -155,6 +202,15 @@
 	c.close()
 }
 
+// Cut cuts the connection off and has nothing of what waits to be written go out any more: the event loop writes
+// what it can before it closes, and a line given up could still be completed.
+func (c *Conn) Cut() {
+	if c.state != closed && c.conn.OutboundBuffered() > 0 {
+		unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
+	}
+	c.Reset()
+}
+
 // EndAs ends the connection as the other side's was ended.
 func (c *Conn) EndAs(how End) {
 	if how == Reset {
@@ -166,6 +222,7 @@
 
 func (c *Conn) close() {
 	conn := c.conn
+	c.unsent = conn.OutboundBuffered()
 	c.leave()
 	conn.EventLoop().Close(conn)
 }
@@ -184,6 +241,7 @@
 	if was == closed {
 		return
 	}
+	c.unsent = c.conn.OutboundBuffered()
 	c.leave()
 	if was == open {
 		how := Reset
@@ -209,6 +267,9 @@
 func (r *Room) Give(n int) { r.free += n }
 func (r *Room) Free() int  { return r.free }
 
+// Spares is how many connections are spare.
+func (r *Room) Spares() int { return r.spare.Len() }
+
 // Spare names what gives a connection up.
 func (r *Room) Spare(giveUp func()) *list.Element { return r.spare.PushBack(giveUp) }
 
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -38,6 +38,7 @@
 			TipAfter     float64 `json:"tipAfter"`
 			MustAskIn    float64 `json:"mustAskIn"`
 			DrainsAlone  bool    `json:"drainBindsAlone"`
+			StopSending  float64 `json:"stopSendingWithin"`
 
 			FreeResends  *float64 `json:"freeResends"`
 			FurtherRatio *float64 `json:"furtherRatio"`
@@ -102,6 +103,9 @@
 	}
 	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span(told.Invariants.MustAskIn),
 		DrainsBindAlone: told.Invariants.DrainsAlone}
+	if !list.MustWatch { // what is pushed counts as told, whether or not a watch is open: a broken one is back by then
+		list.AskAgainIn = span(told.Invariants.StopSending) / 2
+	}
 	*cold = choice.ColdRule{Span: span(told.Invariants.Cold), From: told.Invariants.ColdFrom,
 		Multiple: told.Invariants.FallMultiple, Window: span(told.Invariants.TipAfter),
 		Proxies: max(told.GroupSize, 1), Me: told.Me}
