--- a/cmd/chalkferry/main_test.go
+++ b/cmd/chalkferry/main_test.go
@@ -53,7 +53,8 @@
 		defer l.Close()
 		asked[i] = l
 	}
-	own, err := net.Listen("tcp", "127.0.0.1:0")
+	// On 127.0.0.1 any connection out may get the port between its release and the proxy's listening.
+	own, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 16+os.Getpid()>>16&63, os.Getpid()>>8&255, 1+os.Getpid()&127))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -14,12 +14,22 @@
 	query string
 }
 
+// watcher calls on the loop, as the proxy does.
+type watcher struct {
+	*Watcher
+	loop chan func()
+}
+
+func (w watcher) Watch(after uint64) { w.loop <- func() { w.Watcher.Watch(after) } }
+func (w watcher) Drop()              { w.loop <- w.Watcher.Drop }
+func (w watcher) Move(to string)     { w.loop <- func() { w.Watcher.Move(to) } }
+
 const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 func (c call) chunk(text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
 
 // watched starts a watcher whose lists and failures come as words, and shows the calls that it makes.
-func watched(t *testing.T, answer time.Duration) (w *Watcher, calls chan call, told chan string) {
+func watched(t *testing.T, answer time.Duration) (w watcher, calls chan call, told chan string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -44,8 +54,8 @@
 			call()
 		}
 	}()
-	w = New(l.Addr().String(), time.Second, answer, func(call func()) { loop <- call },
-		func(l List) { told <- fmt.Sprint("list ", l.Revision) }, func(err error) { told <- "failed" })
+	w.Watcher, w.loop = New(l.Addr().String(), time.Second, answer, func(call func()) { loop <- call },
+		func(l List) { told <- fmt.Sprint("list ", l.Revision) }, func(err error) { told <- "failed" }), loop
 	return w, calls, told
 }
 
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // TestLeftWhileConnecting: a client goes, in each way, while the connection to its server is not up; it comes up at the
@@ -506,14 +508,14 @@
 		fmt.Fprint(conn, "UP 2\r\n")
 	})
 	r.listed(1, member("s-1", s.at, "ready"), member("s-2", s.at, "ready"))
+	s.from(2)
 	for range 12 { // where most dials come to something, one that does not is followed by another
-		s.firsts++
 		d := connect(t, r.at)
 		d.say(opening(), "UP 2\r\n")
 		d.Close()
 	}
 	r.over()
-	s.firsts = 0
+	s.from(1)
 	d := connect(t, r.at)
 	fmt.Fprint(d.Conn, opening())
 	late := <-first
@@ -736,3 +738,38 @@
 		}
 	}
 }
+
+// TestNamedFields: a wrong field is refused by its name, at a start and at SIGHUP, where it changes nothing.
+func TestNamedFields(t *testing.T) {
+	r := rigged(t)
+	s := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 1\r\n") })
+	r.listed(1, member("s-1", s.at, "ready"))
+	for field, wrong := range map[string][2]string{
+		"listeners[0].dialTimeout":     {`"dialTimeout":800`, `"dialTimeout":-800`},
+		"listeners[0].handshakeTarget": {`"handshakeTarget":200`, `"handshakeTarget":1e300`},
+		"ceilings.connectTimeout":      {`"connectTimeout":100`, `"connectTimeout":-1`},
+		"invariants.mustAskIn":         {`"mustAskIn":4000`, `"mustAskIn":-4`},
+		"invariants.cold":              {`"cold":20000`, `"cold":-2`},
+		"domain.messageAim[0]":         {`"messageAim":[100]`, `"messageAim":[-1]`},
+		"listeners.dialTimeout":        {`"dialTimeout":800`, `"dialTimeout":"800"`},
+		"discovery":                    {`"discovery":"ask"`, `"discovery":"tell"`},
+		"tenants":                      {`"areas"`, `"tenants":[{"name":"a"},{"name":"a"}],"areas"`},
+		"areas":                        {`["a"]`, `["a","a"]`},
+		"effect":                       {"read_like", "any"},
+	} {
+		text := strings.Replace(r.text, wrong[0], wrong[1], 1)
+		_, err := New([]byte(text), zerolog.Nop())
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", field, err)
+		}
+		if again := r.p.Reload([]byte(text)); again == nil || err != nil && again.Error() != err.Error() {
+			t.Errorf("%s at SIGHUP: %v", field, again)
+		}
+	}
+	r.on(func() {
+		if string(r.p.text) != r.text {
+			t.Error("a wrong configuration has changed something")
+		}
+	})
+	connect(t, r.at).say(opening(), "UP 1\r\n")
+}
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -83,7 +84,10 @@
 			}
 		}
 	}))
-	t.Cleanup(s.CloseClientConnections)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
 	return s.Listener.Addr().String()
 }
 
@@ -181,12 +185,11 @@
 	}
 }
 
-var sessions int
+var sessions atomic.Int64
 
 // opening asks for a session with a new id.
 func opening() string {
-	sessions++
-	return fmt.Sprintf("OPEN %x 2 c=chat,d=800,g=3\r\n", sessions)
+	return fmt.Sprintf("OPEN %x 2 c=chat,d=800,g=3\r\n", sessions.Add(1))
 }
 
 // on calls on the proxy's loop and returns once that is through.
@@ -311,6 +314,7 @@
 type post struct {
 	at     string
 	does   func(conn *net.TCPConn, nth int, first string)
+	gone   func(conn net.Conn) // nil, or called at the end of each connection that asked
 	mu     sync.Mutex
 	seen   map[net.Conn]*bytes.Buffer
 	firsts int
@@ -361,11 +365,21 @@
 			s.does(conn, nth, first)
 		}
 		if err != nil {
+			if asked && s.gone != nil {
+				s.gone(conn)
+			}
 			return
 		}
 	}
 }
 
+// from numbers the first lines to come.
+func (s *post) from(nth int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firsts = nth - 1
+}
+
 // got is what has reached the server but for the filling, how many first lines, and whether all connections ended.
 func (s *post) got() (text string, firsts int, allEnded bool) {
 	s.mu.Lock()
--- a/internal/start/proxy.go
+++ b/internal/start/proxy.go
@@ -106,8 +106,13 @@
 	for i, zone := range told.Areas {
 		zones[zone] = choice.ZoneID(i)
 	}
-	if len(listeners) < len(told.Listeners) {
+	switch {
+	case len(listeners) < len(told.Listeners):
 		return fmt.Errorf("settings: two listeners of one name")
+	case len(tenants) < len(told.Tenants):
+		return fmt.Errorf("settings: two tenants of one name")
+	case len(zones) < len(told.Areas):
+		return fmt.Errorf("settings: two areas of one name")
 	}
 	return nil
 }
@@ -128,7 +133,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	var err error
-	if *connect, err = millis(told.Ceilings.ConnectTimeout); err != nil {
+	if *connect, err = millis("ceilings.connectTimeout", told.Ceilings.ConnectTimeout); err != nil {
 		return err
 	}
 	if *connect == 0 {
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -57,18 +57,24 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	var bad error
-	span := func(ms float64) time.Duration {
-		d, err := millis(ms)
-		if err != nil {
+	span := func(name string, ms float64) time.Duration {
+		d, err := millis(name, ms)
+		if err != nil && bad == nil {
 			bad = err
 		}
 		return d
 	}
+	switch told.Discovery {
+	case "", "ask", "push":
+	default:
+		return fmt.Errorf("settings: unknown discovery %q", told.Discovery)
+	}
 	for i, l := range told.Listeners {
-		next := choice.Listener{Name: l.Name, HandshakeTarget: span(l.HandshakeTarget), DialTimeout: span(l.DialTimeout),
-			RepeatWindow: span(l.RepeatWindow), Utility: l.Utility}
+		of := func(name string) string { return fmt.Sprintf("listeners[%d].%s", i, name) }
+		next := choice.Listener{Name: l.Name, HandshakeTarget: span(of("handshakeTarget"), l.HandshakeTarget), DialTimeout: span(of("dialTimeout"), l.DialTimeout),
+			RepeatWindow: span(of("repeatWindow"), l.RepeatWindow), Utility: l.Utility}
 		if i < len(told.Domain.MessageAim) {
-			next.MessageTarget = span(told.Domain.MessageAim[i])
+			next.MessageTarget = span(fmt.Sprintf("domain.messageAim[%d]", i), told.Domain.MessageAim[i])
 		}
 		switch l.Effect {
 		case "read_like":
@@ -95,19 +101,19 @@
 	}
 	*dials = choice.DialLimits{MostDials: max(told.Ceilings.MostDials, 1)}
 	if told.Ceilings.RetryAfter {
-		dials.MaxComeBack = span(told.Ceilings.MaxRetryAfter)
+		dials.MaxComeBack = span("ceilings.maxRetryAfter", told.Ceilings.MaxRetryAfter)
 	}
 	if err := furtherDials(told.Invariants.FreeResends, told.Invariants.FurtherRatio, told.Invariants.BudgetWindow,
 		budget); err != nil {
 		return err
 	}
-	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span(told.Invariants.MustAskIn),
+	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span("invariants.mustAskIn", told.Invariants.MustAskIn),
 		DrainsBindAlone: told.Invariants.DrainsAlone}
 	if !list.MustWatch { // what is pushed counts as told, whether or not a watch is open: a broken one is back by then
-		list.AskAgainIn = span(told.Invariants.StopSending) / 2
+		list.AskAgainIn = span("invariants.stopSendingWithin", told.Invariants.StopSending) / 2
 	}
-	*cold = choice.ColdRule{Span: span(told.Invariants.Cold), From: told.Invariants.ColdFrom,
-		Multiple: told.Invariants.FallMultiple, Window: span(told.Invariants.TipAfter),
+	*cold = choice.ColdRule{Span: span("invariants.cold", told.Invariants.Cold), From: told.Invariants.ColdFrom,
+		Multiple: told.Invariants.FallMultiple, Window: span("invariants.tipAfter", told.Invariants.TipAfter),
 		Proxies: max(told.GroupSize, 1), Me: told.Me}
 	*words = choice.WordRule{Allowed: told.Ceilings.Peers, Price: told.Penalties.Peer * benchwire.WordSize / benchwire.FullMessage}
 	switch {
@@ -153,7 +159,7 @@
 			return fmt.Errorf("settings: %s is %v, out of range", of.name, *of.value)
 		}
 	}
-	span, err := millis(*window)
+	span, err := millis("invariants.budgetWindow", *window)
 	if err != nil || span == 0 {
 		return fmt.Errorf("settings: budgetWindow is %v, out of range", *window)
 	}
@@ -161,9 +167,9 @@
 	return nil
 }
 
-func millis(ms float64) (time.Duration, error) {
+func millis(name string, ms float64) (time.Duration, error) {
 	if !(ms >= 0 && ms < 1e12) {
-		return 0, fmt.Errorf("settings: time %v is out of range", ms)
+		return 0, fmt.Errorf("settings: %s is %v ms, out of range", name, ms)
 	}
 	return time.Duration(math.Round(ms*1000)) * time.Microsecond, nil
 }
