A dial given up with its line unwritten could not connect

TestBrokenUnwritten with a server that reads nothing: at the dial's limit the outcome was "unanswered", may have run, so a once-only session was torn down (ERR), though the line's last byte had never been written and is cut with the connection. late() in servers.go: such a dial counts as unreachable, and the session goes elsewhere while its time lasts.

Further crossings found sound on the old code, kept as tests: SIGTERM and SIGHUP before the loop runs with discovery down, a stale list, a slow reader.

--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -432,33 +432,51 @@
 	}
 }
 
-// TestBrokenUnwritten: a connection that ends with the first line's last byte unwritten could not connect, so that also
-// what must not run twice is sent elsewhere.
+// TestBrokenUnwritten: a connection that ends, or is given up, with the first line's last byte unwritten could not
+// connect, so that also what must not run twice is sent elsewhere; and when the server reads on, no line comes of it.
 func TestBrokenUnwritten(t *testing.T) {
 	for effect, e := range effects {
-		t.Run(effect, func(t *testing.T) {
-			r := rigged(t, `"effect":"read_like"`, e.set, `"mostDials":3`, `"mostDials":2`)
-			l := narrow(t)
-			s := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 2\r\n") })
-			r.listed(1, member("s-1", l.Addr().String(), "ready"))
-			w := r.way(true)
-			d := connect(t, r.at)
-			fmt.Fprint(d.Conn, opening())
-			<-w.reached
-			w.open <- true
-			r.until("the line waits for this machine", func() bool { return r.p.connector.Out() == 0 })
-			r.way(false)
-			w = r.way(false)
-			close(w.open)
-			r.listed(2, member("s-1", l.Addr().String(), "ready"), member("s-2", s.at, "ready"))
-			conn, err := l.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			conn.(*net.TCPConn).SetLinger(0)
-			conn.Close()
-			d.hear("UP 2\r\n")
-		})
+		for _, resets := range []bool{true, false} {
+			t.Run(fmt.Sprint(effect, resets), func(t *testing.T) {
+				t.Parallel()
+				r := rigged(t, `"effect":"read_like"`, e.set, `"dialTimeout":800`, `"dialTimeout":1600`)
+				l := narrow(t)
+				s := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 2\r\n") })
+				r.listed(1, member("s-1", l.Addr().String(), "ready"))
+				w := r.way(true)
+				d := connect(t, r.at)
+				fmt.Fprint(d.Conn, strings.Replace(opening(), "800", "1600", 1))
+				began := time.Now()
+				<-w.reached
+				w.open <- true
+				r.until("the line waits for this machine", func() bool { return r.p.connector.Out() == 0 })
+				w = r.way(false)
+				close(w.open)
+				r.listed(2, member("s-1", l.Addr().String(), "ready"), member("s-2", s.at, "ready"))
+				conn, err := l.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				if resets {
+					conn.(*net.TCPConn).SetLinger(0)
+					conn.Close()
+				}
+				got, err := d.ReadString('\n')
+				if took := time.Since(began); took > 1600*time.Millisecond {
+					t.Errorf("%q after %v", got, took)
+				}
+				if got != "UP 2\r\n" && (resets || !strings.HasPrefix(got, "BUSY")) { // all its time may have gone by
+					t.Errorf("%q, %v", got, err)
+				}
+				if !resets {
+					all, _ := io.ReadAll(conn)
+					if rest := strings.Trim(string(all), "x"); rest != "" {
+						t.Errorf("%q follows", rest)
+					}
+				}
+			})
+		}
 	}
 }
 
@@ -773,3 +791,79 @@
 	})
 	connect(t, r.at).say(opening(), "UP 1\r\n")
 }
+
+// TestToldBeforeReady: SIGTERM and SIGHUP come before the loop runs, and discovery is down: the process ends by itself.
+func TestToldBeforeReady(t *testing.T) {
+	for _, mode := range []string{"proxy", "pass"} {
+		text := strings.Replace(fmt.Sprintf(configuration, free(t), free(t), 256), `"proxy"`, fmt.Sprintf("%q", mode), 1)
+		p, err := New([]byte(text), zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reloaded := make(chan error, 1)
+		go p.Leave()
+		go func() { reloaded <- p.Reload([]byte(text)) }()
+		ended := make(chan error, 1)
+		go func() { ended <- p.Run() }()
+		for _, done := range []chan error{reloaded, ended} {
+			select {
+			case err := <-done:
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(3 * time.Second):
+				t.Fatal("it hangs")
+			}
+		}
+	}
+}
+
+// TestStale: a list older than the one at hand changes nothing, and the next one is asked for.
+func TestStale(t *testing.T) {
+	r := rigged(t)
+	s := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 1\r\n") })
+	r.listed(5, member("s-1", s.at, "ready"))
+	r.lists <- fmt.Sprintf(`{"revision":3,"complete":true,"members":[%s]}`, member("s-1", s.at, "draining"))
+	r.until("the old list is refused", func() bool { return r.p.failures == 1 })
+	connect(t, r.at).say(opening(), "UP 1\r\n")
+	r.listed(6, member("s-1", s.at, "draining"))
+	connect(t, r.at).say(opening(), "BUSY\r\n")
+}
+
+// TestSlowReader: a client that reads nothing while its server says its last line, after more than the machine takes at
+// once: it gets whole lines in order as far as it goes, and its room is given back in good time.
+func TestSlowReader(t *testing.T) {
+	for name, c := range map[string]struct {
+		lines int
+		whole bool
+	}{"within bounds": {100, true}, "beyond": {400 << 10 / 100, false}} {
+		t.Run(name, func(t *testing.T) {
+			r := rigged(t)
+			text := strings.Repeat(strings.Repeat("x", 98)+"\r\n", c.lines)
+			s := posted(t, func(conn *net.TCPConn, _ int, _ string) {
+				fmt.Fprint(conn, "UP 1\r\n")
+				for range 60 {
+					fmt.Fprint(conn, text)
+				}
+				fmt.Fprint(conn, "BYE\r\n")
+				conn.CloseWrite()
+			})
+			r.listed(1, member("s-1", s.at, "ready"))
+			conn, err := (&net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+				return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+			}}).Dial("tcp", r.at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprint(conn, opening())
+			if c.whole {
+				all, err := io.ReadAll(conn)
+				if want := "UP 1\r\n" + strings.Repeat(text, 60) + "BYE\r\n"; string(all) != want || err != nil {
+					t.Errorf("%d bytes of %d, %v", len(all), len(want), err)
+				}
+			}
+			r.over()
+		})
+	}
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -173,9 +173,10 @@
 }
 
 func (d *Dial) late() {
-	if d.state == reaching {
+	switch {
+	case d.state == reaching, d.state == asked && d.conn.Unsent() > 0: // the line is cut, and can't be whole any more
 		d.fail(choice.Unreachable, socket.Reset, "unreachable")
-	} else if d.state == asked {
+	case d.state == asked:
 		d.fail(choice.Unanswered, socket.Finished, "unanswered")
 	}
 }
