A dial given up is reset: a FIN had the kernel send its line once a cut heals

TestLeftWithLineHeld: the kernel has taken the first line and can't send it, as to a server that is cut off. The dial's limit passes, another dial goes out, the client leaves, the server can be reached again: it got the whole line, on the old code in five of six cases (client's FIN, close and RST). late() ended the dial in good order, and after a FIN the kernel goes on sending what it holds; a reset drops it. Ruled out: bytes in the event loop's own buffer, which Cut sees to (TestLeftWithLineUnsent).

TestForget for what is forgotten of servers that are gone.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -455,3 +455,23 @@
 		}
 	}
 }
+
+// TestForget: what is known of a server that has left the list goes with it, unless sessions are there.
+func TestForget(t *testing.T) {
+	r := newRig(2)
+	for _, at := range []choice.ServerID{7, 8} {
+		r.heard[at], r.suspect[at], r.delays.servers[at], r.delays.beats[at] = sec, sec, noted{}, sec
+	}
+	r.held[8] = 1
+	r.Forget(7)
+	r.Forget(8)
+	for at, want := range map[choice.ServerID]bool{7: false, 8: true} {
+		_, heard := r.heard[at]
+		_, suspect := r.suspect[at]
+		_, of := r.delays.servers[at]
+		_, beats := r.delays.beats[at]
+		if heard != want || suspect != want || of != want || beats != want {
+			t.Errorf("of server %d: %v %v %v %v, want %v", at, heard, suspect, of, beats, want)
+		}
+	}
+}
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -21,7 +21,7 @@
 		t.Run(name, func(t *testing.T) {
 			r, s := rigged(t), posted(t, nil)
 			r.listed(1, member("s-1", s.at, "ready"))
-			w := r.way(false)
+			w := r.way(false, false)
 			d := connect(t, r.at)
 			fmt.Fprint(d.Conn, opening())
 			<-w.reached
@@ -42,7 +42,7 @@
 			t.Run(fmt.Sprint(name, leftFirst), func(t *testing.T) {
 				r, s := rigged(t), posted(t, nil)
 				r.listed(1, member("s-1", s.at, "ready"))
-				w := r.way(false)
+				w := r.way(false, false)
 				d := connect(t, r.at)
 				fmt.Fprint(d.Conn, opening())
 				<-w.reached
@@ -67,7 +67,7 @@
 func TestSpeaksOutOfTurn(t *testing.T) {
 	r, s := rigged(t), posted(t, nil)
 	r.listed(1, member("s-1", s.at, "ready"))
-	w := r.way(false)
+	w := r.way(false, false)
 	d := connect(t, r.at)
 	fmt.Fprint(d.Conn, opening())
 	<-w.reached
@@ -91,7 +91,7 @@
 		t.Run(name, func(t *testing.T) {
 			l, r := narrow(t), rigged(t)
 			r.listed(1, member("s-1", l.Addr().String(), "ready"))
-			w := r.way(true)
+			w := r.way(true, false)
 			d := connect(t, r.at)
 			fmt.Fprint(d.Conn, opening())
 			<-w.reached
@@ -116,6 +116,53 @@
 	}
 }
 
+// TestLeftWithLineHeld: this machine has taken the line and can't send it, as to a server that is cut off; the client goes
+// at once, or after the dial was given up and another one is out. Then the server can be reached again: nothing comes.
+func TestLeftWithLineHeld(t *testing.T) {
+	for name, leave := range leaves {
+		for _, givenUp := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, givenUp), func(t *testing.T) {
+				l, r := narrow(t), rigged(t)
+				asked := make(chan bool, 1)
+				s := posted(t, func(*net.TCPConn, int, string) { asked <- true })
+				up := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 1\r\n") })
+				r.listed(1, member("s-0", up.at, "ready"))
+				for range 12 { // where most dials come to something, one that does not is followed by another
+					d := connect(t, r.at)
+					d.say(opening(), "UP 1\r\n")
+					d.Close()
+				}
+				r.over()
+				r.listed(2, member("s-1", l.Addr().String(), "ready"))
+				w := r.way(true, true)
+				d := connect(t, r.at)
+				fmt.Fprint(d.Conn, opening())
+				<-w.reached
+				w.open <- true
+				r.until("the line is with this machine", func() bool {
+					return r.p.table.Len() == 1 && r.p.connector.Out() == 0
+				})
+				if givenUp {
+					w = r.way(false, false)
+					close(w.open)
+					r.listed(3, member("s-1", l.Addr().String(), "ready"), member("s-2", s.at, "ready"))
+					<-asked
+				}
+				leave(d)
+				r.until("the proxy has seen it go", func() bool { return r.p.table.Len() == 0 })
+				conn, err := l.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				all, err := io.ReadAll(conn)
+				if rest := strings.Trim(string(all), "x"); rest != "" {
+					t.Errorf("%q follows the goodbye, %v", rest, err)
+				}
+			})
+		}
+	}
+}
+
 // TestLeftAsked: the line is out and the server says nothing: the server learns of the goodbye at once, gets nothing
 // more, and the module has the session no longer.
 func TestLeftAsked(t *testing.T) {
@@ -298,7 +345,7 @@
 	r := rigged(t)
 	s := posted(t, nil)
 	r.listed(1, member("s-1", s.at, "ready"))
-	w := r.way(false)
+	w := r.way(false, false)
 	d := connect(t, r.at)
 	fmt.Fprint(d.Conn, opening())
 	<-w.reached
@@ -337,7 +384,7 @@
 		t.Run(name, func(t *testing.T) {
 			r, was, other := rigged(t), posted(t, up), posted(t, up)
 			r.listed(1, member("s-1", was.at, "ready"))
-			w := r.way(false)
+			w := r.way(false, false)
 			d := connect(t, r.at)
 			fmt.Fprint(d.Conn, opening())
 			<-w.reached
@@ -443,14 +490,14 @@
 				l := narrow(t)
 				s := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 2\r\n") })
 				r.listed(1, member("s-1", l.Addr().String(), "ready"))
-				w := r.way(true)
+				w := r.way(true, false)
 				d := connect(t, r.at)
 				fmt.Fprint(d.Conn, strings.Replace(opening(), "800", "1600", 1))
 				began := time.Now()
 				<-w.reached
 				w.open <- true
 				r.until("the line waits for this machine", func() bool { return r.p.connector.Out() == 0 })
-				w = r.way(false)
+				w = r.way(false, false)
 				close(w.open)
 				r.listed(2, member("s-1", l.Addr().String(), "ready"), member("s-2", s.at, "ready"))
 				conn, err := l.Accept()
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -284,11 +284,11 @@
 // way holds connects after they stand and before the loop has them.
 type way struct {
 	reached, open chan bool
-	filled        bool // so that this machine takes nothing more for them
 }
 
-func (r *rig) way(filled bool) *way {
-	w := &way{reached: make(chan bool, 64), open: make(chan bool), filled: filled}
+// way holds them; filled so that this machine takes nothing more for them, or, deep, takes it and can't send it.
+func (r *rig) way(filled, deep bool) *way {
+	w := &way{reached: make(chan bool, 64), open: make(chan bool)}
 	r.on(func() {
 		r.p.connector.Dial = func(_ context.Context, address string) (net.Conn, error) {
 			conn, err := net.Dial("tcp", address) // it may stand at the very moment that it is given up
@@ -301,6 +301,9 @@
 					}
 				}
 				err = conn.SetWriteDeadline(time.Time{})
+				if deep {
+					conn.(*net.TCPConn).SetWriteBuffer(1 << 20)
+				}
 			}
 			w.reached <- true
 			<-w.open
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -177,7 +177,8 @@
 	case d.state == reaching, d.state == asked && d.conn.Unsent() > 0: // the line is cut, and can't be whole any more
 		d.fail(choice.Unreachable, socket.Reset, "unreachable")
 	case d.state == asked:
-		d.fail(choice.Unanswered, socket.Finished, "unanswered")
+		// Reset, as what this machine still holds for a server that is cut off would reach it once it is back.
+		d.fail(choice.Unanswered, socket.Reset, "unanswered")
 	}
 }
 
