--- a/internal/proxy/drawn_test.go
+++ b/internal/proxy/drawn_test.go
@@ -71,7 +71,7 @@
 // dial takes a first line that has reached a server. A dial given up is out until its server hears the end, which may
 // be read after the next first line.
 func (j *judge) dial(at string, conn *net.TCPConn, first string) *seen {
-	words := strings.Fields(first)
+	words, came := strings.Fields(first), time.Now()
 	s := j.session(words[1])
 	for range 200 {
 		j.mu.Lock()
@@ -90,11 +90,11 @@
 	if s.mayRun && strings.Contains(first, "c=once") {
 		j.wrong("%s is sent again after a dial that may have run", words[1])
 	}
-	if since, is := j.drains[at]; is && time.Since(since) > 50*time.Millisecond {
+	if since, is := j.drains[at]; is && came.Sub(since) > 50*time.Millisecond {
 		j.wrong("%s is sent to a server that drains", words[1])
 	}
-	if !s.left.IsZero() && time.Since(s.left) > leftFor {
-		j.wrong("%s is sent %v after its client left", words[1], time.Since(s.left))
+	if !s.left.IsZero() && came.Sub(s.left) > leftFor {
+		j.wrong("%s is sent %v after its client left", words[1], came.Sub(s.left))
 	}
 	s.dials++
 	s.out++
@@ -277,10 +277,16 @@
 						clients.Go(func() { j.client(r.at, fmt.Sprintf("%x%02x", 0xa00000+seed, i), own, kind == 1) })
 					}
 					time.Sleep(time.Duration(h.Intn(60)) * time.Millisecond)
-					told := time.Now()
+					told, took := time.Now(), make(chan time.Duration, 1)
 					var reloaded sync.WaitGroup
 					switch kind {
 					case 1:
+						go func(ended chan error) {
+							if err := <-ended; err != nil {
+								j.wrong("the process ends: %v", err)
+							}
+							took <- time.Since(told)
+						}(r.ended)
 						for range 2 {
 							reloaded.Go(r.p.Leave)
 						}
@@ -304,9 +310,9 @@
 					reloaded.Wait()
 					if kind == 1 {
 						select {
-						case err := <-r.ended:
-							if took := time.Since(told); err != nil || took < stillComes || took > drawnWait+killMargin {
-								j.wrong("the process ends after %v: %v", took, err)
+						case took := <-took:
+							if took < stillComes || took > drawnWait+killMargin {
+								j.wrong("the process ends after %v", took)
 							}
 						case <-time.After(5 * time.Second):
 							j.wrong("the process does not end")
