A proxy that has ended hears no signals any more

go test -race -count=3 of cmd/chalkferry: TestHangUp failed in its second run by a race on the log's time format, between Run and the goroutine that the run before had left behind; it went on taking SIGHUPs for a proxy that had ended (its file gone: "open .../c.json: no such file"). Lines: serveCmd.Run, signal.Notify without a Stop, the format set at each run. Now Run stops the signals and the goroutine ends with it; the format is set once. -count=6 of TestHangUp under the race detector passes.

--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -20,9 +20,15 @@
 	Level   string `default:"info" enum:"debug,info,warn,error" help:"Least level of what is logged."`
 }
 
+func init() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" } // a trace of the log needs more than seconds
+
 func (c *serveCmd) Run() error {
 	told := make(chan os.Signal, 8) // before all else: SIGHUP would end a process that does not ask for it
 	signal.Notify(told, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	defer func() { // nothing is heard for a proxy that has ended
+		signal.Stop(told)
+		close(told)
+	}()
 	text, err := read(c.File)
 	if err != nil {
 		return err
@@ -31,7 +37,6 @@
 	if err != nil {
 		return err
 	}
-	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" // a trace of the log needs more than seconds
 	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
 	p, err := proxy.New(text, log)
 	if err != nil {
