A SIGTERM that comes as the process exits does not spoil its exit code

Seen on reading the change again: signal.Stop at the end of serveCmd.Run gave SIGTERM its default back, so a second one before the exit would have killed a proxy that had ended well. The goroutine ends by a channel of its own now and the signals stay caught. TestHangUp sends one more SIGTERM after the end.

--- a/cmd/chalkferry/main_test.go
+++ b/cmd/chalkferry/main_test.go
@@ -95,4 +95,6 @@
 	case <-time.After(10 * time.Second):
 		t.Error("the proxy does not end on SIGTERM")
 	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM) // one that comes as it exits would spoil its exit code
+	time.Sleep(20 * time.Millisecond)
 }
--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -25,10 +25,8 @@
 func (c *serveCmd) Run() error {
 	told := make(chan os.Signal, 8) // before all else: SIGHUP would end a process that does not ask for it
 	signal.Notify(told, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
-	defer func() { // nothing is heard for a proxy that has ended
-		signal.Stop(told)
-		close(told)
-	}()
+	ended := make(chan struct{}) // nothing is done for a proxy that has ended; a late signal still must not kill it
+	defer close(ended)
 	text, err := read(c.File)
 	if err != nil {
 		return err
@@ -55,7 +53,13 @@
 		p.Share(end.Tell)
 	}
 	go func() {
-		for sig := range told {
+		for {
+			var sig os.Signal
+			select {
+			case sig = <-told:
+			case <-ended:
+				return
+			}
 			if sig != syscall.SIGHUP {
 				p.Leave()
 				continue
