Stand-in node: what a connection says of itself is written under the node's lock

Lines at fault: conn.open wrote id and dial before it took the lock; Node.fall, by conn.gone, read both after it had given it back, and takeOver read the id of other connections under it. Beside the race, a line read by a process that had been killed counted as a dial that arrived. Now open writes with the lock, and only for a process that lives, and fall tells the judge before it gives the lock back. Reader-only uses of id stay without it.

--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -238,9 +238,11 @@
 	gone := n.conns
 	n.conns, n.beat = map[*conn]bool{}, nil
 	clear(n.kept)
-	n.mu.Unlock()
 	for c := range gone {
 		c.gone(true)
+	}
+	n.mu.Unlock()
+	for c := range gone {
 		reset(c.conn)
 	}
 }
@@ -445,11 +447,11 @@
 type conn struct {
 	node     *Node
 	conn     net.Conn
-	id       judge.SessionID
+	id       judge.SessionID // set by its reader with the node's lock, as all up to keptTo
 	dial     judge.Dial
 	plan     Plan
 	base     float64
-	stands   bool // guarded by the node's lock, as are the next five
+	stands   bool
 	mute     bool
 	changeAt time.Duration
 	beatAt   time.Duration
@@ -577,11 +579,14 @@
 		c.say("SYNTAX\r\n", 0)
 		return
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.conns[c] { // the process was killed before it could take the line
+		return
+	}
 	now := n.now()
 	c.id = judge.SessionID(o.ID)
 	c.dial = n.judge.Arrived(now, first, c.id, n.ID, o.At != nil || o.MidFlow)
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if n.standing != running {
 		return
 	}
@@ -678,7 +683,7 @@
 	c.sayLast(last, 0)
 }
 
-// gone tells the judge that the node ends the session without a word.
+// gone tells the judge that the node ends the session without a word. It needs the node's lock.
 func (c *conn) gone(closed bool) {
 	if c.id != "" {
 		c.node.judge.ServerEnded(c.node.now(), c.id, closed)
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -208,3 +209,56 @@
 	}
 	late.hear(t, "BUSY")
 }
+
+// A process that is killed, or asked for a session that another connection is just beginning, while first lines come
+// on many connections. The race detector is the judge of what a connection says of itself; what is seen from outside
+// is that each ends with its process, and that the next one takes sessions as if nothing had been.
+func TestKilledUnderLines(t *testing.T) {
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	j := judge.New(50*ms, 0, 0, false, []judge.Place{{}})
+	n := New(0, "127.0.0.1:0", machine, Talk{Passes: true}, 1, now, j,
+		func(judge.SessionID) Plan {
+			return Plan{Load: Load{Cores: 0.001}, Alive: func() bool { return false }}
+		}, func(*Node) {})
+	t.Cleanup(n.Close)
+	for round := range 10 {
+		if err := n.Start(true); err != nil {
+			t.Fatal(err)
+		}
+		var all []session
+		for range 32 {
+			c, err := net.Dial("tcp", n.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+			all = append(all, session{c, bufio.NewReader(c)})
+		}
+		for i, s := range all {
+			flow := ""
+			if i%4 == 3 {
+				flow = ",mid=1"
+			}
+			fmt.Fprintf(s, "OPEN %d 7 c=page,d=500%s\r\n", 100*round+i/2, flow)
+			if i == len(all)*3/4 {
+				go n.Kill()
+			}
+		}
+		for i, s := range all {
+			s.SetReadDeadline(time.Now().Add(2 * time.Second))
+			for {
+				_, err := s.lines.ReadString('\n')
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Fatalf("connection %d of round %d outlived its process", i, round)
+				}
+				if err != nil {
+					break
+				}
+			}
+		}
+		if f := n.Figures(); f.Held != 0 || f.Up {
+			t.Fatalf("killed, it holds %d, up %v", f.Held, f.Up)
+		}
+	}
+}
