--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -57,6 +57,7 @@
 func (c *Clients) AnswerPings() {
 	c.holds = false
 	for _, client := range c.held {
+		client.waitsToAsk()
 		client.pong()
 	}
 	c.held = nil
@@ -99,13 +100,20 @@
 // New makes the side for a connection that is about to be taken over.
 func (c *Clients) New() *Client {
 	client := &Client{clients: c, since: c.now()}
-	// Guards against clients that connect and say nothing, or never end a line: each holds a descriptor.
-	client.idle = c.timers.After(c.hello, client.dismiss)
+	client.waitsToAsk()
 	c.quiet[client] = true
 	client.spare = c.room.Spare(func() { client.drop("crowded-out") })
 	return client
 }
 
+// waitsToAsk guards against clients that connect and say nothing, or never end a line: each holds a descriptor.
+func (c *Client) waitsToAsk() {
+	c.clients.timers.Stop(c.idle)
+	if c.state == quiet {
+		c.idle = c.clients.timers.After(c.clients.hello, c.dismiss)
+	}
+}
+
 // dismiss ends in good order what has asked for nothing: a line that crosses the answer costs the client nothing.
 func (c *Client) dismiss() {
 	if c.state == quiet {
@@ -171,7 +179,8 @@
 func (c *Client) first(text []byte, more bool) {
 	if string(text) == "PING" { // as many as it likes: the connection ends unless it asks for a session soon
 		c.pings++
-		if c.clients.holds {
+		if c.clients.holds { // it is this proxy that lets it wait
+			c.clients.timers.Stop(c.idle)
 			c.clients.held = append(c.clients.held, c)
 			return
 		}
--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -21,6 +21,7 @@
 }
 
 func (w watcher) Watch(after uint64) { w.loop <- func() { w.Watcher.Watch(after) } }
+func (w watcher) Again(after uint64) { w.loop <- func() { w.Watcher.Again(after) } }
 func (w watcher) Drop()              { w.loop <- w.Watcher.Drop }
 func (w watcher) Move(to string)     { w.loop <- func() { w.Watcher.Move(to) } }
 
@@ -55,7 +56,7 @@
 		}
 	}()
 	w.Watcher, w.loop = New(l.Addr().String(), time.Second, answer, func(call func()) { loop <- call },
-		func(l List) { told <- fmt.Sprint("list ", l.Revision) }, func(err error) { told <- "failed" }), loop
+		func(l List) { told <- fmt.Sprint("list ", l.Revision) }, func(err error) { told <- fmt.Sprint("failed: ", err) }), loop
 	return w, calls, told
 }
 
@@ -63,7 +64,7 @@
 	t.Helper()
 	select {
 	case got := <-told:
-		if got != want {
+		if got != want && !(want == "failed" && strings.HasPrefix(got, want)) {
 			t.Errorf("%s, want %s", got, want)
 		}
 	case <-time.After(within):
@@ -97,14 +98,12 @@
 	hear(t, told, "failed", 5*time.Second)
 }
 
-// TestSilent: a watch that falls silent, wherever that is, is known to be dead in time for the next one, which may
-// fall silent at its opening, to be known dead, too, before what is missed counts as told: 6 s by the protocol, whatever
-// the settings give for an answer.
+// TestSilent: a watch that falls silent, wherever that is, is known to be dead in time for the next one, and that one,
+// which may say nothing at all, in time for a third, before what is missed counts as told: 6 s by the protocol, whatever
+// the settings give for an answer. (That a whole proxy keeps this, its pauses between calls too, is TestSilentWatch's.)
 func TestSilent(t *testing.T) {
 	for name, say := range map[string]func(c call){
-		"before the header": func(c call) {},
-		"within the header": func(c call) { fmt.Fprint(c, head[:20]) },
-		"after the header":  func(c call) { fmt.Fprint(c, head) },
+		"after the header": func(c call) { fmt.Fprint(c, head) },
 		"after a list": func(c call) {
 			fmt.Fprint(c, head)
 			c.chunk("{\"revision\":1}\n")
@@ -114,23 +113,46 @@
 			c.chunk("{\"revision\":1}\n{\"revision\":2,")
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			w, calls, told := watched(t, time.Minute)
-			began := time.Now()
-			w.Watch(0)
-			say(<-calls)
-			if strings.HasSuffix(name, "list") || strings.HasSuffix(name, "line") {
-				hear(t, told, "list 1", time.Second)
-			}
-			hear(t, told, "failed", 4*time.Second)
-			w.Watch(1)
-			<-calls // and nothing is said at all
-			hear(t, told, "failed", 4*time.Second)
-			if took := time.Since(began); took > 5*time.Second {
-				t.Errorf("two dead watches take %v", took)
-			}
-		})
+		for second, half := range map[string]string{"no word": "", "half a header": head[:20]} {
+			t.Run(name+", then "+second, func(t *testing.T) {
+				t.Parallel()
+				w, calls, told := watched(t, time.Minute)
+				began := time.Now()
+				w.Watch(0)
+				say(<-calls)
+				if name != "after the header" {
+					hear(t, told, "list 1", time.Second)
+				}
+				hear(t, told, "failed: "+ErrSilent.Error(), 4*time.Second)
+				w.Again(1)
+				fmt.Fprint(<-calls, half)
+				hear(t, told, "failed: "+ErrUnopened.Error(), 4*time.Second)
+				if took := time.Since(began); took > Told-300*time.Millisecond {
+					t.Errorf("two dead watches take %v", took)
+				}
+			})
+		}
+	}
+}
+
+// TestSlowToBegin: a watch that follows none that has fallen silent may wait its turn for as long as it is given, and
+// no longer.
+func TestSlowToBegin(t *testing.T) {
+	t.Parallel()
+	const answer = 3200 * time.Millisecond
+	w, calls, told := watched(t, answer)
+	w.Watch(0)
+	c := <-calls
+	time.Sleep(answer - 200*time.Millisecond)
+	fmt.Fprint(c, head)
+	c.chunk("{\"revision\":1}\n")
+	hear(t, told, "list 1", time.Second)
+	w.Watch(1)
+	<-calls
+	began := time.Now()
+	hear(t, told, "failed: "+errLate.Error(), answer+time.Second)
+	if took := time.Since(began); took < answer-100*time.Millisecond {
+		t.Errorf("given up after %v", took)
 	}
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,15 +17,24 @@
 // Heartbeat is how often a watch with no changes brings an empty line.
 const Heartbeat = 2 * time.Second
 
-// told is, by the protocol, how long after a watch has fallen silent what it misses counts as told.
-const told = 6 * time.Second
+// Told is, by the protocol, how long after a watch has fallen silent what it misses counts as told.
+const Told = 6 * time.Second
 
 const (
-	silence  = Heartbeat * 3 / 2    // without a byte: the watch is dead
-	opening  = (told - silence) / 2 // for the next one to begin, as that may say nothing either
-	mostList = 4 << 20              // bytes
+	silence  = Heartbeat * 3 / 2        // without a byte: the watch is dead
+	opening  = (Told - silence) * 5 / 6 // for the next one to begin; the rest is for one more, as that may say nothing either
+	mostList = 4 << 20                  // bytes
 )
 
+// What a watch may fail by that has others follow at once: until the next one begins, what has been missed is not known,
+// and counts as told soon.
+var (
+	ErrSilent   = errors.New("the watch fell silent")
+	ErrUnopened = errors.New("the watch in place of a silent one did not begin in time")
+)
+
+var errLate = errors.New("the watch did not begin in time")
+
 // Server is one entry of the list.
 type Server struct {
 	ID        string  `json:"id"`
@@ -85,11 +94,12 @@
 	execute func(func()) // on the event loop
 	list    func(List)
 	failed  func(error)
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
+	answer  time.Duration // for a watch to begin
 	watch   int
 }
 
-// New makes a watcher that tells lists and failures on the event loop.
+// New makes a watcher that tells lists and failures on the event loop; answer is how long a watch may take to begin.
 func New(address string, connect, answer time.Duration, execute func(func()), list func(List),
 	failed func(error)) *Watcher {
 	w := &Watcher{address: address, execute: execute, list: list, failed: failed}
@@ -97,19 +107,26 @@
 	return w
 }
 
-// Change sets other times for the watches to come. However long they are, a watch has to begin in time for another
-// one to come before what is missed counts as told.
+// Change sets other times for the watches to come.
 func (w *Watcher) Change(connect, answer time.Duration) {
+	w.answer = answer
 	w.client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connect}).DialContext,
-		DisableKeepAlives: true, DisableCompression: true, ResponseHeaderTimeout: answer}}
+		DisableKeepAlives: true, DisableCompression: true}}
 }
 
 // Watch starts a watch for what changed after a revision, in place of the one before.
-func (w *Watcher) Watch(after uint64) {
+func (w *Watcher) Watch(after uint64) { w.start(after, w.answer, errLate) }
+
+// Again does so for one that has fallen silent, and fails with ErrUnopened early enough for one more to begin before
+// what is missed counts as told, however long a watch may take otherwise.
+func (w *Watcher) Again(after uint64) { w.start(after, opening, ErrUnopened) }
+
+// start starts a watch that fails with late unless it begins within a time.
+func (w *Watcher) start(after uint64, within time.Duration, late error) {
 	if w.cancel != nil {
-		w.cancel()
+		w.cancel(nil)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	w.cancel = cancel
 	w.watch++
 	mine := w.watch
@@ -123,8 +140,11 @@
 	url := fmt.Sprintf("http://%s/api/targets?watch=1&after=%d", w.address, after)
 	client := w.client
 	go func() {
-		defer cancel()
-		err := w.follow(ctx, cancel, client, url, tell)
+		defer cancel(nil)
+		err := w.follow(ctx, cancel, client, url, within, late, tell)
+		if why := context.Cause(ctx); why != nil {
+			err = why
+		}
 		tell(func() { w.failed(err) })
 	}()
 }
@@ -136,14 +156,15 @@
 func (w *Watcher) Drop() {
 	w.watch++
 	if w.cancel != nil {
-		w.cancel()
+		w.cancel(nil)
 	}
 }
 
-func (w *Watcher) follow(ctx context.Context, cancel context.CancelFunc, client *http.Client, url string,
-	tell func(func())) error {
-	quiet := time.AfterFunc(opening, cancel) // guards against a machine that is cut off, or takes calls and says nothing
-	defer quiet.Stop()
+func (w *Watcher) follow(ctx context.Context, cancel context.CancelCauseFunc, client *http.Client, url string,
+	within time.Duration, late error, tell func(func())) error {
+	// Both guard against a machine that is cut off, or takes calls and says nothing.
+	begins := time.AfterFunc(within, func() { cancel(late) })
+	defer begins.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -156,7 +177,9 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", answer.Status)
 	}
-	quiet.Reset(silence)
+	begins.Stop()
+	quiet := time.AfterFunc(silence, func() { cancel(ErrSilent) })
+	defer quiet.Stop()
 	body := &pulse{from: answer.Body, beat: func() { quiet.Reset(silence) }}
 	lists := json.NewDecoder(body) // an object may stand on one line or on many, or come in any pieces
 	for {
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"chalkferry/internal/discovery"
 )
 
 // TestLeftWhileConnecting: a client goes, in each way, while the connection to its server is not up; it comes up at the
@@ -659,6 +661,23 @@
 	}
 }
 
+// TestPushedAndSilent: with long dial timeouts, a discovery that takes the call and says nothing does not keep a proxy
+// that starts from being dealt out connections, and is asked again before its silence would count.
+func TestPushedAndSilent(t *testing.T) {
+	at, calls := desk(t)
+	r := riggedAt(t, at, `"ask"`, `"push"`, `"mustAskIn":4000`, `"stopSendingWithin":300`, `"dialTimeout":800`, `"dialTimeout":20000`)
+	began := (<-calls).at
+	d := connect(t, r.at)
+	fmt.Fprint(d.Conn, "PING\r\n")
+	d.hear("PONG\r\n")
+	if took := time.Since(began); took > discovery.Told*3/4 {
+		t.Errorf("it is ready after %v", took)
+	}
+	if took := (<-calls).at.Sub(began); took > discovery.Told*5/4 {
+		t.Errorf("it asks again after %v", took)
+	}
+}
+
 // TestCrowdedOut: a connection is given up for want of descriptors while its line is in the kernel's buffer: it hears so.
 func TestCrowdedOut(t *testing.T) {
 	r := rigged(t)
@@ -914,3 +933,78 @@
 		})
 	}
 }
+
+// TestSilentWatch: a watch falls silent, and the call that is to open it anew meets a discovery that takes it and says
+// nothing, or one that has others to serve first. By the standing page what is missed counts as told 6 s after the
+// silence began, whatever the settings say on asking; a list that a call waits for in turn must not be given up.
+func TestSilentWatch(t *testing.T) {
+	for _, asking := range []string{`"mustAskIn":4000`, `"mustAskIn":120000`} {
+		for name, queue := range map[string]time.Duration{"says nothing": 0, "serves others first": 2 * time.Second} {
+			t.Run(fmt.Sprint(asking, " ", name), func(t *testing.T) {
+				t.Parallel()
+				at, calls := desk(t)
+				r := riggedAt(t, at, `"mustAskIn":4000`, asking)
+				(<-calls).opens(entry(1, "127.0.0.1:1", "ready"))
+				r.until("the list is taken", func() bool { return r.p.revision == 1 })
+				silent := time.Now()
+				again := <-calls
+				if queue == 0 {
+					again = <-calls // the one before is left as it is
+				} else {
+					time.Sleep(queue)
+				}
+				again.opens(entry(2, "127.0.0.1:1", "draining"))
+				r.until("the drain is known", func() bool { return r.p.revision == 2 })
+				if took := time.Since(silent); took > discovery.Told {
+					t.Errorf("it is known %v after the silence began", took)
+				}
+			})
+		}
+	}
+}
+
+// TestOverbooked: a call that waits its turn for longer than a watch may be silent, or than a dial may take, is answered
+// in the end, and is not given up for another, which would wait at the end of the queue.
+func TestOverbooked(t *testing.T) {
+	for name, c := range map[string]struct {
+		queue time.Duration
+		set   []string
+	}{
+		"asked":  {3500 * time.Millisecond, []string{`"mustAskIn":4000`, `"mustAskIn":10000`}},
+		"pushed": {2500 * time.Millisecond, []string{`"ask"`, `"push"`, `"mustAskIn":4000`, `"stopSendingWithin":300`, `"dialTimeout":800`, `"dialTimeout":300`}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			at, calls := desk(t)
+			r := riggedAt(t, at, c.set...)
+			first := <-calls
+			time.Sleep(c.queue)
+			first.opens(entry(1, "127.0.0.1:1", "ready"))
+			r.until("the list is taken", func() bool { return r.p.revision == 1 })
+			if n := len(calls); n > 0 {
+				t.Errorf("%d further calls", n)
+			}
+		})
+	}
+}
+
+// TestWatchCut: a watch that is reset is back before what it misses would count as told at the latest, however long the
+// settings let a proxy go without asking.
+func TestWatchCut(t *testing.T) {
+	for _, asking := range []string{`"mustAskIn":4000`, `"mustAskIn":120000`} {
+		t.Run(asking, func(t *testing.T) {
+			t.Parallel()
+			at, calls := desk(t)
+			r := riggedAt(t, at, `"mustAskIn":4000`, asking)
+			first := <-calls
+			first.opens(entry(1, "127.0.0.1:1", "ready"))
+			r.until("the list is taken", func() bool { return r.p.revision == 1 })
+			first.Conn.(*net.TCPConn).SetLinger(0)
+			first.Close()
+			cut := time.Now()
+			if again := <-calls; again.at.Sub(cut) > discovery.Told/2 {
+				t.Errorf("it is back after %v", again.at.Sub(cut))
+			}
+		})
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -106,7 +107,7 @@
 		t.connect, t.still, exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay))
 	p.clients = clients.New(p.table, p.timers, p.room, p.now, t.hello, p.directory.holder, t.listenerIDs,
 		t.tenantIDs, t.groups, log)
-	p.watcher = discovery.New(at.Discovery, t.connect*2, t.list.MustAskIn/2, p.execute, p.listed, p.watchFailed)
+	p.watcher = discovery.New(at.Discovery, t.connect*2, t.answer, p.execute, p.listed, p.watchFailed)
 	p.prepare = func() (err error) {
 		p.limitMemory(p.limits)
 		p.peers, err = p.hear(at, t)
@@ -118,6 +119,7 @@
 		p.table.Serve(p.balancer)
 		if p.terms.pushed {
 			p.clients.HoldPings()
+			p.timers.After(discovery.Told/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
 		}
 		p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
 		p.sweep()
@@ -297,11 +299,20 @@
 		Int("ready", ready).Int("draining", draining).Msg("list")
 }
 
-// watchFailed leaves the last list standing; the module asks again.
+// watchFailed leaves the last list standing; the module asks again. In place of a watch that has fallen silent another
+// begins at once, and one more if that says nothing either: what they miss is told to be known soon, by a clock of its
+// own that no pause between calls heeds.
 func (p *Proxy) watchFailed(err error) {
 	p.failures++
 	p.log.Warn().Err(err).Int("failures", p.failures).Msg("the watch of the list failed")
-	p.balancer.List(p.now(), choice.ListFailed, nil)
+	switch {
+	case errors.Is(err, discovery.ErrSilent):
+		p.watcher.Again(p.revision)
+	case errors.Is(err, discovery.ErrUnopened):
+		p.watcher.Watch(p.revision)
+	default:
+		p.balancer.List(p.now(), choice.ListFailed, nil)
+	}
 	p.clients.AnswerPings() // nothing more is known to wait for
 }
 
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -91,6 +91,41 @@
 	return s.Listener.Addr().String()
 }
 
+// desk is a discovery whose calls the test answers itself, as it likes.
+func desk(t *testing.T) (at string, calls chan call) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls = make(chan call, 64)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					calls <- call{conn, time.Now()}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), calls
+}
+
+// call is one of them.
+type call struct {
+	net.Conn
+	at time.Time
+}
+
+// opens begins a watch with a first list.
+func (c call) opens(list string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+}
+
 // free is an address that nothing else takes before the proxy does: on 127.0.0.1 any connection out may get the port.
 func free(t *testing.T) string {
 	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 16+os.Getpid()>>16&63, os.Getpid()>>8&255, 1+os.Getpid()&127))
@@ -215,8 +250,16 @@
 
 // rigged starts a proxy by the usual configuration with some parts replaced; the list names nothing yet.
 func rigged(t *testing.T, replace ...string) *rig {
-	r := &rig{T: t, at: free(t), lists: make(chan string, 8), ended: make(chan error, 1)}
-	r.text = strings.NewReplacer(replace...).Replace(fmt.Sprintf(configuration, r.at, list(t, r.lists), 256))
+	lists := make(chan string, 8)
+	r := riggedAt(t, list(t, lists), replace...)
+	r.lists = lists
+	return r
+}
+
+// riggedAt is the same with a discovery of its own.
+func riggedAt(t *testing.T, discovery string, replace ...string) *rig {
+	r := &rig{T: t, at: free(t), ended: make(chan error, 1)}
+	r.text = strings.NewReplacer(replace...).Replace(fmt.Sprintf(configuration, r.at, discovery, 256))
 	var err error
 	if r.p, err = New([]byte(r.text), zerolog.Nop()); err != nil {
 		t.Fatal(err)
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chalkferry/choice"
+	"chalkferry/internal/discovery"
 	"chalkferry/internal/start"
 )
 
@@ -26,6 +27,7 @@
 	models         bool // servers of one model are learnt of together
 	pushed         bool // what discovery has to tell counts as told, watched or not
 
+	answer   time.Duration // for a watch of the list to begin
 	patience time.Duration // the longest dial timeout
 	hello    time.Duration // for a connection to ask for a session
 	mark     time.Duration // a message that takes longer is noted
@@ -62,8 +64,12 @@
 	}
 	// A real list must be watched, also where the bench hands it out.
 	t.pushed, t.list.MustWatch = !t.list.MustWatch, true
-	if t.list.MustAskIn == 0 {
-		t.list.MustAskIn = 4 * t.patience
+	t.answer = t.list.MustAskIn / 2
+	if t.list.MustAskIn == 0 { // no asking is asked for; calls may wait their turn all the same
+		t.list.MustAskIn, t.answer = max(4*t.patience, discovery.Told), discovery.Told
+	}
+	if t.list.AskAgainIn == 0 { // what a watch misses counts as told by then, however long the settings let one not ask
+		t.list.AskAgainIn = min(t.list.MustAskIn/4, discovery.Told/2)
 	}
 	return t, nil
 }
