A first line goes out only while what its dial was placed by still holds

Seen, as failing tests on the code before: a referenced session whose first dial may have run is sent again 100 ms after its window for repeats, as its connection stood late, by itself or with the loop standing still ("2 lines reach servers", four of four cases of TestWindowPasses): an effect twice. And 6 further dials go out in a window whose budget is 5.9, and 6 usual sessions in a cold server's frame whose turn is 5 (TestGoes, each with its part of the change taken out).

Sessions of other effects have no window; drains and the client's leaving are looked at when the connection stands already.

Lines at fault: Dial.Open, which writes without asking again; Balancer.place, after whose check nobody looks.

Now the exchange asks the module once more, Balancer.Goes: past the window, or past this proxy's turn, the dial counts as never sent (reason too-late), and the session gets another dial or its answer; a further dial that stood late is counted from its line on, too.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -503,12 +503,17 @@
 	return srv.turn == 0 || b.now < b.coldHeld || srv.sent+b.weight(s) > srv.turn+1e-9
 }
 
+// frameAt is the number of a cold server's frame.
+func (b *Balancer) frameAt(srv *server, at time.Duration) int {
+	return int(max(at-srv.Since, 0) / b.cold.Window)
+}
+
 // takeTurn works out a cold server's turn, once in each frame. What it could do warm is not told: it is sure
 // that while it warms it can be filled with as many sessions as its size had on servers that were in time.
 // Listeners' loads differ: each pair of frames has turns for sessions of one listener's load or less, so that
 // light ones have more.
 func (b *Balancer) takeTurn(srv *server) {
-	frame := int(max(b.now-srv.Since, 0) / b.cold.Window)
+	frame := b.frameAt(srv, b.now)
 	if srv.frame == frame+1 {
 		return
 	}
@@ -1008,6 +1013,31 @@
 	b.front.Refuse(s.ID, min(comeBack, s.MaxComeBack))
 }
 
+// Goes tells whether the line of the dial that is out may go, now that its connection stands. It guards
+// against connections that take long: what the dial was placed by may have passed meanwhile, the window for
+// repeats or this proxy's turn at a cold server, and the budget's window has to count it from now on.
+func (b *Balancer) Goes(now time.Duration, id SessionID) bool {
+	b.now = now
+	s := b.sessions[id]
+	if s == nil || s.state != dialing {
+		return true
+	}
+	if !b.mayRerun(s) {
+		return false
+	}
+	srv := s.server
+	if b.warmth(srv) < 1 && b.frameAt(srv, s.dialedAt) != b.frameAt(srv, now) {
+		if b.overBudget(s, srv) {
+			return false
+		}
+		srv.sent += b.weight(s)
+	}
+	if s.dials > 1 && b.budget.Window > 0 && now-s.dialedAt > b.budget.Window/windowEdge {
+		b.further.add(now, now-b.budget.Window)
+	}
+	return true
+}
+
 // Opened tells that a dial's session stands.
 func (b *Balancer) Opened(now time.Duration, id SessionID, _ ServerID, no DialNo, _ time.Duration) {
 	b.now = now
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -954,3 +954,70 @@
 		}
 	}
 }
+
+// TestGoes: connections take up to a third of a window to stand. What goes out in a cold server's frame, by whichever
+// frame it was placed in, is this proxy's turn there at most; and in no window more further dials go out than the
+// budget has.
+func TestGoes(t *testing.T) {
+	rule, gone := someCold, 0
+	rule.Proxies = 6
+	budget := DialBudget{Free: 2, Share: 0.05, Window: 2 * sec}
+	for seed := range int64(30) {
+		chance := rand.New(rand.NewSource(seed))
+		rule.Me = chance.Intn(rule.Proxies)
+		r := newRig(rule, chance)
+		r.cold = rule
+		r.list(ListFull, 9)
+		r.fill(60)
+		r.b.round()
+		r.b.Switch(0, r.listeners, r.dials, budget, ListRules{MustWatch: true, MustAskIn: 10 * sec}, rule, WordRule{})
+		r.now = 4 * sec
+		cold := Entry{ID: 10, Size: 8, Standing: Ready, Started: true, Since: r.now}
+		r.tell(ListDelta, []Entry{cold})
+		var out []*owed
+		stands := map[SessionID]time.Duration{}
+		went, taken := []time.Duration{}, []time.Duration{}
+		frame, sent := 0, 0.0
+		for r.now < cold.Since+rule.Span {
+			r.now += 10 * ms
+			if chance.Intn(3) == 0 {
+				taken = append(taken, r.now)
+				if s := r.arrive(0, Key(chance.Int63()), 0, 0); s.out != 0 {
+					out, stands[s.id] = append(out, s), r.now+time.Duration(chance.Int63n(int64(rule.Window/3)))
+				}
+			}
+			was := out
+			out = nil
+			for _, s := range was {
+				if stands[s.id] > r.now {
+					out = append(out, s)
+					continue
+				}
+				goes, at := r.b.Goes(r.now, s.id), r.b.byID[s.out]
+				if goes && s.dials > 1 {
+					went = append(went, r.now)
+					n, most := inWindow(went, r.now-budget.Window), budget.Free+budget.Share*float64(inWindow(taken, r.now-budget.Window*5/4))
+					if float64(n) > most {
+						t.Fatalf("seed %d: %d further dials within a window of %.1f", seed, n, most)
+					}
+				}
+				if goes && at.ID == cold.ID {
+					gone++
+					if now := int((r.now - cold.Since) / rule.Window); now != frame {
+						frame, sent = now, 0
+					}
+					r.b.takeTurn(at)
+					if sent += r.b.weight(r.b.sessions[s.id]); sent > at.turn+1e-9 {
+						t.Fatalf("seed %d: %v goes out in frame %d, whose turn is %v", seed, sent, frame, at.turn)
+					}
+				}
+				if r.settle(s, map[bool]Outcome{true: Full, false: NotSent}[goes]); s.out != 0 {
+					out, stands[s.id] = append(out, s), r.now+time.Duration(chance.Int63n(int64(rule.Window/3)))
+				}
+			}
+		}
+	}
+	if gone < 30 {
+		t.Errorf("%d lines to cold servers", gone)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -319,6 +319,11 @@
 // ClientWaits tells whether the client still waits; if not, the session has ended.
 func (ex *Exchange) ClientWaits() bool { return ex.client.Waits() }
 
+// Goes tells whether the first line may still go to the server, whose connection stands now.
+func (ex *Exchange) Goes() bool {
+	return ex.state != dialing || ex.table.balancer.Goes(ex.table.now(), ex.arrival.ID)
+}
+
 // What the server side reads.
 
 // Opened passes the server's word that the session stands.
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -1008,3 +1008,55 @@
 		})
 	}
 }
+
+// TestWindowPasses: a referenced session's first dial may have run; the connection of the next one stands only after the
+// window for repeats has passed, by itself or as the loop stood still: no line goes out on it, and the session gets the
+// answer of one that may not be sent again.
+func TestWindowPasses(t *testing.T) {
+	const window = 400 * time.Millisecond
+	for group, want := range map[string]string{"all": "BUSY", "zone": "ERR\r\n"} {
+		for _, stands := range []bool{false, true} {
+			t.Run(fmt.Sprint(group, stands), func(t *testing.T) {
+				t.Parallel()
+				r := rigged(t, `"effect":"read_like"`, fmt.Sprintf(`"effect":"idempotency_key","group":%q,"repeatWindow":%d`, group, window.Milliseconds()),
+					`"dialTimeout":800`, `"dialTimeout":1600`)
+				s := posted(t, func(conn *net.TCPConn, nth int, _ string) {
+					fmt.Fprint(conn, map[bool]string{true: "ERR\r\n", false: "UP 2\r\n"}[nth == 1])
+				})
+				r.listed(1, member("s-1", s.at, "ready"), member("s-2", s.at, "ready"))
+				s.from(2)
+				for range 12 { // where most dials come to something, one that does not is followed by another
+					d := connect(t, r.at)
+					d.say(opening(), "UP 2\r\n")
+					d.Close()
+				}
+				r.over()
+				s.from(1)
+				w := r.way(false, false)
+				d := connect(t, r.at)
+				fmt.Fprint(d.Conn, strings.Replace(opening(), "800", "1600", 1))
+				<-w.reached
+				first := time.Now()
+				w.open <- true
+				<-w.reached // of the next one
+				release := func() {}
+				if stands {
+					release = r.stall()
+					w.open <- true
+					r.handedOver()
+				}
+				time.Sleep(time.Until(first.Add(window + 100*time.Millisecond)))
+				release()
+				if !stands {
+					w.open <- true
+				}
+				got, err := d.ReadString('\n')
+				if _, firsts, _ := s.got(); firsts != 1 || !strings.HasPrefix(got, want) {
+					t.Errorf("%d lines reach servers, the client gets %q, %v", firsts, got, err)
+				}
+				d.Close()
+				r.over()
+			})
+		}
+	}
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -151,7 +151,7 @@
 }
 
 // Open sends the first line. A server that has left the list by now takes nothing new, one that is listed anew is not
-// the one that was chosen, and of a client that has left no byte goes out.
+// the one that was chosen, of a client that has left no byte goes out, and what the dial was placed by must still hold.
 func (d *Dial) Open(conn gnet.Conn) {
 	d.conn = d.servers.connector.take(conn, d)
 	switch {
@@ -166,6 +166,9 @@
 		return
 	case !d.ex.ClientWaits():
 		return // it has ended this dial, too
+	case !d.ex.Goes():
+		d.fail(choice.NotSent, socket.Reset, "too-late")
+		return
 	}
 	d.state = asked
 	d.conn.Write(d.first)
