A proxy's first connection, to itself, is not limited by the dial timeout of sessions

Seen: with a dial timeout of 0.001 ms, far under any that is used, the process exits with code 1 at its start (TestStartsAtAll on the code before: the test's own process ends). On reading: any dial timeout that this process does not get to run in while its machine is busy, as when 300 proxies start together, ends it the same way.

Told from other causes: the configuration is taken (check says nothing), the listener listens; the exit is OnBoot's own. Lines at fault: Proxy.OnBoot, net.DialTimeout with the longest dial timeout, then os.Exit.

--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -1060,3 +1060,10 @@
 		}
 	}
 }
+
+// TestStartsAtAll: how long sessions may be dialled says nothing of how long a proxy may take to reach its own listener
+// at its start, on a machine where hundreds start together.
+func TestStartsAtAll(t *testing.T) {
+	r := rigged(t, `"dialTimeout":800`, `"dialTimeout":0.001`) // where it can't, the process exits
+	r.over()
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -176,9 +176,9 @@
 
 func (p *Proxy) OnBoot(engine gnet.Engine) gnet.Action {
 	p.engine = engine
-	listen, patience := p.at.Listen, p.terms.patience
-	go func() { // the first connection brings the loop's handle
-		conn, err := net.DialTimeout("tcp", listen, patience)
+	listen := p.at.Listen
+	go func() { // the first connection brings the loop's handle; with no limit, as only this process's time counts here
+		conn, err := net.Dial("tcp", listen)
 		if err != nil {
 			p.log.Error().Err(err).Msg("the proxy can't reach its own listener")
 			os.Exit(1)
