Stand-in judge: a dial that has ended at the machine is not out, whoever has read that

Forced now: TestEndUnread holds up the first node's reader while its dial is reset, or ended, before the next one is made; two of three cases fail on the code before with the same words, though on loopback the end is with the machine before the next connection can be made.

Told from other causes: the proxy's own order (reset, then connect) is the same in all plays of TestAnswerAfterAll; the case in which the first dial is truly out is still found, with and without the mend. Lines at fault: Judge.Arrived, which knew of a dial's end only by Node.read, 50 ms later at the most.

Now the node tells the judge how to ask its machine for an end that is still to be read.

--- a/internal/standin/judge/judge.go
+++ b/internal/standin/judge/judge.go
@@ -90,6 +90,7 @@
 	mayRun  bool
 	out     bool
 	ended   time.Duration
+	asked   func() bool // tells whether its connection has ended though that is not read yet; may be nil
 }
 
 type session struct {
@@ -330,6 +331,9 @@
 	}
 	d := &dial{node: at, arrived: now, mayRun: true, out: true}
 	for _, earlier := range s.dials {
+		if earlier.out && earlier.asked != nil && earlier.asked() { // guards against readers that a busy machine holds up
+			earlier.out, earlier.ended = false, now
+		}
 		if earlier.out {
 			j.after(now+j.leeway, func(due time.Duration) {
 				if earlier.out || earlier.ended > now+j.leeway {
@@ -348,6 +352,15 @@
 	return Dial(len(s.dials) - 1)
 }
 
+// Asked names what tells whether a dial's connection has ended, as the machine knows it: the node may not have come to
+// read that yet. It must neither block nor call the judge.
+func (j *Judge) Asked(id SessionID, n Dial, ended func() bool) {
+	defer j.lock()()
+	if d := j.dial(id, n); d != nil {
+		d.asked = ended
+	}
+}
+
 // again holds a further dial against what the earlier ones may have done.
 func (j *Judge) again(now time.Duration, s *session, d *dial) {
 	for _, earlier := range s.dials {
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -587,6 +587,7 @@
 	now := n.now()
 	c.id = judge.SessionID(o.ID)
 	c.dial = n.judge.Arrived(now, first, c.id, n.ID, o.At != nil || o.MidFlow)
+	n.judge.Asked(c.id, c.dial, c.endUnread)
 	if n.standing != running {
 		return
 	}
@@ -615,6 +616,20 @@
 	c.tellLoad()
 }
 
+// endUnread tells whether the proxy has ended the connection, or its sending on it, and that is still to be read.
+func (c *conn) endUnread() (is bool) {
+	raw, err := c.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		var first [1]byte
+		n, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		is = n == 0 && err == nil || err != nil && err != unix.EAGAIN
+	})
+	return is || err != nil
+}
+
 // stand needs the node's lock.
 func (c *conn) stand(now time.Duration) {
 	n := c.node
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -262,3 +263,66 @@
 		}
 	}
 }
+
+// TestEndUnread: a proxy ends a dial and makes the next one, while the first one's node, held up, has not read the end: no
+// two dials were out. One that is not ended is found all the same.
+func TestEndUnread(t *testing.T) {
+	for _, how := range []string{"reset", "fin", "not at all"} {
+		t.Run(how, func(t *testing.T) {
+			began := time.Now()
+			now := func() time.Duration { return time.Since(began) }
+			j := judge.New(50*ms, 0, 0, false, []judge.Place{{}, {}})
+			plans := func(judge.SessionID) Plan { return Plan{Load: Load{Cores: 0.01}} }
+			held := make(chan bool)
+			var nodes [2]*Node
+			var holds atomic.Bool
+			for i := range nodes {
+				clock := now
+				if i == 0 {
+					clock = func() time.Duration {
+						if holds.Load() {
+							<-held
+						}
+						return now()
+					}
+				}
+				nodes[i] = New(judge.NodeID(i), "127.0.0.1:0", machine, Talk{}, 1, clock, j, plans, func(*Node) {})
+				if err := nodes[i].Start(true); err != nil {
+					t.Fatal(err)
+				}
+			}
+			defer func() {
+				close(held)
+				nodes[0].Close()
+				nodes[1].Close()
+			}()
+			j.Taken(now(), "9", 0, judge.Kind{Timeout: time.Second})
+			dial := func(n *Node) (net.Conn, session) {
+				c, err := net.Dial("tcp", n.Address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				fmt.Fprint(c, "OPEN 9 7 c=page,d=500\r\n")
+				s := session{c, bufio.NewReader(c)}
+				s.hear(t, "UP ")
+				return c, s
+			}
+			first, _ := dial(nodes[0])
+			holds.Store(true)
+			switch how {
+			case "reset":
+				first.(*net.TCPConn).SetLinger(0)
+				first.Close()
+			case "fin":
+				first.(*net.TCPConn).CloseWrite()
+			}
+			second, _ := dial(nodes[1])
+			defer first.Close()
+			defer second.Close()
+			j.Check(now() + time.Second)
+			if _, counted := j.Breaches(); (counted[judge.Twice] > 0) != (how == "not at all") {
+				t.Errorf("broken: %v", counted)
+			}
+		})
+	}
+}
