A first line tells what is left of its wait, and none goes out whose wait is over

Seen, as failing tests on the code before: with a connection that takes 500 ms of 800 the server is told d=787 (TestTellsItsWait); with the limit past while the loop stood still, the line goes out all the same, is given up in the same turn, and a once-only session is torn down that could have been refused (TestUpAndLimit: ERR for BUSY).

Told from other causes: the limit itself holds (TestBothDue); the line was made at the dial, and Open did not look at the time. Lines at fault: Exchange.connect, which made the line with the dial's whole limit, and Dial.Open.

Now the line is made when it goes out. After: both pass.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -33,9 +33,9 @@
 
 // Dialer starts dials.
 type Dialer interface {
-	// Dial connects to the server, sends it the first line and ends after the limit if nothing comes back. It
-	// returns nil where there is no room for a connection.
-	Dial(at choice.ServerID, first []byte, limit time.Duration, ex *Exchange) Server
+	// Dial connects to the server, sends it the session's first line and ends after the limit if nothing comes
+	// back. It returns nil where there is no room for a connection.
+	Dial(at choice.ServerID, limit time.Duration, ex *Exchange) Server
 }
 
 type state int
@@ -234,7 +234,7 @@
 }
 
 func (ex *Exchange) connect(to choice.ServerID, limit time.Duration) {
-	ex.server = ex.table.dialer.Dial(to, ex.opening.AppendOpen(nil, ex.text, limit), limit, ex)
+	ex.server = ex.table.dialer.Dial(to, limit, ex)
 }
 
 // What the module answers.
@@ -319,6 +319,11 @@
 // ClientWaits tells whether the client still waits; if not, the session has ended.
 func (ex *Exchange) ClientWaits() bool { return ex.client.Waits() }
 
+// FirstLine is the line that a server gets which this proxy will wait for so much longer.
+func (ex *Exchange) FirstLine(wait time.Duration) []byte {
+	return ex.opening.AppendOpen(nil, ex.text, wait)
+}
+
 // Goes tells whether the first line may still go to the server, whose connection stands now.
 func (ex *Exchange) Goes() bool {
 	return ex.state != dialing || ex.table.balancer.Goes(ex.table.now(), ex.arrival.ID)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -106,7 +106,7 @@
 
 func (d *dial) End(_ socket.End, reason string) { d.over, d.reason = true, reason }
 
-func (r *rig) Dial(at choice.ServerID, first []byte, limit time.Duration, ex *Exchange) Server {
+func (r *rig) Dial(at choice.ServerID, limit time.Duration, ex *Exchange) Server {
 	if r.noRoom {
 		return nil
 	}
@@ -115,7 +115,7 @@
 			r.fail("two dials of one session are out")
 		}
 	}
-	d := &dial{r: r, ex: ex, at: at, first: string(first), until: r.now + limit}
+	d := &dial{r: r, ex: ex, at: at, first: string(ex.FirstLine(limit)), until: r.now + limit}
 	r.dials = append(r.dials, d)
 	return d
 }
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"runtime"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -1067,3 +1068,50 @@
 	r := rigged(t, `"dialTimeout":800`, `"dialTimeout":0.001`) // where it can't, the process exits
 	r.over()
 }
+
+// TestTellsItsWait: a first line tells its server how long the proxy will wait from then on, however long its
+// connection took to stand.
+func TestTellsItsWait(t *testing.T) {
+	const held = 500 * time.Millisecond
+	lines := make(chan string, 1)
+	r := rigged(t, "read_like", "non_idempotent")
+	s := posted(t, func(conn *net.TCPConn, _ int, first string) {
+		lines <- first
+		fmt.Fprint(conn, "UP 1\r\n")
+	})
+	r.listed(1, member("s-1", s.at, "ready"))
+	w := r.way(false, false)
+	d := connect(t, r.at)
+	fmt.Fprint(d.Conn, opening())
+	<-w.reached
+	time.Sleep(held)
+	w.open <- true
+	d.hear("UP 1\r\n")
+	_, wait, _ := strings.Cut(<-lines, "d=")
+	wait, _, _ = strings.Cut(wait, ",")
+	if ms, err := strconv.Atoi(wait); err != nil || time.Duration(ms)*time.Millisecond > 800*time.Millisecond-held {
+		t.Errorf("it tells %s ms, %v", wait, err)
+	}
+}
+
+// TestUpAndLimit: the connection stands and the dial's limit passes while the loop stands still: no line goes out that
+// nobody waits for, and a once-only session is refused, as it can't have run.
+func TestUpAndLimit(t *testing.T) {
+	for range 3 { // either may come first
+		r, s := rigged(t, "read_like", "non_idempotent"), posted(t, nil)
+		r.listed(1, member("s-1", s.at, "ready"))
+		w := r.way(false, false)
+		d := connect(t, r.at)
+		fmt.Fprint(d.Conn, opening())
+		<-w.reached
+		release := r.stall()
+		w.open <- true
+		r.handedOver()
+		time.Sleep(900 * time.Millisecond)
+		release()
+		d.hear("BUSY\r\n")
+		s.nothing(r, 1)
+		d.Close()
+		r.over()
+	}
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -114,9 +114,9 @@
 	ex      *exchange.Exchange
 	at      choice.ServerID
 	state   state
-	first   []byte
 	edition int // of the server that was chosen
 	since   time.Duration
+	wait    time.Duration // from then on
 	limit   *timers.Timer
 	cancel  context.CancelFunc
 	conn    *socket.Conn
@@ -139,12 +139,12 @@
 }
 
 // Dial starts a dial. The limit covers connecting and the answer.
-func (s *Servers) Dial(at choice.ServerID, first []byte, limit time.Duration, ex *exchange.Exchange) exchange.Server {
+func (s *Servers) Dial(at choice.ServerID, limit time.Duration, ex *exchange.Exchange) exchange.Server {
 	address, _, known := s.directory.Address(at)
 	if !known || s.room.Free() < connecting {
 		return nil
 	}
-	d := &Dial{servers: s, ex: ex, at: at, first: first, edition: s.directory.Edition(at), since: s.now()}
+	d := &Dial{servers: s, ex: ex, at: at, edition: s.directory.Edition(at), since: s.now(), wait: limit}
 	d.limit = s.timers.After(limit, d.late)
 	d.cancel = s.connector.connect(address, d, func() { d.fail(choice.Unreachable, socket.Reset, "unreachable") })
 	return d
@@ -166,13 +166,15 @@
 		return
 	case !d.ex.ClientWaits():
 		return // it has ended this dial, too
+	case d.servers.now()-d.since >= d.wait:
+		d.late()
+		return
 	case !d.ex.Goes():
 		d.fail(choice.NotSent, socket.Reset, "too-late")
 		return
 	}
 	d.state = asked
-	d.conn.Write(d.first)
-	d.first = nil
+	d.conn.Write(d.ex.FirstLine(d.since + d.wait - d.servers.now())) // its connection has taken some of it
 }
 
 func (d *Dial) late() {
