A server's UP is passed only to a client that still waits

Seen, as a failing test on the code before (TestLeftBeforeUp, two of six cases): the loop stands still for 0.35 s, the server says UP, then the client sends a line out of turn and leaves; the loop reads the UP first, takes the session for open, and the line goes on to the server over 0.3 s after the leaving.

With a short dial limit the dial is given up first, so the test's sessions are once-only ones, whose limit is their whole time. Lines at fault: Exchange.Opened, which did not ask whether anyone waits, as Dial.Open does.

Now it asks the machine, as before a first line; one that has left, or speaks out of turn, is ended and its dial reset. After: -race -count=2 of the test passes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -331,10 +331,14 @@
 
 // What the server side reads.
 
-// Opened passes the server's word that the session stands.
+// Opened passes the server's word that the session stands, unless its client has left by now: what that has sent
+// before would be read as a line of an open session, and go on to the server.
 func (ex *Exchange) Opened(up []byte) {
 	t := ex.table
 	t.heard[ex.at] = t.now()
+	if ex.state != ended && !ex.ClientWaits() {
+		return // it has ended the session
+	}
 	switch ex.state {
 	case dialing:
 		ex.enter(open)
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -191,6 +191,41 @@
 	}
 }
 
+// TestLeftBeforeUp: the loop stands still while the server says UP and then the client, which still waits, goes, also with
+// a line before; the loop reads the UP first. Nothing more of the client reaches the server, which learns of its end.
+func TestLeftBeforeUp(t *testing.T) {
+	for name, leave := range leaves {
+		for _, line := range []string{"", "M 1\r\n"} {
+			t.Run(fmt.Sprintf("%s %q", name, line), func(t *testing.T) {
+				asked, goes, said := make(chan bool, 1), make(chan bool), make(chan bool)
+				r, s := rigged(t, "read_like", "non_idempotent"), posted(t, func(conn *net.TCPConn, _ int, _ string) {
+					asked <- true
+					<-goes
+					fmt.Fprint(conn, "UP 1\r\n")
+					close(said)
+				})
+				r.listed(1, member("s-1", s.at, "ready"))
+				d := connect(t, r.at)
+				fmt.Fprint(d.Conn, opening())
+				<-asked
+				release := r.stall()
+				close(goes)
+				<-said
+				fmt.Fprint(d.Conn, line)
+				leave(d)
+				time.Sleep(350 * time.Millisecond) // over the term's 0.3 s
+				release()
+				r.until("the server hears the end", func() bool { _, _, all := s.got(); return all })
+				if text, _, _ := s.got(); strings.Count(text, "\n") != 1 {
+					t.Errorf("%q", text)
+				}
+				d.Close()
+				r.over()
+			})
+		}
+	}
+}
+
 // TestLeftBeforeItsHolder: a session that goes back to its holder waits for a later try; its client goes; when the
 // holder is back, nothing is sent there.
 func TestLeftBeforeItsHolder(t *testing.T) {
