A discovery moved by SIGHUP is asked afresh, with no pause of the old address

Seen, as a failing test on the code before (TestMovedAfterFailures, three of three): after three failed calls a new configuration moves discovery; the call to the new address waits its turn, and is given up for another one when the old address's retry comes due. On reading, by the same count of failures: a first failure at the new address pauses for 2.5 to 5 s with mustAskIn at 10 s, where what discovery has counts as told 4 s after SIGHUP.

Told from other causes: the watch itself is one at a time (TestMoved), and the old one's words do not count. Lines at fault: Proxy.Reload, which called the watcher beside the module, whose count of failures and timer stood.

Now the module asks (Balancer.Afresh): no count, and earlier timers are void. After: no further call while one waits, and the next one within 1.3 s of a first failure.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -593,6 +593,12 @@
 	b.askIn(b.list.MustAskIn / 2) // guards against a call that is never answered
 }
 
+// Afresh asks for the list at another place, of which failures at the one before, and their pause, say nothing.
+func (b *Balancer) Afresh(now time.Duration) {
+	b.now, b.askFails, b.watching = now, 0, false
+	b.ask()
+}
+
 // askIn sets when the list is asked for next. Only the timer set last counts: if those of earlier calls still
 // did, each failed call would leave two behind, and calls would double until discovery takes none.
 func (b *Balancer) askIn(after time.Duration) {
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -1150,3 +1150,33 @@
 		r.over()
 	}
 }
+
+// TestMovedAfterFailures: SIGHUP moves discovery while a call to the old address is due again after several failures. The
+// call to the new one is left to wait its turn, and when it fails the next one comes soon: what discovery has counts as
+// told 4 s after SIGHUP, and what failed at the old address says nothing of the new one.
+func TestMovedAfterFailures(t *testing.T) {
+	t.Parallel()
+	at, calls := desk(t)
+	r := riggedAt(t, at, `"mustAskIn":4000`, `"mustAskIn":10000`)
+	for range 3 {
+		(<-calls).Close()
+	}
+	r.until("the failures are known", func() bool { return r.p.failures == 3 })
+	next, moved := desk(t)
+	if err := r.p.Reload([]byte(strings.Replace(r.text, at, next, 1))); err != nil {
+		t.Fatal(err)
+	}
+	first := <-moved
+	time.Sleep(4500 * time.Millisecond) // within half of mustAskIn; the old address's turn has come by then in nearly all draws
+	if n := len(moved); n > 0 {
+		t.Errorf("%d further calls while one waits", n)
+	}
+	first.Close()
+	failed := time.Now()
+	if again := <-moved; again.at.Sub(failed) > 1300*time.Millisecond {
+		t.Errorf("the next call comes %v after a first failure", again.at.Sub(failed))
+	}
+	if n := len(calls); n > 0 {
+		t.Errorf("%d calls to the old address", n)
+	}
+}
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -52,10 +52,10 @@
 		}
 		p.at.PeersAll, p.at.Peers = next.at.PeersAll, next.at.Peers
 		if next.at.Discovery != p.at.Discovery {
-			// Asked at once: the module waits for word of the watch it knows, and that one's end may take long.
+			// Asked at once: that the watch at hand ends may take long, and so may the pause after one that failed.
 			p.at.Discovery, p.failures = next.at.Discovery, 0
 			p.watcher.Move(next.at.Discovery)
-			p.watcher.Watch(p.revision)
+			p.balancer.Afresh(p.now())
 		}
 		p.log.Info().Str("discovery", p.at.Discovery).Bool("settings", settings).Strs("at_next_start", differ).
 			Msg("configuration read again")
