--- a/choice/choice.go
+++ b/choice/choice.go
@@ -593,7 +593,7 @@
 	b.askIn(b.list.MustAskIn / 2) // guards against a call that is never answered
 }
 
-// Afresh asks for the list at another place, of which failures at the one before, and their pause, say nothing.
+// Afresh asks for the list at another place: failures at the one before, and their pause, are of no account.
 func (b *Balancer) Afresh(now time.Duration) {
 	b.now, b.askFails, b.watching = now, 0, false
 	b.ask()
