Zones that the settings do not name are zones of their own; names in any script

Seen, as failing tests on the code before: * a referenced session that may repeat within its zone only is repeated in another one, where a server's locality is not among the settings' areas: eight of eight sessions (TestForeignZones, zones a and b, b and c, a and none). An effect twice.

Told from other causes: within named zones, and across them, the same sessions keep to the rule (TestRules, TestBrokenOff).

Now a zone gets the next free number when it is first listed. Of a line the values of c, t and at may be of any script; invalid UTF-8, what can't be printed, and anything else than ASCII elsewhere are refused as before. After: both tests pass.

--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Most bytes of a line, its end included.
@@ -71,7 +73,7 @@
 	if len(words) != 4 || string(words[0]) != "OPEN" || len(words[1]) == 0 || len(words[2]) == 0 {
 		return o, ErrMalformed
 	}
-	if bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r > '~' }) {
+	if !plain(text[:len(text)-len(words[3])]) {
 		return o, ErrMalformed
 	}
 	o.ID, o.Key = words[1], words[2]
@@ -84,6 +86,16 @@
 		}
 		names[i] = name
 		switch string(name) {
+		case "c", "t", "at": // named in settings and lists, in any script
+			if !printable(value) {
+				return o, ErrMalformed
+			}
+		default:
+			if !plain(pair) {
+				return o, ErrMalformed
+			}
+		}
+		switch string(name) {
 		case "c":
 			o.Listener = value
 		case "t":
@@ -118,6 +130,16 @@
 	return o, nil
 }
 
+// plain tells whether a text has nothing but what can be seen of ASCII.
+func plain(text []byte) bool {
+	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r > '~' })
+}
+
+// printable tells whether it has nothing but what can be seen of any script.
+func printable(text []byte) bool {
+	return utf8.Valid(text) && !bytes.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) })
+}
+
 // decimal reads digits with at most one point among them. The library's parser also takes signs, exponents,
 // hexadecimal, underscores, Inf and NaN, which no client writes in good faith and a server may read otherwise.
 func decimal(text []byte) (float64, bool) {
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -1180,3 +1180,57 @@
 		t.Errorf("%d calls to the old address", n)
 	}
 }
+
+// TestForeignZones: a referenced session keeps to its zone, also between servers in zones that the settings do not name.
+func TestForeignZones(t *testing.T) {
+	in := func(zone, id, at string) string {
+		return strings.Replace(member(id, at, "ready"), `"locality":"a"`, fmt.Sprintf(`"locality":%q`, zone), 1)
+	}
+	for _, zones := range [][2]string{{"a", "b"}, {"b", "c"}, {"a", ""}} {
+		t.Run(zones[0]+" "+zones[1], func(t *testing.T) {
+			t.Parallel()
+			r := rigged(t, `"effect":"read_like"`, `"effect":"idempotency_key","group":"zone","repeatWindow":60000`)
+			s := posted(t, func(conn *net.TCPConn, nth int, _ string) {
+				fmt.Fprint(conn, map[bool]string{true: "UP 2\r\n", false: "ERR\r\n"}[nth < 100])
+			})
+			r.listed(1, in(zones[0], "s-1", s.at), in(zones[1], "s-2", s.at))
+			for range 12 { // where most dials come to something, one that does not is followed by another
+				d := connect(t, r.at)
+				d.say(opening(), "UP 2\r\n")
+				d.Close()
+			}
+			r.over()
+			for nth := range 8 {
+				s.from(100)
+				d := connect(t, r.at)
+				d.say(opening(), "ERR\r\n")
+				if _, firsts, _ := s.got(); firsts != 100 {
+					t.Errorf("session %d is dialled %d times, in two zones", nth, firsts-99)
+				}
+				d.Close()
+			}
+		})
+	}
+}
+
+// TestNamesOfSettings: listeners and tenants are asked for by the names that the settings give them, in any script; what
+// is not among them, or stands in no name, is refused.
+func TestNamesOfSettings(t *testing.T) {
+	r := rigged(t, `"name":"chat"`, `"name":"чат-β"`, `"areas"`, `"tenants":[{"name":"Luleå"}],"areas"`)
+	s := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 1\r\n") })
+	r.listed(1, member("s-1", s.at, "ready"))
+	for line, want := range map[string]string{
+		"OPEN 1a 2 c=чат-β,t=Luleå,d=800,g=3":     "UP 1\r\n",
+		"OPEN 1b 2 c=чат,t=Luleå,d=800,g=3":       "ERR\r\n",
+		"OPEN 1c 2 c=чат-β,t=Lulea,d=800,g=3":     "ERR\r\n",
+		"OPEN å 2 c=чат-β,t=Luleå,d=800,g=3":      "ERR\r\n",
+		"OPEN 1e å c=чат-β,t=Luleå,d=800,g=3":     "ERR\r\n",
+		"OPEN 1f 2 c=чат-β,t=Luleå,d=800,g=å":     "ERR\r\n",
+		"OPEN 1g 2 c=чат-β\x01,t=Luleå,d=800":     "ERR\r\n",
+		"OPEN 1h 2 c=чат-β,t=Lule\xe5,d=800":      "ERR\r\n",
+		"OPEN 1i 2 c=чат-β,t=Luleå,d=800,å=1":     "ERR\r\n",
+		"OPEN 1j 2 c=чат-β,t=Luleå,d=800,h=1\x7f": "ERR\r\n",
+	} {
+		connect(t, r.at).say(line+"\r\n", want)
+	}
+}
--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -15,7 +15,7 @@
 
 // directory knows the servers as listed last, by ids that are the same at every proxy.
 type directory struct {
-	zones   map[string]choice.ZoneID
+	zones   map[string]choice.ZoneID // as they came, of the settings first
 	start   time.Time
 	ids     map[string]choice.ServerID
 	servers map[choice.ServerID]*place
@@ -83,6 +83,9 @@
 		if _, known := d.models[s.Model]; !known && d.apart {
 			d.models[s.Model] = choice.ModelID(len(d.models) + 1)
 		}
+		if _, known := d.zones[s.Zone]; !known { // the settings may not name all: it is a zone of its own all the same
+			d.zones[s.Zone] = choice.ZoneID(len(d.zones))
+		}
 		e := choice.Entry{ID: id, Size: s.Size, Zone: d.zones[s.Zone], Cell: choice.CellID(s.Cell)}
 		if d.apart {
 			e.Model = d.models[s.Model]
