Drawn crossings: connections that stand late, short windows, a zone that the settings do not name

TestDrawn's referenced sessions repeat within their zone and 0.2 s now; one server of three stands in a zone of no setting, and in one kind of six connections stand up to 1 s late. Held from the outside: the zone and the window of each repeat.

--- a/internal/proxy/drawn_test.go
+++ b/internal/proxy/drawn_test.go
@@ -20,6 +20,8 @@
 
 const (
 	drawnWait = 1500 * time.Millisecond // dial timeout of the drawn sessions
+	window    = 200 * time.Millisecond  // for repeats of referenced ones, within their zone
+	slack     = 150 * time.Millisecond  // of what this test's own readers see
 	leftFor   = 300 * time.Millisecond  // after which nothing of a client that has left may reach a server
 )
 
@@ -30,6 +32,7 @@
 	mu       sync.Mutex
 	sessions map[string]*seen
 	drains   map[string]time.Time // servers, by their addresses, since the proxy has the drain
+	zones    map[string]string    // of servers, the same
 	fates    map[net.Conn]*fate
 }
 
@@ -37,6 +40,8 @@
 type seen struct {
 	dials, out int
 	mayRun     bool
+	ranAt      time.Time // when the first dial that may have run came
+	ranIn      string    // and its zone
 	left       time.Time
 }
 
@@ -90,6 +95,14 @@
 	if s.mayRun && strings.Contains(first, "c=once") {
 		j.wrong("%s is sent again after a dial that may have run", words[1])
 	}
+	if s.mayRun && strings.Contains(first, "c=keep") {
+		if late := came.Sub(s.ranAt); late > window+slack {
+			j.wrong("%s is sent again after %v, its window is %v", words[1], late, window)
+		}
+		if zone := j.zones[at]; zone != s.ranIn {
+			j.wrong("%s is sent again in zone %q, not %q", words[1], zone, s.ranIn)
+		}
+	}
 	if since, is := j.drains[at]; is && came.Sub(since) > 50*time.Millisecond {
 		j.wrong("%s is sent to a server that drains", words[1])
 	}
@@ -98,6 +111,9 @@
 	}
 	s.dials++
 	s.out++
+	if !s.mayRun { // it is known by its answer
+		s.ranAt, s.ranIn = came, j.zones[at]
+	}
 	j.fates[conn] = &fate{of: s}
 	return s
 }
@@ -221,8 +237,8 @@
 // other settings under all of it; the loop stands still for a while in each, so that much comes due at once.
 func TestDrawn(t *testing.T) {
 	usual := []string{`"dialTimeout":800`, fmt.Sprintf(`"dialTimeout":%d`, drawnWait/time.Millisecond), `"messageAim":[100]`, `"messageAim":[100,100,100]`,
-		`"listeners":[`, fmt.Sprintf(`"listeners":[{"name":"keep","dialTimeout":%d,"effect":"idempotency_key","group":"all","repeatWindow":60000},`+
-			`{"name":"once","dialTimeout":%d,"effect":"non_idempotent"},`, drawnWait/time.Millisecond, drawnWait/time.Millisecond)}
+		`"listeners":[`, fmt.Sprintf(`"listeners":[{"name":"keep","dialTimeout":%d,"effect":"idempotency_key","group":"zone","repeatWindow":%d},`+
+			`{"name":"once","dialTimeout":%d,"effect":"non_idempotent"},`, drawnWait/time.Millisecond, window/time.Millisecond, drawnWait/time.Millisecond)}
 	const workers = 4
 	before := runtime.NumGoroutine()
 	t.Run("", func(t *testing.T) {
@@ -239,6 +255,7 @@
 					kind := n / workers % 6
 					j.mu.Lock()
 					j.what, j.sessions, j.drains, j.fates = fmt.Sprintf("seed %d, kind %d", seed, kind), map[string]*seen{}, map[string]time.Time{}, map[net.Conn]*fate{}
+					j.zones = map[string]string{}
 					j.mu.Unlock()
 					if r == nil || kind == 1 {
 						r, servers, revision = rigged(t, append(usual, `"proxy"`, []string{`"proxy"`, `"pass"`}[h.Intn(2)])...), nil, 0
@@ -250,7 +267,11 @@
 						revision++
 						var entries []string
 						for i, s := range servers {
-							entries = append(entries, member(fmt.Sprint("s-", i), s.at, phases[i]))
+							zone := []string{"a", "a", "elsewhere"}[i] // the settings name the first
+							entries = append(entries, strings.Replace(member(fmt.Sprint("s-", i), s.at, phases[i]), `"locality":"a"`, fmt.Sprintf(`"locality":%q`, zone), 1))
+							j.mu.Lock()
+							j.zones[s.at] = zone
+							j.mu.Unlock()
 						}
 						r.listed(revision, entries...)
 						for i, s := range servers {
@@ -267,6 +288,10 @@
 						s.mu.Unlock()
 					}
 					list("ready", "ready", "ready")
+					takeBack := func() {}
+					if kind == 3 {
+						takeBack = r.slowConnects(seed, drawnWait*2/3)
+					}
 					var clients sync.WaitGroup
 					release := func() {}
 					for i := range 4 + h.Intn(5) {
@@ -307,6 +332,7 @@
 					}
 					release()
 					clients.Wait()
+					takeBack()
 					reloaded.Wait()
 					if kind == 1 {
 						select {
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -356,6 +357,25 @@
 	return w
 }
 
+// slowConnects has connections stand up to so late, until it is taken back.
+func (r *rig) slowConnects(seed int64, most time.Duration) (takeBack func()) {
+	chance := rand.New(rand.NewSource(seed))
+	var mu sync.Mutex
+	var usual func(context.Context, string) (net.Conn, error)
+	r.on(func() {
+		usual = r.p.connector.Dial
+		r.p.connector.Dial = func(_ context.Context, address string) (net.Conn, error) {
+			conn, err := net.Dial("tcp", address)
+			mu.Lock()
+			late := time.Duration(chance.Int63n(int64(most)))
+			mu.Unlock()
+			time.Sleep(late)
+			return conn, err
+		}
+	})
+	return func() { r.on(func() { r.p.connector.Dial = usual }) }
+}
+
 // post is a server that keeps all bytes that reach it, and lets the test say what it does on a first line.
 type post struct {
 	at     string
