--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -130,12 +130,7 @@
 				s := posted(t, func(*net.TCPConn, int, string) { asked <- true })
 				up := posted(t, func(conn *net.TCPConn, _ int, _ string) { fmt.Fprint(conn, "UP 1\r\n") })
 				r.listed(1, member("s-0", up.at, "ready"))
-				for range 12 { // where most dials come to something, one that does not is followed by another
-					d := connect(t, r.at)
-					d.say(opening(), "UP 1\r\n")
-					d.Close()
-				}
-				r.over()
+				r.served("UP 1\r\n")
 				r.listed(2, member("s-1", l.Addr().String(), "ready"))
 				w := r.way(true, true)
 				d := connect(t, r.at)
@@ -612,12 +607,7 @@
 	})
 	r.listed(1, member("s-1", s.at, "ready"), member("s-2", s.at, "ready"))
 	s.from(2)
-	for range 12 { // where most dials come to something, one that does not is followed by another
-		d := connect(t, r.at)
-		d.say(opening(), "UP 2\r\n")
-		d.Close()
-	}
-	r.over()
+	r.served("UP 2\r\n")
 	s.from(1)
 	d := connect(t, r.at)
 	fmt.Fprint(d.Conn, opening())
@@ -1061,12 +1051,7 @@
 				})
 				r.listed(1, member("s-1", s.at, "ready"), member("s-2", s.at, "ready"))
 				s.from(2)
-				for range 12 { // where most dials come to something, one that does not is followed by another
-					d := connect(t, r.at)
-					d.say(opening(), "UP 2\r\n")
-					d.Close()
-				}
-				r.over()
+				r.served("UP 2\r\n")
 				s.from(1)
 				w := r.way(false, false)
 				d := connect(t, r.at)
@@ -1194,12 +1179,7 @@
 				fmt.Fprint(conn, map[bool]string{true: "UP 2\r\n", false: "ERR\r\n"}[nth < 100])
 			})
 			r.listed(1, in(zones[0], "s-1", s.at), in(zones[1], "s-2", s.at))
-			for range 12 { // where most dials come to something, one that does not is followed by another
-				d := connect(t, r.at)
-				d.say(opening(), "UP 2\r\n")
-				d.Close()
-			}
-			r.over()
+			r.served("UP 2\r\n")
 			for nth := range 8 {
 				s.from(100)
 				d := connect(t, r.at)
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -314,6 +314,17 @@
 	})
 }
 
+// served has a dozen sessions come and go: where most dials come to something, one that does not is followed by another.
+func (r *rig) served(up string) {
+	r.Helper()
+	for range 12 {
+		d := connect(r.T, r.at)
+		d.say(opening(), up)
+		d.Close()
+	}
+	r.over()
+}
+
 // stall has the loop stand still until it is released.
 func (r *rig) stall() (release func()) {
 	stands, goes := make(chan bool), make(chan bool)
