--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -35,7 +36,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	var taken []net.Conn // kept until the test's end: one that nothing holds is closed when its memory is collected
+	var mu sync.Mutex
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, conn := range taken {
+			conn.Close()
+		}
+	})
 	calls, told = make(chan call, 8), make(chan string, 64)
 	go func() {
 		for {
@@ -43,6 +53,9 @@
 			if err != nil {
 				return
 			}
+			mu.Lock()
+			taken = append(taken, conn)
+			mu.Unlock()
 			buf := make([]byte, 4096)
 			n, _ := conn.Read(buf)
 			query, _, _ := strings.Cut(string(buf[:n]), " HTTP")
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -99,13 +99,25 @@
 		t.Fatal(err)
 	}
 	calls = make(chan call, 64)
-	t.Cleanup(func() { l.Close() })
+	var taken []net.Conn // kept until the test's end: one that nothing holds is closed when its memory is collected
+	var mu sync.Mutex
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, conn := range taken {
+			conn.Close()
+		}
+	})
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
+			mu.Lock()
+			taken = append(taken, conn)
+			mu.Unlock()
 			go func() {
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 					calls <- call{conn, time.Now()}
