--- a/internal/aggregation/config.go
+++ b/internal/aggregation/config.go
@@ -77,10 +77,10 @@
 		return &ConfigError{"Region", nameRule}
 	case c.Incarnation == 0:
 		return &ConfigError{"Incarnation", "is 0"}
-	case c.MaxMembers < 1:
-		return &ConfigError{"MaxMembers", "is below 1"}
-	case c.MaxMemberKeys < 1:
-		return &ConfigError{"MaxMemberKeys", "is below 1"}
+	case c.MaxMembers < 1 || c.MaxMembers > maxMembersLimit:
+		return &ConfigError{"MaxMembers", fmt.Sprintf("is not within 1 to %d", maxMembersLimit)}
+	case c.MaxMemberKeys < 1 || c.MaxMemberKeys > maxTableKeys:
+		return &ConfigError{"MaxMemberKeys", fmt.Sprintf("is not within 1 to %d", maxTableKeys)}
 	}
 	seen := map[AggregatorID]bool{0: true, c.ID: true}
 	regions := map[string]bool{c.Region: true}
@@ -103,6 +103,12 @@
 
 func validName(name string) bool { return len(name) > 0 && len(name) <= MaxNameBytes }
 
+// maxMembersLimit and maxDecay bound the sums over fading members, see regionSums.
+const (
+	maxMembersLimit = 1 << 15
+	maxDecay        = 10 * time.Minute
+)
+
 // maxTableKeys is far above what a table can send in a useful time.
 const maxTableKeys = 1 << 20
 
@@ -114,8 +120,8 @@
 		return &ConfigError{"ChangeShare", "is not within 0 to 1"}
 	case freshness <= 0 || freshness > time.Hour:
 		return &ConfigError{"Freshness", "is not above 0 and at most an hour"}
-	case decay < decayTick || decay > time.Hour:
-		return &ConfigError{"Decay", fmt.Sprintf("is not within %v to an hour", decayTick)}
+	case decay < decayTick || decay > maxDecay:
+		return &ConfigError{"Decay", fmt.Sprintf("is not within %v to %v", decayTick, maxDecay)}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/aggregation/inbox.go
@@ -0,0 +1,359 @@
+package aggregation
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// inbox is the receiver's table of one sender: what the sender last said of each key, as far as it came in. An entry
+// counts only if its datagram is later than the one that brought what the key has, so what comes twice, late or
+// replayed changes nothing. The value's type is as small as the sender's values allow, as an aggregator has one such
+// table for each member.
+type inbox[Value uint32 | uint64] struct {
+	dictionary *dictionary
+	max        int
+	changed    func(index uint32, before, after Value) // is called for each value that changes; may be nil
+
+	highest uint32 // number of the latest datagram
+	since   uint32 // no entry is from an earlier datagram than that
+	keys    uint32 // that the sender says are not 0
+	nonzero int    // entries
+	asOf    time.Duration
+	bound   uint64 // on the error, as the latest datagram says
+	gaps    []gap
+	entries []inboxEntry[Value] // in the order of their indexes
+}
+
+type inboxEntry[Value uint32 | uint64] struct {
+	index  uint32
+	number uint32 // of the datagram that brought it
+	value  Value
+}
+
+// gap is a run of datagrams that have not come in, while later ones have. What entries have from before it was right
+// when the datagram before it was sent, and may have changed since.
+type gap struct {
+	first, last uint32 // numbers
+	entries     int    // from before last
+	asOf        time.Duration
+	bound       uint64
+}
+
+// maxGaps bounds the gaps that are kept apart. More are taken together.
+const maxGaps = 32
+
+// header is what a datagram says about its sender's table.
+type header struct {
+	number uint32
+	since  uint32
+	keys   uint32
+	asOf   time.Duration
+	bound  uint64
+	empty  bool // a heartbeat: the entries of its number came in another datagram, or did not
+}
+
+// validNumbers tells whether the numbers of a datagram are possible. Numbers above 32 bits aren't: 50 a second take
+// years to get there.
+func validNumbers(number, since uint64) bool {
+	return number > 0 && number <= math.MaxUint32 && since <= number
+}
+
+// validEntries tells whether a datagram may have these entries.
+func validEntries(entries []Entry, maxValue uint64) bool {
+	if len(entries) > MaxDatagramBytes/minEntryBytes {
+		return false
+	}
+	for _, entry := range entries {
+		if entry.Kind < ByServer || entry.Kind > ByListener || entry.Value > maxValue {
+			return false
+		}
+	}
+	return true
+}
+
+// receive takes a datagram. It returns how many of the entries were dropped as there was no room for their keys.
+func (b *inbox[Value]) receive(h header, entries []Entry) (outcome Outcome, dropped int) {
+	if h.number < b.since {
+		return Obsolete, 0
+	}
+	outcome = Duplicate
+	if h.number > b.highest {
+		b.advance(h)
+		outcome = Accepted
+	}
+	if len(entries) == 0 {
+		return outcome, 0
+	}
+	changed, dropped := b.apply(h.number, entries)
+	b.fillGap(h.number)
+	if changed {
+		outcome = Accepted
+	}
+	return outcome, dropped
+}
+
+// advance takes the header of a datagram that is later than all before.
+func (b *inbox[Value]) advance(h header) {
+	last := h.number - 1
+	if h.empty {
+		last = h.number
+	}
+	if last > b.highest {
+		b.addGap(gap{first: b.highest + 1, last: last, entries: len(b.entries), asOf: b.asOf, bound: b.bound})
+	}
+	b.highest, b.keys = h.number, h.keys
+	if !h.empty {
+		b.asOf, b.bound = h.asOf, h.bound
+	}
+	if h.since > b.since {
+		b.since = h.since
+		b.dropObsolete()
+	}
+}
+
+// addGap notes datagrams that have not come in.
+func (b *inbox[Value]) addGap(g gap) {
+	b.gaps = append(b.gaps, g)
+	if len(b.gaps) <= maxGaps {
+		return
+	}
+	older, newer := b.gaps[0], &b.gaps[1]
+	newer.first = older.first
+	newer.asOf, newer.bound = min(older.asOf, newer.asOf), max(older.bound, newer.bound)
+	b.gaps = slices.Delete(b.gaps, 0, 1)
+}
+
+// fillGap takes a late datagram out of the gap that begins with it.
+func (b *inbox[Value]) fillGap(number uint32) {
+	for i := range b.gaps {
+		if b.gaps[i].first != number {
+			continue
+		}
+		b.gaps[i].first++
+		if b.gaps[i].first > b.gaps[i].last {
+			b.gaps = slices.Delete(b.gaps, i, i+1)
+		}
+		return
+	}
+}
+
+// enterGaps notes a new entry, which may be late and have missed gaps.
+func (b *inbox[Value]) enterGaps(number uint32) {
+	for i := range b.gaps {
+		if number < b.gaps[i].last {
+			b.gaps[i].entries++
+		}
+	}
+}
+
+// leaveGaps notes that an entry of one number has got a later one, or that it went (math.MaxUint32).
+func (b *inbox[Value]) leaveGaps(before, after uint32) {
+	for i := range b.gaps {
+		if before < b.gaps[i].last && b.gaps[i].last <= after {
+			b.gaps[i].entries--
+		}
+	}
+}
+
+// apply takes entries of a datagram that are later than what their keys have.
+func (b *inbox[Value]) apply(number uint32, entries []Entry) (changed bool, dropped int) {
+	var added []inboxEntry[Value]
+	at := 0
+	for _, entry := range entries {
+		index, known := b.dictionary.find(entry.Key())
+		found := false
+		if known {
+			at, found = b.find(index, at)
+		}
+		switch {
+		case found:
+			changed = b.update(at, number, Value(entry.Value)) || changed
+		case entry.Value == 0 && len(b.entries)+len(added) >= b.max:
+		case !b.hasRoom(len(added)):
+			dropped++
+		default:
+			if index, known = b.dictionary.acquire(entry.Key()); !known {
+				dropped++
+				continue
+			}
+			added = append(added, inboxEntry[Value]{index: index, number: number, value: Value(entry.Value)})
+			changed = true
+		}
+	}
+	b.merge(added)
+	return changed, dropped
+}
+
+// find returns where the entry of an index is. It looks behind the one that was found last first, as senders send their
+// keys in order.
+func (b *inbox[Value]) find(index uint32, last int) (at int, found bool) {
+	if next := last + 1; next < len(b.entries) && b.entries[next].index == index {
+		return next, true
+	}
+	return slices.BinarySearchFunc(b.entries, index, func(entry inboxEntry[Value], index uint32) int {
+		return cmp.Compare(entry.index, index)
+	})
+}
+
+func (b *inbox[Value]) update(at int, number uint32, value Value) bool {
+	entry := &b.entries[at]
+	if number <= entry.number {
+		return false
+	}
+	b.leaveGaps(entry.number, number)
+	b.note(entry.index, entry.value, value)
+	entry.number, entry.value = number, value
+	return true
+}
+
+// hasRoom returns whether one more key may come beside those that were added. Where there is no room, those that are 0
+// go.
+func (b *inbox[Value]) hasRoom(added int) bool {
+	return len(b.entries)+added < b.max || b.dropZeros()
+}
+
+// merge puts the added keys in their places, in one pass.
+func (b *inbox[Value]) merge(added []inboxEntry[Value]) {
+	added = b.withoutRepeats(added)
+	from := len(b.entries) - 1
+	b.grow(len(b.entries) + len(added))
+	to := len(b.entries) - 1
+	for i := len(added) - 1; i >= 0; to-- {
+		if from >= 0 && b.entries[from].index > added[i].index {
+			b.entries[to] = b.entries[from]
+			from--
+			continue
+		}
+		b.entries[to] = added[i]
+		b.enterGaps(added[i].number)
+		b.note(added[i].index, 0, added[i].value)
+		i--
+	}
+}
+
+// withoutRepeats sorts the added keys, and drops all but the first of a key that a datagram has several times.
+func (b *inbox[Value]) withoutRepeats(added []inboxEntry[Value]) []inboxEntry[Value] {
+	slices.SortStableFunc(added, func(x, y inboxEntry[Value]) int { return cmp.Compare(x.index, y.index) })
+	kept := added[:0]
+	for _, entry := range added {
+		if len(kept) > 0 && kept[len(kept)-1].index == entry.index {
+			b.dictionary.release(entry.index)
+			continue
+		}
+		kept = append(kept, entry)
+	}
+	return kept
+}
+
+// grow makes the entries as many, with little to spare: an aggregator has millions of them.
+func (b *inbox[Value]) grow(length int) {
+	if length <= cap(b.entries) {
+		b.entries = b.entries[:length]
+		return
+	}
+	grown := make([]inboxEntry[Value], length, length+length/16+4)
+	copy(grown, b.entries)
+	b.entries = grown
+}
+
+// note passes a changed value on.
+func (b *inbox[Value]) note(index uint32, before, after Value) {
+	if before == after {
+		return
+	}
+	if before == 0 {
+		b.nonzero++
+	}
+	if after == 0 {
+		b.nonzero--
+	}
+	if b.changed != nil {
+		b.changed(index, before, after)
+	}
+}
+
+// dropObsolete drops what the sender no longer has: it would have sent it again.
+func (b *inbox[Value]) dropObsolete() {
+	b.drop(func(entry inboxEntry[Value]) bool { return entry.number < b.since })
+	b.gaps = slices.DeleteFunc(b.gaps, func(g gap) bool { return g.last <= b.since })
+}
+
+// dropZeros drops the keys that are 0. It returns whether there were any.
+func (b *inbox[Value]) dropZeros() bool {
+	if b.nonzero == len(b.entries) {
+		return false
+	}
+	b.drop(func(entry inboxEntry[Value]) bool { return entry.value == 0 })
+	return true
+}
+
+// clear drops all entries and forgets the sender's numbers.
+func (b *inbox[Value]) clear() {
+	b.drop(func(inboxEntry[Value]) bool { return true })
+	b.highest, b.since, b.keys, b.asOf, b.bound = 0, 0, 0, 0, 0
+	b.gaps, b.entries = nil, nil
+}
+
+func (b *inbox[Value]) drop(obsolete func(inboxEntry[Value]) bool) {
+	b.entries = slices.DeleteFunc(b.entries, func(entry inboxEntry[Value]) bool {
+		if !obsolete(entry) {
+			return false
+		}
+		b.leaveGaps(entry.number, math.MaxUint32)
+		b.note(entry.index, entry.value, 0)
+		b.dictionary.release(entry.index)
+		return true
+	})
+}
+
+// value returns the value of a key, 0 if there is none.
+func (b *inbox[Value]) value(index uint32) Value {
+	if at, found := b.find(index, -1); found {
+		return b.entries[at].value
+	}
+	return 0
+}
+
+// quality returns as of when the value of a key is right, and the bound on its error.
+func (b *inbox[Value]) quality(index uint32) (asOf time.Duration, bound uint64) {
+	at, found := b.find(index, -1)
+	if !found {
+		return b.oldest()
+	}
+	asOf, bound = b.asOf, b.bound
+	for _, g := range b.gaps {
+		if b.entries[at].number < g.last {
+			asOf, bound = min(asOf, g.asOf), max(bound, g.bound)
+		}
+	}
+	return asOf, bound
+}
+
+// oldest returns as of when all entries are right, and the bound on their errors.
+func (b *inbox[Value]) oldest() (asOf time.Duration, bound uint64) {
+	asOf, bound = b.asOf, b.bound
+	for _, g := range b.gaps {
+		if g.entries > 0 {
+			asOf, bound = min(asOf, g.asOf), max(bound, g.bound)
+		}
+	}
+	return asOf, bound
+}
+
+// complete returns the share of the sender's keys that have come in.
+func (b *inbox[Value]) complete() float64 {
+	if b.nonzero >= int(b.keys) {
+		return 1
+	}
+	return float64(b.nonzero) / float64(b.keys)
+}
+
+// largest returns the largest value.
+func (b *inbox[Value]) largest() (largest uint64) {
+	for _, entry := range b.entries {
+		largest = max(largest, uint64(entry.value))
+	}
+	return largest
+}
--- a/internal/aggregation/message.go
+++ b/internal/aggregation/message.go
@@ -17,7 +17,6 @@
 
 // Key names one value.
 type Key struct {
-	_    struct{} `cbor:",toarray"`
 	Kind Kind
 	ID   uint64
 }
@@ -55,10 +54,10 @@
 	_           struct{} `cbor:",toarray"`
 	Member      MemberID
 	Incarnation Incarnation
-	Number      uint64 // grows by one with each report of an incarnation, from 1
+	Number      uint64 // grows by one with each report
 	Since       uint64 // each key the member has was sent by a report of this number or a later one
 	Zone        string
-	Keys        uint32       // how many keys the member has
+	Keys        uint32       // how many of the member's keys are not 0
 	Slack       uint64       // largest difference between a value and what was last sent of it
 	Subscribe   AggregatorID // the aggregator that is to send digests; 0: none
 	Entries     []Entry
@@ -88,6 +87,7 @@
 	Source  AggregatorID // 0: none yet
 	Members uint32       // known members
 	Heard   float64      // share of them that is fresh and fully received
+	Weight  float64      // 1: its sums count in full; less: it is no longer heard; 0: they count no more
 	Age     time.Duration
 	Slack   uint64 // bound on the error by what was not sent
 	Fading  uint64 // bound on the error by members or a region that are no longer heard
