aggregation: Heard starts low after a restart; hard cases of killed, frozen, cut-off sources

Cause: the property test found that an aggregator that had just started claimed to have heard all, as it knew few members; and a region never heard was left out of the share.

--- a/internal/aggregation/aggregator.go
+++ b/internal/aggregation/aggregator.go
@@ -9,6 +9,7 @@
 // aggregators.
 type Aggregator struct {
 	config      AggregatorConfig
+	startedAt   time.Duration
 	guard       stallGuard
 	dictionary  *dictionary
 	membership  *membership
@@ -30,6 +31,7 @@
 	dictionary := newDictionary(config.MaxKeys)
 	a := &Aggregator{
 		config:      config,
+		startedAt:   now,
 		guard:       newStallGuard(now, config.Freshness),
 		dictionary:  dictionary,
 		membership:  newMembership(&config, dictionary),
@@ -112,7 +114,7 @@
 		a.regionTable.setIndex(index, a.membership.sums.value(index, now))
 	}
 	batch := a.regionTable.next(regionSumBudget(a.config.Region))
-	summary := a.membership.summary(now)
+	summary := a.summary(now)
 	return RegionSum{
 		Aggregator:  a.config.ID,
 		Region:      a.config.Region,
--- a/internal/aggregation/aggregator_status.go
+++ b/internal/aggregation/aggregator_status.go
@@ -12,7 +12,7 @@
 
 // chooseSources chooses the source of each region, and returns the regions' states.
 func (a *Aggregator) chooseSources(now time.Duration) []RegionState {
-	summary := a.membership.summary(now)
+	summary := a.summary(now)
 	states := make([]RegionState, 0, len(a.regions))
 	for _, region := range a.regions {
 		candidates := make([]candidate, 0, 1+len(region.sources))
@@ -97,17 +97,31 @@
 	return min(1, heard/float64(members))
 }
 
-// heardShare returns the share of all known members that was heard.
+// heardShare returns the share of all known members that was heard. How many members a region has that was never heard
+// is not known: it is taken to have as many as the others.
 func heardShare(states []RegionState) float64 {
-	heard, members := 0.0, uint64(0)
+	heard, members, regions := 0.0, uint64(0), 0
 	for _, state := range states {
 		heard += state.Heard * float64(state.Members)
 		members += uint64(state.Members)
+		if state.Source != 0 {
+			regions++
+		}
 	}
 	if members == 0 {
 		return 0
 	}
-	return min(1, heard/float64(members))
+	return min(1, heard/float64(members)) * float64(regions) / float64(len(states))
+}
+
+// summary returns what the members' reports say together. An aggregator that has just started does not know its members
+// yet: until it has run for the freshness, what it heard counts for less.
+func (a *Aggregator) summary(now time.Duration) regionSummary {
+	summary := a.membership.summary(now)
+	if running := now - a.startedAt; running < a.config.Freshness {
+		summary.heard *= float64(running) / float64(a.config.Freshness)
+	}
+	return summary
 }
 
 // Members returns what is known of the members, in order of their IDs.
--- a/internal/aggregation/simulation_test.go
+++ b/internal/aggregation/simulation_test.go
@@ -45,6 +45,7 @@
 	zone    string
 	up      bool
 	frozen  bool
+	starts  int
 	waiting []packet // that came while it was frozen
 }
 
@@ -60,6 +61,14 @@
 	config  MemberConfig
 	offset  time.Duration
 	history map[Key][]change
+	had     map[past]bool
+}
+
+// past is a value that a process of a member had.
+type past struct {
+	incarnation Incarnation
+	key         Key
+	value       uint64
 }
 
 // change is a value from a time on.
@@ -71,6 +80,7 @@
 type packet struct {
 	at       time.Duration
 	from, to *simulatedNode
+	toStart  int // which start of the receiver took it
 	deliver  func()
 }
 
@@ -128,7 +138,7 @@
 	}
 	m := &simulatedMember{
 		simulatedNode: simulatedNode{name: fmt.Sprint("member", config.ID), region: region, zone: zone},
-		config:        config, history: map[Key][]change{},
+		config:        config, history: map[Key][]change{}, had: map[past]bool{},
 		offset: time.Duration(s.random.Int63n(int64(s.report))),
 	}
 	s.members = append(s.members, m)
@@ -142,6 +152,7 @@
 		s.t.Fatal(err)
 	}
 	a.config.Incarnation++
+	a.starts++
 	a.up, a.frozen, a.waiting = true, false, nil
 }
 
@@ -152,6 +163,7 @@
 	if m.Member, err = NewMember(s.now, m.config); err != nil {
 		s.t.Fatal(err)
 	}
+	m.starts++
 	m.up, m.frozen, m.waiting = true, false, nil
 	s.loseValues(m)
 }
@@ -169,6 +181,7 @@
 
 func (s *simulation) note(m *simulatedMember, key Key, value uint64) {
 	m.history[key] = append(m.history[key], change{s.now, value})
+	m.had[past{m.Incarnation(), key, value}] = true
 }
 
 func (s *simulation) set(m *simulatedMember, key Key, value uint64) {
@@ -203,13 +216,37 @@
 	return sum
 }
 
+// smallestSince adds up the smallest value that each member had of a key since a time. A member that was frozen or cut
+// off for so long that all have forgotten it is not among the known ones any more.
+func (s *simulation) smallestSince(key Key, since time.Duration) (sum uint64) {
+	for _, m := range s.members {
+		h := m.history[key]
+		if len(h) == 0 || !s.isKnown(m) {
+			continue
+		}
+		smallest := h[len(h)-1].value
+		for i := len(h) - 1; i >= 0; i-- {
+			smallest = min(smallest, h[i].value)
+			if h[i].at <= since {
+				break
+			}
+		}
+		sum += smallest
+	}
+	return sum
+}
+
+// isKnown tells whether some aggregator knows a member.
+func (s *simulation) isKnown(m *simulatedMember) bool {
+	return slices.ContainsFunc(s.aggregators, func(a *simulatedAggregator) bool {
+		return a.up && a.membership.members[m.config.ID] != nil
+	})
+}
+
 // send puts a datagram on its way.
 func (s *simulation) send(from, to *simulatedNode, deliver func()) {
 	s.sent[from]++
 	p := packet{from: from, to: to, deliver: deliver}
-	if s.keepsOld && len(s.replayable) < 5000 {
-		s.replayable = append(s.replayable, p)
-	}
 	if s.isCut != nil && s.isCut(from, to) || s.random.Float64() < s.faults.loss {
 		return
 	}
@@ -256,10 +293,19 @@
 			}
 		default:
 			p.deliver()
+			s.keep(p)
 		}
 	}
 }
 
+// keep keeps some of the delivered datagrams for a replay.
+func (s *simulation) keep(p packet) {
+	if s.keepsOld && s.random.Intn(20) == 0 {
+		p.toStart = p.to.starts
+		s.replayable = append(s.replayable, p)
+	}
+}
+
 // due tells whether a tick has a multiple of the interval in it.
 func (s *simulation) due(interval, offset time.Duration) bool {
 	return (s.now-offset)/interval != (s.now-s.tick-offset)/interval
@@ -338,8 +384,9 @@
 	return s.now - start
 }
 
-// checkNoDoubleCount fails the test if any figure is above what members have held since its age and its error. Datagrams
-// of up to three hops may have been on their way for the delay each, which ages do not count.
+// checkNoDoubleCount fails the test if any figure is above what members have held since its age and its error, or below
+// it though all were heard. Datagrams of up to three hops may have been on their way for the delay each, which ages do
+// not count.
 func (s *simulation) checkNoDoubleCount(keys []Key) {
 	s.t.Helper()
 	margin := 3 * (s.faults.delay + s.tick)
@@ -348,6 +395,10 @@
 		if f.Value > bound+1e-6 {
 			s.t.Fatalf("%v: %s has %+v of %v, above %v", s.now, name, f, key, bound)
 		}
+		least := float64(s.smallestSince(key, s.now-f.Age-margin)) - f.Error
+		if f.Heard > 0.9999 && f.Value < least-1e-6 {
+			s.t.Fatalf("%v: %s has %+v of %v, below %v", s.now, name, f, key, least)
+		}
 	}
 	for _, key := range keys {
 		for _, a := range s.aggregators {
@@ -363,6 +414,22 @@
 	}
 }
 
+// checkTables fails the test if an aggregator has of a member what that process of it never had.
+func (s *simulation) checkTables(a *simulatedAggregator) {
+	for _, m := range s.members {
+		record := a.membership.members[m.config.ID]
+		if record == nil {
+			continue
+		}
+		for _, entry := range record.table.entries {
+			key := a.dictionary.keys[entry.index]
+			if entry.value != 0 && !m.had[past{record.incarnation, key, uint64(entry.value)}] {
+				s.t.Fatalf("%v: %s has %d of %v by %s, which that never had", s.now, a.name, entry.value, key, m.name)
+			}
+		}
+	}
+}
+
 // exact tells whether all figures of all nodes that are up are the truth.
 func (s *simulation) exact(keys []Key) bool { return s.inexact(keys) == "" }
 
--- a/internal/aggregation/source.go
+++ b/internal/aggregation/source.go
@@ -20,24 +20,30 @@
 }
 
 // chooseSource returns the candidate that was heard from most; of equal ones that with the lower id. The one in use is
-// kept unless another is better by the margin.
+// kept unless another is better by the margin. 0 is none.
 func chooseSource(inUse AggregatorID, candidates []candidate) AggregatorID {
 	var best, current candidate
 	for _, c := range candidates {
 		if c.id == inUse {
 			current = c
 		}
-		switch better := c.effective() - best.effective(); {
-		case better > 0, better == 0 && best.id != 0 && c.id < best.id:
+		if !c.silent && c.isBetter(best) {
 			best = c
 		}
 	}
-	if best.effective() > current.effective()*switchMargin {
+	if inUse == 0 || best.effective() > current.effective()*switchMargin {
 		return best.id
 	}
 	return inUse
 }
 
+func (c candidate) isBetter(other candidate) bool {
+	if other.id == 0 || c.heard != other.heard {
+		return other.id == 0 || c.heard > other.heard
+	}
+	return c.id < other.id
+}
+
 // weight returns how much counts of what was heard so long ago.
 func weight(age, freshness, decay time.Duration) float64 {
 	if age <= freshness {
