--- a/internal/aggregation/aggregator_status.go
+++ b/internal/aggregation/aggregator_status.go
@@ -61,10 +61,10 @@
 	if state.Weight == 0 {
 		return state
 	}
-	asOf, bound := source.table.oldest()
-	state.Age = boundedAge(now - asOf)
-	state.Fading = min(source.fading, bound)
-	state.Slack = min(bound-state.Fading, maxSumValue)
+	worst := source.table.worst()
+	state.Age = boundedAge(now - worst.asOf)
+	state.Fading = min(source.fading, worst.bound)
+	state.Slack = min(worst.bound-state.Fading, maxSumValue)
 	if state.Weight == 1 {
 		state.Heard = shareOf(source.heardMembers(), state.Members)
 		return state
@@ -185,17 +185,17 @@
 }
 
 func (f *Figure) addPeer(source *peerSource, index uint32, known bool, share float64, now time.Duration) {
-	asOf, bound := source.table.oldest()
+	quality := source.table.worst()
 	if known {
-		asOf, bound = source.table.quality(index)
+		quality = source.table.qualityOf(index)
 		value := source.table.value(index)
 		f.Value += float64(weighted(value, share))
 		if share < 1 {
 			f.Error += float64(value)
 		}
 	}
-	f.Age = max(f.Age, boundedAge(now-asOf))
-	f.Error += float64(bound)
+	f.Age = max(f.Age, boundedAge(now-quality.asOf))
+	f.Error += float64(quality.bound)
 }
 
 // Regions returns the state of all regions, in order of their names.
--- a/internal/aggregation/inbox.go
+++ b/internal/aggregation/inbox.go
@@ -16,12 +16,11 @@
 	max        int
 	changed    func(index uint32, before, after Value) // is called for each value that changes; may be nil
 
-	highest uint32 // number of the latest datagram
-	since   uint32 // no entry is from an earlier datagram than that
-	keys    uint32 // that the sender says are not 0
-	nonzero int    // entries
-	asOf    time.Duration
-	bound   uint64 // on the error, as the latest datagram says
+	highest uint32  // number of the latest datagram
+	since   uint32  // no entry is from an earlier datagram than that
+	keys    uint32  // that the sender says are not 0
+	nonzero int     // entries
+	quality quality // as the latest datagram says
 	gaps    []gap
 	entries []inboxEntry[Value] // in the order of their indexes
 }
@@ -37,8 +36,19 @@
 type gap struct {
 	first, last uint32 // numbers
 	entries     int    // from before last
-	asOf        time.Duration
-	bound       uint64
+	quality     quality
+}
+
+// quality says how good a sender's values are.
+type quality struct {
+	asOf  time.Duration // when they were right
+	bound uint64        // on their errors
+	heard float64       // share of the members that they are from
+}
+
+// worst returns the worse of each.
+func (q quality) worst(other quality) quality {
+	return quality{min(q.asOf, other.asOf), max(q.bound, other.bound), min(q.heard, other.heard)}
 }
 
 // maxGaps bounds the gaps that are kept apart. More are taken together.
@@ -46,12 +56,11 @@
 
 // header is what a datagram says about its sender's table.
 type header struct {
-	number uint32
-	since  uint32
-	keys   uint32
-	asOf   time.Duration
-	bound  uint64
-	empty  bool // a heartbeat: the entries of its number came in another datagram, or did not
+	number  uint32
+	since   uint32
+	keys    uint32
+	quality quality
+	empty   bool // a heartbeat: the entries of its number came in another datagram, or did not
 }
 
 // validNumbers tells whether the numbers of a datagram are possible. Numbers above 32 bits aren't: 50 a second take
@@ -101,11 +110,11 @@
 		last = h.number
 	}
 	if last > b.highest {
-		b.addGap(gap{first: b.highest + 1, last: last, entries: len(b.entries), asOf: b.asOf, bound: b.bound})
+		b.addGap(gap{first: b.highest + 1, last: last, entries: len(b.entries), quality: b.quality})
 	}
 	b.highest, b.keys = h.number, h.keys
 	if !h.empty {
-		b.asOf, b.bound = h.asOf, h.bound
+		b.quality = h.quality
 	}
 	if h.since > b.since {
 		b.since = h.since
@@ -121,7 +130,7 @@
 	}
 	older, newer := b.gaps[0], &b.gaps[1]
 	newer.first = older.first
-	newer.asOf, newer.bound = min(older.asOf, newer.asOf), max(older.bound, newer.bound)
+	newer.quality = newer.quality.worst(older.quality)
 	b.gaps = slices.Delete(b.gaps, 0, 1)
 }
 
@@ -292,7 +301,7 @@
 // clear drops all entries and forgets the sender's numbers.
 func (b *inbox[Value]) clear() {
 	b.drop(func(inboxEntry[Value]) bool { return true })
-	b.highest, b.since, b.keys, b.asOf, b.bound = 0, 0, 0, 0, 0
+	b.highest, b.since, b.keys, b.quality = 0, 0, 0, quality{}
 	b.gaps, b.entries = nil, nil
 }
 
@@ -316,30 +325,30 @@
 	return 0
 }
 
-// quality returns as of when the value of a key is right, and the bound on its error.
-func (b *inbox[Value]) quality(index uint32) (asOf time.Duration, bound uint64) {
+// qualityOf returns how good the value of a key is.
+func (b *inbox[Value]) qualityOf(index uint32) quality {
 	at, found := b.find(index, -1)
 	if !found {
-		return b.oldest()
+		return b.worst()
 	}
-	asOf, bound = b.asOf, b.bound
+	q := b.quality
 	for _, g := range b.gaps {
 		if b.entries[at].number < g.last {
-			asOf, bound = min(asOf, g.asOf), max(bound, g.bound)
+			q = q.worst(g.quality)
 		}
 	}
-	return asOf, bound
+	return q
 }
 
-// oldest returns as of when all entries are right, and the bound on their errors.
-func (b *inbox[Value]) oldest() (asOf time.Duration, bound uint64) {
-	asOf, bound = b.asOf, b.bound
+// worst returns how good all values are at least.
+func (b *inbox[Value]) worst() quality {
+	q := b.quality
 	for _, g := range b.gaps {
 		if g.entries > 0 {
-			asOf, bound = min(asOf, g.asOf), max(bound, g.bound)
+			q = q.worst(g.quality)
 		}
 	}
-	return asOf, bound
+	return q
 }
 
 // complete returns the share of the sender's keys that have come in.
--- a/internal/aggregation/member_status.go
+++ b/internal/aggregation/member_status.go
@@ -14,19 +14,19 @@
 	if share == 0 || source.table.highest == 0 {
 		return Figure{Value: own}
 	}
-	asOf, bound := source.table.oldest()
+	quality := source.table.worst()
 	value := 0.0
 	if index, known := source.table.dictionary.find(key); known {
-		asOf, bound = source.table.quality(index)
+		quality = source.table.qualityOf(index)
 		value = float64(source.table.value(index))
 	}
-	figure := Figure{Value: value, Error: float64(bound), Age: boundedAge(now - asOf)}
+	figure := Figure{Value: value, Error: float64(quality.bound), Age: boundedAge(now - quality.asOf)}
 	if share < 1 {
 		figure.Value = share*value + (1-share)*own
 		figure.Error += value
 		return figure
 	}
-	figure.Heard = heardShare(source.regions) * source.table.complete()
+	figure.Heard = quality.heard * source.table.complete()
 	return figure
 }
 
--- a/internal/aggregation/membership.go
+++ b/internal/aggregation/membership.go
@@ -157,11 +157,10 @@
 		record.zone, record.subscribe = report.Zone, report.Subscribe
 	}
 	outcome, dropped = record.table.receive(header{
-		number: uint32(report.Number),
-		since:  uint32(report.Since),
-		keys:   report.Keys,
-		asOf:   heardAt,
-		bound:  report.Slack,
+		number:  uint32(report.Number),
+		since:   uint32(report.Since),
+		keys:    report.Keys,
+		quality: quality{asOf: heardAt, bound: report.Slack, heard: 1},
 	}, report.Entries)
 	return outcome, dropped, 0
 }
@@ -200,9 +199,9 @@
 }
 
 func (s *regionSummary) add(record *memberRecord) {
-	asOf, bound := record.table.oldest()
-	s.asOf = min(s.asOf, asOf)
-	s.slack += bound
+	worst := record.table.worst()
+	s.asOf = min(s.asOf, worst.asOf)
+	s.slack += worst.bound
 }
 
 // dropZeros makes room in the dictionary.
@@ -241,7 +240,7 @@
 		Weight:      weight(age, m.freshness, m.decay),
 		Keys:        record.table.nonzero,
 		KeysSent:    record.table.keys,
-		Slack:       record.table.bound,
+		Slack:       record.table.quality.bound,
 		Subscribed:  record.subscribe == aggregator,
 	}
 }
--- a/internal/aggregation/region.go
+++ b/internal/aggregation/region.go
@@ -13,7 +13,7 @@
 	incarnation Incarnation
 	heardAt     time.Duration
 	members     uint32
-	heard       float64
+	heard       float64 // share of them, as the latest datagram says
 	fading      uint64
 	table       inbox[uint64]
 
@@ -46,17 +46,16 @@
 		p.members, p.heard, p.fading = sum.Members, sum.Heard, sum.Fading
 	}
 	return p.table.receive(header{
-		number: uint32(sum.Number),
-		since:  uint32(sum.Since),
-		keys:   sum.Keys,
-		asOf:   heardAt - sum.Age,
-		bound:  sum.Slack + sum.Fading,
+		number:  uint32(sum.Number),
+		since:   uint32(sum.Since),
+		keys:    sum.Keys,
+		quality: quality{asOf: heardAt - sum.Age, bound: sum.Slack + sum.Fading, heard: sum.Heard},
 	}, sum.Entries)
 }
 
 // heardMembers returns how many members the received sums are from, each by the share of its keys.
 func (p *peerSource) heardMembers() float64 {
-	return float64(p.members) * p.heard * p.table.complete()
+	return float64(p.members) * p.table.worst().heard * p.table.complete()
 }
 
 // candidate returns how good the peer's sums are.
--- a/internal/aggregation/simulation_test.go
+++ b/internal/aggregation/simulation_test.go
@@ -454,6 +454,24 @@
 	return ""
 }
 
+// checkExact fails the test if a figure of a node that is up is not the truth at this moment.
+func (s *simulation) checkExact(keys []Key) {
+	s.t.Helper()
+	if inexact := s.inexact(keys); inexact != "" {
+		s.t.Fatalf("%v: %s", s.now, inexact)
+	}
+}
+
+// staysExact returns a check for run: each step has one of the keys in turn.
+func (s *simulation) staysExact(keys []Key) func() {
+	steps := 0
+	return func() {
+		s.t.Helper()
+		steps++
+		s.checkExact(keys[steps%len(keys):][:1])
+	}
+}
+
 // settle goes on until all figures are exact, and fails the test if they are not within a span.
 func (s *simulation) settle(within time.Duration, keys []Key) time.Duration {
 	s.t.Helper()
--- a/internal/aggregation/subscription.go
+++ b/internal/aggregation/subscription.go
@@ -34,12 +34,11 @@
 		s.regions = digest.Regions
 	}
 	outcome, dropped = s.table.receive(header{
-		number: uint32(digest.Number),
-		since:  uint32(digest.Since),
-		keys:   digest.Keys,
-		asOf:   heardAt - countedAge(digest.Regions),
-		bound:  errorBound(digest),
-		empty:  len(digest.Entries) == 0,
+		number:  uint32(digest.Number),
+		since:   uint32(digest.Since),
+		keys:    digest.Keys,
+		quality: digestQuality(digest, heardAt),
+		empty:   len(digest.Entries) == 0,
 	}, digest.Entries)
 	if isNew {
 		outcome = Accepted
@@ -47,6 +46,15 @@
 	return outcome, dropped
 }
 
+// digestQuality returns how good the sums of a digest are.
+func digestQuality(digest *Digest, heardAt time.Duration) quality {
+	return quality{
+		asOf:  heardAt - countedAge(digest.Regions),
+		bound: errorBound(digest),
+		heard: heardShare(digest.Regions),
+	}
+}
+
 // countedAge returns the largest age of the regions that count.
 func countedAge(states []RegionState) (age time.Duration) {
 	for _, state := range states {
