aggregation: a late digest after its heartbeat brings its own quality

Cause: where a heartbeat came before the digest of its number, the digest's values stood beside the error and share of the one before.

--- a/internal/aggregation/inbox.go
+++ b/internal/aggregation/inbox.go
@@ -22,6 +22,9 @@
 	nonzero int     // entries
 	quality quality // as the latest datagram says
 	gaps    []gap
+
+	isAnnounced bool // the latest datagram has not come in, only a heartbeat that has its number
+
 	entries []inboxEntry[Value] // in the order of their indexes
 }
 
@@ -60,7 +63,7 @@
 	since   uint32
 	keys    uint32
 	quality quality
-	empty   bool // a heartbeat: the entries of its number came in another datagram, or did not
+	isEmpty bool // a heartbeat: the entries of its number came in another datagram, or did not
 }
 
 // validNumbers tells whether the numbers of a datagram are possible. Numbers above 32 bits aren't: 50 a second take
@@ -88,9 +91,12 @@
 		return Obsolete, 0
 	}
 	outcome = Duplicate
-	if h.number > b.highest {
+	switch {
+	case h.number > b.highest:
 		b.advance(h)
 		outcome = Accepted
+	case h.number == b.highest && b.isAnnounced && !h.isEmpty:
+		b.isAnnounced, b.quality = false, h.quality
 	}
 	if len(entries) == 0 {
 		return outcome, 0
@@ -106,14 +112,15 @@
 // advance takes the header of a datagram that is later than all before.
 func (b *inbox[Value]) advance(h header) {
 	last := h.number - 1
-	if h.empty {
+	if h.isEmpty {
 		last = h.number
 	}
 	if last > b.highest {
 		b.addGap(gap{first: b.highest + 1, last: last, entries: len(b.entries), quality: b.quality})
 	}
 	b.highest, b.keys = h.number, h.keys
-	if !h.empty {
+	b.isAnnounced = h.isEmpty
+	if !h.isEmpty {
 		b.quality = h.quality
 	}
 	if h.since > b.since {
@@ -302,7 +309,7 @@
 func (b *inbox[Value]) clear() {
 	b.drop(func(inboxEntry[Value]) bool { return true })
 	b.highest, b.since, b.keys, b.quality = 0, 0, 0, quality{}
-	b.gaps, b.entries = nil, nil
+	b.gaps, b.entries, b.isAnnounced = nil, nil, false
 }
 
 func (b *inbox[Value]) drop(obsolete func(inboxEntry[Value]) bool) {
--- a/internal/aggregation/subscription.go
+++ b/internal/aggregation/subscription.go
@@ -38,7 +38,7 @@
 		since:   uint32(digest.Since),
 		keys:    digest.Keys,
 		quality: digestQuality(digest, heardAt),
-		empty:   len(digest.Entries) == 0,
+		isEmpty: len(digest.Entries) == 0,
 	}, digest.Entries)
 	if isNew {
 		outcome = Accepted
