--- a/internal/aggregation/aggregator_status.go
+++ b/internal/aggregation/aggregator_status.go
@@ -97,14 +97,14 @@
 	return min(1, heard/float64(members))
 }
 
-// heardShare returns the share of all known members that was heard. How many members a region has that was never heard
-// is not known: it is taken to have as many as the others.
+// heardShare returns the share of all known members that was heard. A region of which no member is known was not heard,
+// or its aggregators have just started: it is taken to have as many as the others.
 func heardShare(states []RegionState) float64 {
 	heard, members, regions := 0.0, uint64(0), 0
 	for _, state := range states {
 		heard += state.Heard * float64(state.Members)
 		members += uint64(state.Members)
-		if state.Source != 0 {
+		if state.Members > 0 {
 			regions++
 		}
 	}
--- a/internal/aggregation/inbox.go
+++ b/internal/aggregation/inbox.go
@@ -102,7 +102,7 @@
 		return outcome, 0
 	}
 	changed, dropped := b.apply(h.number, entries)
-	b.fillGap(h.number)
+	b.fillGap(h)
 	if changed {
 		outcome = Accepted
 	}
@@ -132,27 +132,48 @@
 // addGap notes datagrams that have not come in.
 func (b *inbox[Value]) addGap(g gap) {
 	b.gaps = append(b.gaps, g)
-	if len(b.gaps) <= maxGaps {
+	b.mergeGaps()
+}
+
+// mergeGaps takes the two oldest gaps together while there are too many.
+func (b *inbox[Value]) mergeGaps() {
+	for len(b.gaps) > maxGaps {
+		older, newer := b.gaps[0], &b.gaps[1]
+		newer.first = older.first
+		newer.quality = newer.quality.worst(older.quality)
+		b.gaps = slices.Delete(b.gaps, 0, 1)
+	}
+}
+
+// fillGap takes a late datagram out of the gap that it is in. What lies behind it may have changed since that datagram.
+func (b *inbox[Value]) fillGap(h header) {
+	at := slices.IndexFunc(b.gaps, func(g gap) bool { return g.first <= h.number && h.number <= g.last })
+	if at < 0 {
 		return
 	}
-	older, newer := b.gaps[0], &b.gaps[1]
-	newer.first = older.first
-	newer.quality = newer.quality.worst(older.quality)
-	b.gaps = slices.Delete(b.gaps, 0, 1)
+	before, behind := b.gaps[at], b.gaps[at]
+	b.gaps = slices.Delete(b.gaps, at, at+1)
+	if behind.last > h.number {
+		behind.first = h.number + 1
+		behind.quality = behind.quality.worst(h.quality)
+		b.gaps = slices.Insert(b.gaps, at, behind)
+	}
+	if before.first < h.number {
+		before.last = h.number - 1
+		before.entries = b.entriesBefore(before.last)
+		b.gaps = slices.Insert(b.gaps, at, before)
+	}
+	b.mergeGaps()
 }
 
-// fillGap takes a late datagram out of the gap that begins with it.
-func (b *inbox[Value]) fillGap(number uint32) {
-	for i := range b.gaps {
-		if b.gaps[i].first != number {
-			continue
-		}
-		b.gaps[i].first++
-		if b.gaps[i].first > b.gaps[i].last {
-			b.gaps = slices.Delete(b.gaps, i, i+1)
+// entriesBefore returns how many entries are from before a datagram.
+func (b *inbox[Value]) entriesBefore(number uint32) (n int) {
+	for _, entry := range b.entries {
+		if entry.number < number {
+			n++
 		}
-		return
 	}
+	return n
 }
 
 // enterGaps notes a new entry, which may be late and have missed gaps.
