--- a/internal/aggregation/simulation_test.go
+++ b/internal/aggregation/simulation_test.go
@@ -492,6 +492,8 @@
 	return s.now - start
 }
 
+func entry(kind Kind, id, value uint64) Entry { return Entry{Kind: kind, ID: id, Value: value} }
+
 func someKeys(n int) (keys []Key) {
 	for i := range n {
 		keys = append(keys, Key{Kind(1 + i%3), uint64(i) * 1_000_003})
