--- a/internal/aggregation/aggregator.go
+++ b/internal/aggregation/aggregator.go
@@ -134,8 +134,9 @@
 // Digest returns the next datagram of the fleet's sums, the same for all subscribed members. It is called at a constant
 // rate.
 func (a *Aggregator) Digest(now time.Duration) Digest {
-	digest := a.Heartbeat(now)
-	a.addUpFleet(a.guard.now)
+	now = a.advance(now)
+	digest := a.digestHead(now)
+	a.addUpFleet(now)
 	for index, value := range a.fleetSums {
 		a.fleetTable.setIndex(uint32(index), value)
 	}
@@ -147,18 +148,20 @@
 
 // Heartbeat returns the head of a digest without entries, for all members.
 func (a *Aggregator) Heartbeat(now time.Duration) Digest {
-	now = a.advance(now)
+	heartbeat := a.digestHead(a.advance(now))
+	heartbeat.Number, heartbeat.Since = a.fleetTable.number, a.fleetTable.turnStarts[turnsKept]
+	heartbeat.Keys, heartbeat.Slack = a.fleetTable.unsent()
+	return heartbeat
+}
+
+// digestHead returns what a digest and a heartbeat have in common.
+func (a *Aggregator) digestHead(now time.Duration) Digest {
 	a.heartbeat++
-	keys, slack := a.fleetTable.unsent()
 	return Digest{
 		Aggregator:  a.config.ID,
 		Region:      a.config.Region,
 		Incarnation: a.config.Incarnation,
-		Number:      a.fleetTable.number,
-		Since:       a.fleetTable.turnStarts[turnsKept],
 		Heartbeat:   a.heartbeat,
-		Keys:        keys,
-		Slack:       slack,
 		Regions:     a.chooseSources(now),
 	}
 }
--- a/internal/aggregation/outbox.go
+++ b/internal/aggregation/outbox.go
@@ -201,7 +201,7 @@
 func (o *outbox) takeUrgent(byteBudget int) (entries []Entry) {
 	o.candidates = o.candidates[:0]
 	most := byteBudget / minEntryBytes
-	for _, index := range o.order {
+	for index := range o.slots { // those that are not in the table have no change
 		slot := &o.slots[index]
 		change := slot.change()
 		if change == 0 {
@@ -209,7 +209,7 @@
 		}
 		share := float64(change) / float64(max(slot.sent, 1))
 		if share > o.changeShare {
-			o.candidates.offer(urgentKey{share: share, index: index}, most)
+			o.candidates.offer(urgentKey{share: share, index: uint32(index)}, most)
 		}
 	}
 	for _, candidate := range o.candidates.descending() {
@@ -264,7 +264,7 @@
 
 // unsent returns how many keys are not 0, and the largest change that was not sent.
 func (o *outbox) unsent() (keys uint32, slack uint64) {
-	for _, index := range o.order {
+	for index := range o.slots {
 		slot := &o.slots[index]
 		if slot.value != 0 {
 			keys++
