--- a/internal/aggregation/aggregator.go
+++ b/internal/aggregation/aggregator.go
@@ -149,7 +149,8 @@
 // Heartbeat returns the head of a digest without entries, for all members.
 func (a *Aggregator) Heartbeat(now time.Duration) Digest {
 	heartbeat := a.digestHead(a.advance(now))
-	heartbeat.Number, heartbeat.Since = a.fleetTable.number, a.fleetTable.turnStarts[turnsKept]
+	heartbeat.Number = uint64(a.fleetTable.number)
+	heartbeat.Since = uint64(a.fleetTable.turnStarts[turnsKept])
 	heartbeat.Keys, heartbeat.Slack = a.fleetTable.unsent()
 	return heartbeat
 }
--- a/internal/aggregation/member.go
+++ b/internal/aggregation/member.go
@@ -25,14 +25,14 @@
 		return nil, err
 	}
 	config.Aggregators = slices.Clone(config.Aggregators)
+	dictionary := newDictionary(config.MaxKeys * (1 + len(config.Aggregators))) // as many as all tables may have
 	m := &Member{
 		config: config,
 		guard:  newStallGuard(now, config.Freshness),
-		own:    newOutbox(newDictionary(config.MaxKeys), config.MaxKeys, config.ChangeShare),
+		own:    newOutbox(dictionary, config.MaxKeys, config.ChangeShare),
 	}
-	fleetKeys := newDictionary(config.MaxKeys * len(config.Aggregators))
 	for _, id := range config.Aggregators {
-		table := inbox[uint64]{dictionary: fleetKeys, max: config.MaxKeys}
+		table := inbox[uint64]{dictionary: dictionary, max: config.MaxKeys}
 		m.sources = append(m.sources, &digestSource{id: id, table: table})
 	}
 	m.subscription = newSubscription(now, config.ID, config.Aggregators)
--- a/internal/aggregation/member_status.go
+++ b/internal/aggregation/member_status.go
@@ -32,9 +32,13 @@
 
 // Keys returns the keys of the fleet's sums, and the member's own, in order.
 func (m *Member) Keys() []Key {
-	keys := m.own.dictionary.sorted()
+	names := m.own.dictionary.keys
+	keys := make([]Key, 0, len(m.own.order)+len(m.inUse.table.entries))
+	for _, index := range m.own.order {
+		keys = append(keys, names[index])
+	}
 	for _, entry := range m.inUse.table.entries {
-		keys = append(keys, m.inUse.table.dictionary.keys[entry.index])
+		keys = append(keys, names[entry.index])
 	}
 	slices.SortFunc(keys, Key.Compare)
 	return slices.Compact(keys)
--- a/internal/aggregation/outbox.go
+++ b/internal/aggregation/outbox.go
@@ -17,9 +17,9 @@
 	changeShare float64
 	slots       []outboxSlot // by index of the dictionary
 	order       []uint32     // indexes of the keys in the table, in the order of the keys
-	number      uint64       // of the latest datagram
-	turn        uint64
-	turnStarts  [turnsKept + 1]uint64 // numbers at which the present turn and those before it began
+	number      uint32       // of the latest datagram
+	turn        uint32
+	turnStarts  [turnsKept + 1]uint32 // numbers at which the present turn and those before it began
 	inTurn      bool                  // the present turn is not over
 	last        Key                   // sent last in the present turn
 	candidates  urgentHeap
@@ -28,8 +28,8 @@
 type outboxSlot struct {
 	value    uint64
 	sent     uint64
-	number   uint64 // of the datagram that had it last; 0: never sent
-	zeroTurn uint64 // in which it was first sent as 0; 0: not
+	number   uint32 // of the datagram that had it last; 0: never sent
+	zeroTurn uint32 // in which it was first sent as 0; 0: not
 	present  bool
 }
 
@@ -176,7 +176,13 @@
 	}
 	entries = o.takeInTurn(entries, byteBudget-used)
 	keys, slack := o.unsent()
-	return batch{number: o.number, since: o.turnStarts[turnsKept], keys: keys, slack: slack, entries: entries}
+	return batch{
+		number:  uint64(o.number),
+		since:   uint64(o.turnStarts[turnsKept]),
+		keys:    keys,
+		slack:   slack,
+		entries: entries,
+	}
 }
 
 // beginTurn starts with the first key. Keys that were sent as 0 for a whole turn after they first were, or that became
--- a/internal/aggregation/slopes_test.go
+++ b/internal/aggregation/slopes_test.go
@@ -25,7 +25,7 @@
 	return float64(stats.HeapAlloc)
 }
 
-func slopeMember(b *testing.B, id MemberID) *Member {
+func slopeMember(b testing.TB, id MemberID) *Member {
 	b.Helper()
 	m, err := NewMember(0, MemberConfig{
 		ID: id, Region: "region0", Zone: "zone0", Incarnation: 1, Aggregators: []AggregatorID{1, 2}, MaxKeys: 16_384,
@@ -37,7 +37,7 @@
 	return m
 }
 
-func slopeAggregator(b *testing.B, id AggregatorID) *Aggregator {
+func slopeAggregator(b testing.TB, id AggregatorID) *Aggregator {
 	b.Helper()
 	var peers []Peer
 	for i := range AggregatorID(6) {
@@ -72,7 +72,7 @@
 }
 
 // fillAggregator lets members report all their keys.
-func fillAggregator(b *testing.B, a *Aggregator, members int, keys []Key) {
+func fillAggregator(b testing.TB, a *Aggregator, members int, keys []Key) {
 	b.Helper()
 	random := rand.New(rand.NewSource(2))
 	for id := range members {
@@ -86,11 +86,44 @@
 
 // fillDigests lets a member have all sums of an aggregator.
 func fillDigests(m *Member, a *Aggregator) {
-	for a.fleetTable.turn < 3 {
+	source := m.source(a.config.ID)
+	for source.table.highest == 0 || source.table.complete() < 1 {
 		m.ReceiveDigest(0, a.Digest(0))
 	}
 }
 
+// TestMemberMemory: a member with 10,000 own keys and 10,000 sums of the fleet takes less than 2 MB: of the same keys from
+// both aggregators, as while it changes from one to the other, and of other keys from one.
+func TestMemberMemory(t *testing.T) {
+	keys := slopeKeys(20_000)
+	for _, fleet := range []struct {
+		keys        []Key
+		aggregators AggregatorID
+	}{{keys[:10_000], 2}, {keys[10_000:], 1}} {
+		var aggregators []*Aggregator
+		for id := range fleet.aggregators {
+			a := slopeAggregator(t, id+1)
+			fillAggregator(t, a, 1, fleet.keys)
+			a.Digest(0) // its own tables are not the member's
+			aggregators = append(aggregators, a)
+		}
+		before := heapBytes()
+		m := slopeMember(t, 7)
+		fillMember(m, keys[:10_000], rand.New(rand.NewSource(3)))
+		m.Report(0)
+		for _, a := range aggregators {
+			fillDigests(m, a)
+		}
+		used := heapBytes() - before
+		t.Logf("%.0f bytes", used)
+		if used > 2_000_000 {
+			t.Errorf("a member takes %.0f bytes", used)
+		}
+		runtime.KeepAlive(m)
+		runtime.KeepAlive(aggregators)
+	}
+}
+
 // BenchmarkSlopeMemberMemory: bytes of a member with as many own keys as fleet sums.
 func BenchmarkSlopeMemberMemory(b *testing.B) {
 	for _, n := range keySteps {
@@ -98,6 +131,7 @@
 			keys := slopeKeys(n)
 			a := slopeAggregator(b, 1)
 			fillAggregator(b, a, 1, keys)
+			a.Digest(0) // its own tables are not the member's
 			for b.Loop() {
 				before := heapBytes()
 				m := slopeMember(b, 7)
@@ -106,7 +140,6 @@
 				fillDigests(m, a)
 				b.ReportMetric(heapBytes()-before, "B/member")
 				runtime.KeepAlive(m)
-				a.fleetTable.turn = 0
 			}
 			runtime.KeepAlive(a)
 		})
