Capacity page: the mechanism that the measured slopes show to be missing first

Change: docs/CAPACITY.md with the rule, the rough figures and the ways weighed; benchmarks (slopes_test.go) in choice, internal/fleet, internal/discovery, internal/standin/list and internal/proxy; internal/capacity/heap for live bytes.

--- /dev/null
+++ b/internal/proxy/slopes_test.go
@@ -0,0 +1,167 @@
+package proxy
+
+import (
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chalkferry/choice"
+	"chalkferry/internal/capacity/heap"
+	"chalkferry/internal/discovery"
+	"chalkferry/internal/exchange"
+	"chalkferry/internal/sharing"
+	"chalkferry/internal/socket"
+	"chalkferry/internal/timers"
+)
+
+// Benchmarks behind docs/CAPACITY.md: the list on a proxy, its settings, and the sum over its open sessions.
+// `chalkferry capacity fit` reads their output.
+
+const (
+	slopeSumServers = 500 // that the sessions are spread over
+	slopeTenants    = 64
+)
+
+var slopeServers = []int{100, 1000, 3000, 10000, 20000}
+
+func slopeList(servers int) discovery.List {
+	list := discovery.List{Revision: 1, Complete: true}
+	for i := range servers {
+		list.Servers = append(list.Servers, discovery.Server{ID: fmt.Sprintf("push-%05d.zone-%d", i, i%10),
+			HostPort: fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255), Zone: fmt.Sprintf("zone-%d", i%10), Model: "m2",
+			Phase: discovery.Ready, Size: 16, UpSinceMs: 1796169145525})
+	}
+	return list
+}
+
+func slopeDirectory(list discovery.List) *directory {
+	d := newDirectory(nil, time.Now(), false, false)
+	d.entriesOf(list)
+	return d
+}
+
+// BenchmarkSlopeDirectoryDelta is what a change of one server costs besides the module: the entries, the servers that
+// have gone, and the count for the log.
+func BenchmarkSlopeDirectoryDelta(b *testing.B) {
+	for _, n := range slopeServers {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			d := slopeDirectory(slopeList(n))
+			delta := discovery.List{Revision: 2, Servers: slopeList(1).Servers}
+			for b.Loop() {
+				d.entriesOf(delta)
+				d.eachGone(func(choice.ServerID) {})
+				d.count()
+			}
+		})
+	}
+}
+
+func BenchmarkSlopeDirectoryWholeList(b *testing.B) {
+	for _, n := range slopeServers {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			list := slopeList(n)
+			d, held := heap.Held(func() *directory { return slopeDirectory(list) })
+			for b.Loop() {
+				d.entriesOf(list)
+				d.eachGone(func(choice.ServerID) {})
+				d.count()
+			}
+			b.ReportMetric(held, "held-B")
+		})
+	}
+}
+
+// BenchmarkSlopeConfiguration reads a whole configuration as a SIGHUP does, by the servers in its known list.
+func BenchmarkSlopeConfiguration(b *testing.B) {
+	for _, n := range slopeServers {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			text := slopeConfiguration(n)
+			for b.Loop() {
+				if _, err := New(text, zerolog.Nop()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "text-B")
+		})
+	}
+}
+
+func slopeConfiguration(servers int) []byte {
+	text := fmt.Sprintf(configuration, "127.0.0.1:1", "127.0.0.1:2", 4096)
+	var known strings.Builder
+	for i, s := range slopeList(servers).Servers {
+		if i > 0 {
+			known.WriteByte(',')
+		}
+		fmt.Fprintf(&known, `{"id":%q,"host_port":%q,"locality":%q,"flavor":"m2","cell":1,"phase":"ready","size":16,"up_since_ms":1796169145525}`, s.ID, s.HostPort, s.Zone)
+	}
+	return []byte(strings.Replace(text, `"limits":`, `"known":{"revision":1,"complete":true,"members":[`+known.String()+`]},"limits":`, 1))
+}
+
+// silentSide is a client or a server that takes all and says nothing.
+type silentSide struct{}
+
+func (silentSide) Write([]byte)           {}
+func (silentSide) Up()                    {}
+func (silentSide) Answer([]byte, string)  {}
+func (silentSide) End(socket.End, string) {}
+func (silentSide) Waits() bool            { return true }
+
+// silentDialer has each dial come up at once, by call of the test.
+type silentDialer struct{ latest *exchange.Exchange }
+
+func (d *silentDialer) Dial(_ choice.ServerID, _ time.Duration, ex *exchange.Exchange) exchange.Server {
+	d.latest = ex
+	return silentSide{}
+}
+
+// slopeProxy is a proxy with open sessions and no sockets.
+func slopeProxy(b *testing.B, servers, sessions int) *Proxy {
+	p, err := New(slopeConfiguration(servers), zerolog.Nop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	dialer := &silentDialer{}
+	clock := func() time.Duration { return 0 }
+	p.timers = timers.New(clock, func(time.Duration) {})
+	p.table = exchange.NewTable(dialer, clock, func(func()) {}, func(time.Duration, func()) {}, time.Second, time.Second,
+		exchange.NewDelays(time.Second, noteSpan, false, false))
+	p.balancer = choice.New(slopeFront{front{p.table, p}}, rand.New(rand.NewSource(1)), p.terms.listeners, p.terms.dials, p.terms.budget,
+		p.terms.list, p.terms.cold, p.terms.words)
+	p.table.Serve(p.balancer)
+	p.balancer.List(0, choice.ListFull, p.directory.entriesOf(slopeList(servers)))
+	for i := range sessions {
+		text := fmt.Appendf(nil, "OPEN s%d k%d c=chat,t=topic-%d,d=800", i, i, i%slopeTenants)
+		p.table.Begin(silentSide{}, choice.Arrival{Client: choice.Key(i + 1), Group: choice.Key(i/4 + 1), Left: time.Second}, text, 0)
+		dialer.latest.Opened([]byte("UP 1\r\n"))
+	}
+	if p.table.Open() != sessions {
+		b.Fatalf("%d of %d sessions are open", p.table.Open(), sessions)
+	}
+	return p
+}
+
+// slopeFront is the proxy's without its watch and timers, which would need the loop.
+type slopeFront struct{ front }
+
+func (slopeFront) Watch()                            {}
+func (slopeFront) Timer(time.Duration, choice.Token) {}
+
+// BenchmarkSlopeSumOfSessions is what the proxy does once a second where it shares counts.
+func BenchmarkSlopeSumOfSessions(b *testing.B) {
+	for _, n := range []int{1000, 5000, 20000, 50000, 85500} {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			p, facts := slopeProxy(b, slopeSumServers, n), 0
+			p.Share(func(held []sharing.Fact) { facts = len(held) })
+			for b.Loop() {
+				p.timers = timers.New(p.now, func(time.Duration) {})
+				p.tellFleet()
+			}
+			b.ReportMetric(float64(facts), "facts")
+		})
+	}
+}
