--- a/choice/slopes_test.go
+++ b/choice/slopes_test.go
@@ -134,9 +134,7 @@
 	for _, n := range slopeServers {
 		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
 			_, bytes := heap.Held(func() *Balancer { balancer, _ := balancerOf(n, 0); return balancer })
-			for b.Loop() {
-			}
-			b.ReportMetric(bytes, "held-B")
+			reportOnly(b, bytes, "held-B")
 		})
 	}
 }
@@ -145,9 +143,122 @@
 	for _, n := range slopeSessions {
 		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
 			_, bytes := heap.Held(func() *Balancer { balancer, _ := balancerOf(usualServers, n); return balancer })
+			reportOnly(b, bytes, "held-B")
+		})
+	}
+}
+
+// BenchmarkSlopeModuleSwitch is what other settings cost on the loop.
+func BenchmarkSlopeModuleSwitch(b *testing.B) {
+	for _, n := range slopeServers {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			balancer, _ := balancerOf(n, 0)
+			listeners := []Listener{{Name: "push", HandshakeTarget: sec, DialTimeout: 3 * sec, MessageTarget: sec, Utility: 1}}
 			for b.Loop() {
+				balancer.Switch(0, listeners, DialLimits{MostDials: 3}, DialBudget{}, ListRules{MustWatch: true, MustAskIn: 10 * sec},
+					ColdRule{}, WordRule{})
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeModuleGone is what servers cost that have left the list, beside those of a usual one.
+func BenchmarkSlopeModuleGone(b *testing.B) {
+	for _, gone := range []int{1300, 3900, 13000, 39000} {
+		b.Run(fmt.Sprintf("gone=%d", gone), func(b *testing.B) {
+			all := slopeEntries(usualServers + gone)
+			balancer, bytes := heap.Held(func() *Balancer {
+				balancer, _ := balancerOf(0, 0)
+				balancer.List(0, ListFull, all)
+				balancer.List(0, ListFull, all[:usualServers])
+				return balancer
+			})
+			for b.Loop() {
+				balancer.List(0, ListDelta, all[:1])
 			}
 			b.ReportMetric(bytes, "held-B")
 		})
 	}
 }
+
+// The cold rule of the stand-in platform, and how many sessions a proxy has for each server at the expected size.
+const (
+	slopeColdSpan   = 20 * time.Second
+	slopeColdWindow = 3 * time.Second
+	manySessions    = 42.75 // 85,500 on 2,000 servers
+	fewSessions     = 4.275 // on 20,000
+)
+
+func BenchmarkSlopeColdTurnsMany(b *testing.B) { slopeColdTurns(b, manySessions) }
+func BenchmarkSlopeColdTurnsFew(b *testing.B)  { slopeColdTurns(b, fewSessions) }
+
+// slopeColdTurns steps through the warming of servers that start at once, and tells when a proxy has its first turn at
+// one and how much of its usual sessions its turns allow there. It needs no clock.
+func slopeColdTurns(b *testing.B, sessionsEach float64) {
+	const coldServers = 400
+	for _, proxies := range []int{60, 300, 1000, 3000, 7600} {
+		b.Run(fmt.Sprintf("proxies=%d", proxies), func(b *testing.B) {
+			balancer, _ := balancerOf(0, 0)
+			entries := slopeEntries(coldServers)
+			for i := range entries {
+				entries[i].Size, entries[i].Started = 1, true
+			}
+			var first time.Duration
+			allowed := 0.0
+			for b.Loop() {
+				first, allowed = 0, 0
+				balancer.cold = ColdRule{Span: slopeColdSpan, From: 0.2, Multiple: 3, Window: slopeColdWindow, Proxies: proxies, Me: proxies / 3}
+				balancer.List(0, ListFull, entries)
+				balancer.calm = sessionsEach
+				for _, srv := range balancer.servers {
+					at, turns := coldTurns(balancer, srv)
+					first, allowed = first+at, allowed+turns
+				}
+			}
+			b.ReportMetric(first.Seconds()/coldServers, "first-s")
+			b.ReportMetric(allowed/coldServers/sessionsEach, "allowed-share")
+		})
+	}
+}
+
+func coldTurns(b *Balancer, srv *server) (first time.Duration, turns float64) {
+	first = slopeColdSpan // where there is none
+	srv.frame = 0
+	for at := time.Duration(0); at < slopeColdSpan; at += slopeColdWindow {
+		b.now = at
+		b.takeTurn(srv)
+		if turns += srv.turn; srv.turn > 0 {
+			first = min(first, at)
+		}
+	}
+	return first, turns
+}
+
+// BenchmarkSlopeDialBudget is what a budget of further dials costs by the sessions taken in its window.
+func BenchmarkSlopeDialBudget(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000, 85500} {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			balancer, bytes := heap.Held(func() *Balancer {
+				balancer, _ := balancerOf(0, 0)
+				balancer.budget = DialBudget{Free: 10, Share: 0.1, Window: time.Minute}
+				for i := range n {
+					balancer.taken.add(time.Duration(i)*time.Minute/time.Duration(n), 0)
+				}
+				return balancer
+			})
+			balancer.now = time.Minute
+			for b.Loop() {
+				balancer.affords()
+			}
+			b.ReportMetric(bytes, "held-B")
+		})
+	}
+}
+
+// reportOnly reports a value that is not a time, and no time.
+func reportOnly(b *testing.B, value float64, unit string) {
+	for b.Loop() {
+	}
+	b.ReportMetric(0, "ns/op") // the testing package leaves it out then
+	b.ReportMetric(value, unit)
+}
--- /dev/null
+++ b/internal/capacity/benchmarks.go
@@ -0,0 +1,105 @@
+package capacity
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// slopePrefix marks the benchmarks that are meant for a fit: BenchmarkSlopeListParse/servers=100-8.
+const slopePrefix = "BenchmarkSlope"
+
+// step is one line of output.
+type step struct {
+	benchmark, variable string
+	x                   float64
+	values              map[string]float64 // by unit
+}
+
+// FromBenchmarks reads the output of `go test -bench`, takes the least value of each step over its repetitions, and
+// fits a slope for each benchmark and unit. Other lines are ignored; "cpu:" lines name the machine.
+func FromBenchmarks(output io.Reader, origin Origin) ([]*Slope, error) {
+	byName := map[string]*Slope{}
+	repetitions := map[string]map[float64]int{}
+	var order []string
+	lines := bufio.NewScanner(output)
+	for lines.Scan() {
+		if cpu, ok := strings.CutPrefix(lines.Text(), "cpu: "); ok && origin.Machine == "" {
+			origin.Machine = cpu
+		}
+		s, ok, err := parseStep(lines.Text())
+		if err != nil {
+			return nil, err
+		}
+		if !ok {
+			continue
+		}
+		for unit, y := range s.values {
+			name := s.benchmark + "." + unit
+			if byName[name] == nil {
+				byName[name] = &Slope{Name: name, Unit: unit, Variable: s.variable}
+				repetitions[name] = map[float64]int{}
+				order = append(order, name)
+			}
+			byName[name].keepLeast(s.x, y)
+			repetitions[name][s.x]++
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, err
+	}
+	var slopes []*Slope
+	for _, name := range order {
+		s := byName[name]
+		s.Origin = origin
+		for _, n := range repetitions[name] {
+			s.Runs = max(s.Runs, n)
+		}
+		if err := s.Fit(); err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, s)
+	}
+	return slopes, nil
+}
+
+func (s *Slope) keepLeast(x, y float64) {
+	for i := range s.Points {
+		if s.Points[i].X == x {
+			s.Points[i].Y = min(s.Points[i].Y, y)
+			return
+		}
+	}
+	s.Points = append(s.Points, Point{x, y})
+}
+
+// parseStep reads one line; ok is false for any line that is no step of a slope.
+func parseStep(text string) (s step, ok bool, err error) {
+	fields := strings.Fields(text)
+	if len(fields) < 4 || len(fields)%2 != 0 || !strings.HasPrefix(fields[0], slopePrefix) {
+		return s, false, nil
+	}
+	benchmark, rest, found := strings.Cut(strings.TrimPrefix(fields[0], slopePrefix), "/")
+	if !found {
+		return s, false, nil
+	}
+	variable, number, found := strings.Cut(rest, "=")
+	if at := strings.LastIndexByte(number, '-'); at > 0 { // the number of processors
+		number = number[:at]
+	}
+	x, err := strconv.ParseFloat(number, 64)
+	if !found || err != nil {
+		return s, false, fmt.Errorf("%s: no variable and number after the slash", fields[0])
+	}
+	s = step{benchmark: benchmark, variable: variable, x: x, values: map[string]float64{}}
+	for i := 2; i+1 < len(fields); i += 2 {
+		y, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			return s, false, fmt.Errorf("%s: %w", fields[0], err)
+		}
+		s.values[fields[i+1]] = y
+	}
+	return s, true, nil
+}
--- a/internal/fleet/slopes_test.go
+++ b/internal/fleet/slopes_test.go
@@ -54,9 +54,7 @@
 	for _, members := range slopeMembers {
 		b.Run(fmt.Sprintf("counts=%d", members*slopeKeys), func(b *testing.B) {
 			_, bytes := heap.Held(func() *fleet.Counts { return heardFleet(members, slopeKeys) })
-			for b.Loop() {
-			}
-			b.ReportMetric(bytes, "held-B")
+			reportOnly(b, bytes, "held-B")
 		})
 	}
 }
@@ -112,6 +110,7 @@
 			for b.Loop() {
 				sent, bytes = untilAllHeard(b, members)
 			}
+			b.ReportMetric(0, "ns/op") // of no interest: it is the span between datagrams
 			b.ReportMetric(float64(sent), "datagrams")
 			b.ReportMetric(float64(bytes)/float64(sent), "B/datagram")
 		})
@@ -166,3 +165,11 @@
 	}
 	return sent, bytes
 }
+
+// reportOnly reports a value that is not a time, and no time.
+func reportOnly(b *testing.B, value float64, unit string) {
+	for b.Loop() {
+	}
+	b.ReportMetric(0, "ns/op") // the testing package leaves it out then
+	b.ReportMetric(value, unit)
+}
--- a/internal/proxy/slopes_test.go
+++ b/internal/proxy/slopes_test.go
@@ -1,9 +1,17 @@
 package proxy
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"math"
 	"math/rand"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -165,3 +173,174 @@
 		})
 	}
 }
+
+// BenchmarkSlopeDirectoryGone is what servers cost that have left the list: their names stay known.
+func BenchmarkSlopeDirectoryGone(b *testing.B) {
+	for _, gone := range []int{1300, 3900, 13000, 39000} {
+		b.Run(fmt.Sprintf("gone=%d", gone), func(b *testing.B) {
+			all := slopeList(goneBeside + gone)
+			listed := discovery.List{Revision: 2, Complete: true, Servers: all.Servers[:goneBeside]}
+			d, held := heap.Held(func() *directory {
+				d := slopeDirectory(all)
+				d.entriesOf(listed)
+				return d
+			})
+			delta := discovery.List{Revision: 3, Servers: all.Servers[:1]}
+			for b.Loop() {
+				d.entriesOf(delta)
+				d.eachGone(func(choice.ServerID) {})
+				d.count()
+			}
+			b.ReportMetric(held, "held-B")
+		})
+	}
+}
+
+// goneBeside is how many servers are still listed beside those that have gone.
+const goneBeside = 2000
+
+// countingLog counts the bytes that a proxy logs.
+type countingLog struct{ bytes atomic.Int64 }
+
+func (l *countingLog) Write(text []byte) (int, error) {
+	l.bytes.Add(int64(len(text)))
+	return len(text), nil
+}
+
+// serveForSlopes runs a whole proxy on loopback with one server that greets and echoes; it is ready when this returns.
+func serveForSlopes(b *testing.B, log *countingLog) (address string) {
+	server, listener := listenForSlopes(b), listenForSlopes(b)
+	address = listener.Addr().String()
+	listener.Close() // the proxy listens there
+	go acceptForSlopes(server)
+	list := fmt.Sprintf(`{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":%q,"locality":"a","phase":"ready","size":1}]}`, server.Addr())
+	found := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, list)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	p, err := New(fmt.Appendf(nil, configuration, address, found.Listener.Addr(), 4096), zerolog.New(log))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run() }()
+	<-p.ready
+	b.Cleanup(func() {
+		p.engine.Stop(context.Background())
+		<-ended
+		found.CloseClientConnections()
+		found.Close()
+		server.Close()
+	})
+	for known := uint64(0); known == 0; time.Sleep(time.Millisecond) {
+		revision := make(chan uint64)
+		p.execute(func() { revision <- p.revision })
+		known = <-revision
+	}
+	return address
+}
+
+func listenForSlopes(b *testing.B) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return l
+}
+
+// acceptForSlopes answers each first line, ends after BYE, and echoes all else.
+func acceptForSlopes(server net.Listener) {
+	for {
+		conn, err := server.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			lines := bufio.NewScanner(conn)
+			for lines.Scan() {
+				switch text := lines.Text(); {
+				case strings.HasPrefix(text, "OPEN"):
+					fmt.Fprint(conn, "UP 1\r\n")
+				case text == "BYE":
+					fmt.Fprint(conn, "BYE\r\n")
+					return
+				default:
+					fmt.Fprint(conn, text, "\r\n")
+				}
+			}
+		}()
+	}
+}
+
+// ask sends a line on a connection of its own and waits for the answer.
+func ask(b *testing.B, address string, lines ...string) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+	for _, line := range lines {
+		fmt.Fprint(conn, line, "\r\n")
+		if _, err := answers.ReadString('\n'); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// processTime is what this process has used of the processors.
+func processTime() time.Duration {
+	var use syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
+		panic(err) // constant arguments
+	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+// BenchmarkSlopeProbes is the processor time of so many probes of the front, each a connection with a PING. Both ends
+// are in this process, so the proxy's own part is less.
+func BenchmarkSlopeProbes(b *testing.B) {
+	for _, n := range []int{100, 500, 2000} {
+		b.Run(fmt.Sprintf("probes=%d", n), func(b *testing.B) {
+			address := serveForSlopes(b, &countingLog{})
+			least := time.Duration(math.MaxInt64)
+			for b.Loop() {
+				before := processTime()
+				for range n {
+					ask(b, address, "PING")
+				}
+				least = min(least, processTime()-before)
+			}
+			b.ReportMetric(0, "ns/op") // the testing package leaves it out then
+			b.ReportMetric(float64(least.Nanoseconds()), "cpu-ns")
+		})
+	}
+}
+
+// BenchmarkSlopeSessionLog is what a proxy logs of so many sessions that begin and end, at its usual level.
+func BenchmarkSlopeSessionLog(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			log := &countingLog{}
+			address := serveForSlopes(b, log)
+			for b.Loop() {
+				log.bytes.Store(0)
+				for i := range n {
+					ask(b, address, fmt.Sprintf("OPEN s%08d k%08d c=chat,d=800,g=%d", i, i, i/4), "BYE")
+				}
+				waitForLines(log)
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(log.bytes.Load()), "log-B")
+		})
+	}
+}
+
+// waitForLines waits until nothing more has been logged for a while: a session's line is written once both ends closed.
+func waitForLines(log *countingLog) {
+	for last := int64(-1); last != log.bytes.Load(); time.Sleep(50 * time.Millisecond) {
+		last = log.bytes.Load()
+	}
+}
