--- a/choice/slopes_test.go
+++ b/choice/slopes_test.go
@@ -58,7 +58,11 @@
 }
 
 func openSession(b *Balancer, front *quietFront, id SessionID) {
-	a := Arrival{ID: id, Left: 3 * sec, Client: Key(id), Group: Key(mix(uint64(id / 4)))}
+	openInGroup(b, front, id, Key(mix(uint64(id/4))))
+}
+
+func openInGroup(b *Balancer, front *quietFront, id SessionID, group Key) {
+	a := Arrival{ID: id, Left: 3 * sec, Client: Key(id), Group: group}
 	if err := b.Arrive(0, a); err != nil {
 		panic(err) // ids are fresh
 	}
@@ -148,6 +152,23 @@
 	}
 }
 
+// BenchmarkSlopeModuleStateByGroups has as many sessions at each step.
+func BenchmarkSlopeModuleStateByGroups(b *testing.B) {
+	const sessions = 85500
+	for _, groups := range []int{1000, 10000, 21375, 42750, 85500} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			_, bytes := heap.Held(func() *Balancer {
+				balancer, front := balancerOf(usualServers, 0)
+				for id := range sessions {
+					openInGroup(balancer, front, SessionID(id+1), Key(mix(uint64(id%groups))))
+				}
+				return balancer
+			})
+			reportOnly(b, bytes, "held-B")
+		})
+	}
+}
+
 // BenchmarkSlopeModuleSwitch is what other settings cost on the loop.
 func BenchmarkSlopeModuleSwitch(b *testing.B) {
 	for _, n := range slopeServers {
--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -23,6 +23,7 @@
 		Count    countCmd    `cmd:"" help:"Add up the logs of a fleet, by second, by server and by list."`
 		Fleet    fleetCmd    `cmd:"" help:"Ask a proxy what it believes of its fleet."`
 		Store    storeCmd    `cmd:"" help:"Look into a store's folder."`
+		Capacity capacityCmd `cmd:"" help:"Say what each role costs at a size of the fleet, from measured slopes."`
 		Version  versionCmd  `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&commands, kong.Name("chalkferry"),
