--- a/internal/capacity/quantity.go
+++ b/internal/capacity/quantity.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -37,7 +38,8 @@
 	Slope   string
 	At      float64
 	Times   float64
-	PerUnit bool // in place of the value at At
+	Scale   float64 // of the slope's unit in the quantity's, such as a nanosecond in seconds; 0 for the same unit
+	PerUnit bool    // in place of the value at At
 }
 
 // Ceiling is what a quantity may come to.
@@ -68,28 +70,24 @@
 
 // figure is a quantity at one case.
 type figure struct {
-	value   float64
-	missing []string // slopes that no run has measured
-	known   bool
-	beyond  float64 // how many times the measured range, at least 1
+	value float64
+	known bool // all of its slopes are measured
 }
 
 func (q *Quantity) at(c *Case, slopes *Slopes) figure {
 	if q.Worked != nil {
-		return figure{value: q.Worked(c), known: true, beyond: 1}
+		return figure{value: q.Worked(c), known: true}
 	}
 	if q.Terms == nil {
 		return figure{}
 	}
-	f := figure{known: true, beyond: 1}
+	f := figure{known: true}
 	for _, term := range q.Terms(c) {
 		s := slopes.Get(term.Slope)
 		if s == nil {
-			f.missing, f.known = append(f.missing, term.Slope), false
-			continue
+			return figure{}
 		}
-		f.value += term.Times * s.term(term)
-		f.beyond = max(f.beyond, s.Beyond(term.At))
+		f.value += term.Times * cmp.Or(term.Scale, 1) * s.term(term)
 	}
 	return f
 }
@@ -222,12 +220,15 @@
 	if low.Times != 1 || high.Times != 1 {
 		text += ", times " + bothTexts(significant(low.Times), significant(high.Times))
 	}
-	if beyond := max(s.Beyond(low.At), s.Beyond(high.At)); beyond > 1 && !low.PerUnit {
+	if beyond := max(s.Beyond(low.At), s.Beyond(high.At)); beyond > worthTelling && !low.PerUnit {
 		text += fmt.Sprintf(" (%s times the range)", significant(beyond))
 	}
 	return text
 }
 
+// worthTelling is from how many times the measured range on it is told.
+const worthTelling = 1.01
+
 func bothTexts(low, high string) string {
 	if low == high {
 		return low
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -28,7 +28,7 @@
 
 // timed is processor time: nanoseconds at x, so many times a second.
 func timed(slope string, x, perSecond float64) Term {
-	return Term{Slope: slope, At: x, Times: perSecond * nanosecond}
+	return Term{Slope: slope, At: x, Times: perSecond, Scale: nanosecond}
 }
 
 func terms(make func(c *Case) []Term) func(*Case) []Term { return make }
@@ -272,7 +272,7 @@
 			{What: "probes", Unit: PerSecond, Worked: func(c *Case) float64 { return c.Probes }, Note: "probes"},
 			{What: "processor time", Unit: Cores, Ceiling: controlCore, Part: controlCores, Note: "both ends' time, the proxy's own is less",
 				Terms: terms(func(c *Case) []Term {
-					return []Term{{Slope: "Probes.cpu-ns", Times: c.Probes * nanosecond, PerUnit: true}}
+					return []Term{{Slope: "Probes.cpu-ns", Times: c.Probes, Scale: nanosecond, PerUnit: true}}
 				})},
 		},
 	}
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -90,7 +90,7 @@
 		}
 		if ratio := q.ratio(c, f); ratio > most {
 			most = ratio
-			text = fmt.Sprintf("%s: %s, %s of %s", q.verdict(c, f), q.What, q.text(f), q.Unit.format(q.Ceiling.Value(c)))
+			text = fmt.Sprintf("%s: %s, %s (ceiling %s)", q.verdict(c, f), q.What, q.text(f), q.Unit.format(q.Ceiling.Value(c)))
 		}
 	}
 	switch {
--- a/internal/proxy/slopes_test.go
+++ b/internal/proxy/slopes_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -209,6 +211,11 @@
 
 // serveForSlopes runs a whole proxy on loopback with one server that greets and echoes; it is ready when this returns.
 func serveForSlopes(b *testing.B, log *countingLog) (address string) {
+	processors, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1) // a proxy sets both for its process
+	b.Cleanup(func() {
+		runtime.GOMAXPROCS(processors)
+		debug.SetMemoryLimit(memory)
+	})
 	server, listener := listenForSlopes(b), listenForSlopes(b)
 	address = listener.Addr().String()
 	listener.Close() // the proxy listens there
