--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -279,7 +279,7 @@
 	}
 	to := &unix.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To4())}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err := unix.Bind(fd, to); err == nil {
+	if err = unix.Bind(fd, to); err == nil {
 		err = unix.Listen(fd, 0)
 	}
 	if err != nil {
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -171,8 +171,13 @@
 	w.Append(nil, func(Seq, error) { close(began); <-hold })
 	<-began
 	done := func(Seq, error) {}
-	if w.Append(nil, done) != nil || w.Append(nil, done) != nil || !errors.Is(w.Append(nil, done), ErrFull) || w.Shed() != 1 {
-		t.Fatalf("%d are shed", w.Shed())
+	for range 2 {
+		if err := w.Append(nil, done); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Append(nil, done); !errors.Is(err, ErrFull) || w.Shed() != 1 {
+		t.Fatalf("a third batch: %v, %d are shed", err, w.Shed())
 	}
 	close(hold)
 	if err := w.Close(); err != nil {
