--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -30,13 +30,13 @@
 	f.reply.Dial(f.inst, id, to, limit)
 }
 
-func (f front) Refuse(id choice.SessionID, comeBack time.Duration) {
-	f.reply.Refuse(f.inst, id, comeBack)
+func (f front) Refuse(id choice.SessionID, retryAfter time.Duration) {
+	f.reply.Refuse(f.inst, id, retryAfter)
 }
 func (f front) TearDown(id choice.SessionID)                  { f.reply.TearDown(f.inst, id) }
 func (f front) Move(id choice.SessionID)                      { f.reply.Move(f.inst, id) }
 func (f front) Timer(after time.Duration, token choice.Token) { f.reply.Timer(f.inst, after, token) }
-func (f front) Tell(at choice.ServerID, delay time.Duration)  { f.reply.Tell(f.inst, at, delay) }
+func (f front) Tell(at choice.ServerID, delay time.Duration)  { f.reply.Publish(f.inst, at, delay) }
 func (f front) Watch()                                        { f.reply.Watch(f.inst) }
 func (f front) Log(line string)                               { f.reply.Log(f.inst, line) }
 
@@ -95,8 +95,8 @@
 	case benchwire.CodeProbed:
 		f.Outcome()
 		f.U32()
-		f.Span()
-		f.Report()
+		f.Duration()
+		f.SkipLoadReport()
 		return f.End() // no probe is ever sent
 	case benchwire.CodeNote:
 		id, no, server := choice.SessionID(f.U32()), choice.DialNo(f.U16()), choice.ServerID(f.U32())
@@ -112,20 +112,20 @@
 		}
 	case benchwire.CodeArrival:
 		a := choice.Arrival{ID: choice.SessionID(f.U32()), Tenant: choice.TenantID(f.U32()),
-			Listener: choice.ListenerID(f.U16()), Left: f.Span()}
+			Listener: choice.ListenerID(f.U16()), Left: f.Duration()}
 		load := f.F64()
 		a.Group, a.Client = choice.Key(f.U64()), choice.Key(f.U64())
-		marks(&a, f.U8(), load)
+		setOptions(&a, f.U8(), load)
 		if err := f.End(); err != nil {
 			return err
 		}
 		return b.Arrive(now, a)
 	case benchwire.CodeOpenHeld:
 		a := choice.Arrival{ID: choice.SessionID(f.U32()), Listener: choice.ListenerID(f.U16()),
-			Tenant: choice.TenantID(f.U32()), Client: choice.Key(f.U64()), Left: f.Span()}
+			Tenant: choice.TenantID(f.U32()), Client: choice.Key(f.U64()), Left: f.Duration()}
 		load := f.F64()
 		a.Group = choice.Key(f.U64())
-		marks(&a, f.U8(), load)
+		setOptions(&a, f.U8(), load)
 		server := choice.ServerID(f.U32())
 		if err := f.End(); err != nil {
 			return err
@@ -153,15 +153,15 @@
 		return f.End()
 	case benchwire.CodeSettled:
 		id, no, server := choice.SessionID(f.U32()), choice.DialNo(f.U16()), choice.ServerID(f.U32())
-		outcome, took, over := f.Outcome(), f.Span(), f.U8() != 0
-		f.Report()
+		outcome, took, over := f.Outcome(), f.Duration(), f.U8() != 0
+		f.SkipLoadReport()
 		if err := f.End(); err != nil {
 			return err
 		}
 		b.Settled(now, id, no, server, outcome, took, over)
 	case benchwire.CodeOpened:
 		id, server := choice.SessionID(f.U32()), choice.ServerID(f.U32())
-		no, took := choice.DialNo(f.U16()), f.Span()
+		no, took := choice.DialNo(f.U16()), f.Duration()
 		if err := f.End(); err != nil {
 			return err
 		}
@@ -186,7 +186,7 @@
 }
 
 // marks reads the marks of an arrival; the hint of its load comes in milliseconds of work a second.
-func marks(a *choice.Arrival, opts uint8, load float64) {
+func setOptions(a *choice.Arrival, opts uint8, load float64) {
 	a.MidFlow = opts&8 != 0
 	a.Returned = opts&16 != 0
 	if opts&1 != 0 {
--- a/cmd/chalkferry/compare.go
+++ b/cmd/chalkferry/compare.go
@@ -36,7 +36,7 @@
 		}
 	}
 	if c.Rate > 0 {
-		s.Rate(c.Rate)
+		s.SetRate(c.Rate)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/cmd/chalkferry/load.go
+++ b/cmd/chalkferry/load.go
@@ -33,7 +33,7 @@
 		}
 	}
 	if c.Rate > 0 {
-		s.Rate(c.Rate)
+		s.SetRate(c.Rate)
 	}
 	if c.Trace != "" {
 		if err := s.Replay(c.Trace, c.Speed, c.Scale); err != nil {
@@ -42,7 +42,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	r, err := rehearse.Alone(ctx, s, c.Address, progress())
+	r, err := rehearse.GenerateLoad(ctx, s, c.Address, progress())
 	if err != nil {
 		return err
 	}
--- a/cmd/chalkferry/rehearse.go
+++ b/cmd/chalkferry/rehearse.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if c.Rate > 0 {
-		s.Rate(c.Rate)
+		s.SetRate(c.Rate)
 	}
 	if c.Check {
 		fmt.Println("the scenario is good")
@@ -129,7 +129,7 @@
 		return fmt.Errorf("a climb needs a factor above 1 and a --rate to begin with")
 	}
 	o.Progress = nil
-	found, err := rehearse.Climbs(ctx, s, o, c.Rate, c.Climb, c.Steps, os.Stdout)
+	found, err := rehearse.FindCapacity(ctx, s, o, c.Rate, c.Climb, c.Steps, os.Stdout)
 	if err != nil {
 		return err
 	}
--- a/cmd/chalkferry/rehearse_test.go
+++ b/cmd/chalkferry/rehearse_test.go
@@ -43,8 +43,8 @@
 		t.Errorf("%d of %d sessions were sent", r.Sessions, r.Scheduled)
 	}
 	c := r.Clients
-	if sum := c.Accepted + c.Refused + c.TornDown + c.Broken + c.Unanswered + c.NoProxy + c.Stopped; sum != c.Tries {
-		t.Errorf("%d tries, %d endings", c.Tries, sum)
+	if sum := c.Accepted + c.Refused + c.Failed + c.ConnectionLost + c.Unanswered + c.NoProxy + c.Interrupted; sum != c.Attempts {
+		t.Errorf("%d tries, %d endings", c.Attempts, sum)
 	}
 	return r
 }
@@ -81,18 +81,18 @@
 			refused++
 		}
 	}
-	if c := r.Clients; len(all) > int(c.Tries) || int64(len(all)) < c.Tries-int64(r.OpenAtEnd) ||
-		int64(refused) < c.Refused || int64(refused) > c.Refused+c.Stopped {
+	if c := r.Clients; len(all) > int(c.Attempts) || int64(len(all)) < c.Attempts-int64(r.OpenAtEnd) ||
+		int64(refused) < c.Refused || int64(refused) > c.Refused+c.Interrupted {
 		t.Errorf("%d sessions in the logs, %d refused; %d tries, %d refused, %d open when the proxies were killed", len(all), refused,
-			c.Tries, c.Refused, r.OpenAtEnd)
+			c.Attempts, c.Refused, r.OpenAtEnd)
 	}
 }
 
 // Bad clients by thousands cost no usual one anything, and the proxies keep to their descriptors.
 func TestBadClientsNight(t *testing.T) {
 	t.Parallel()
-	if r := rehearsed(t, "bad-clients", ""); r.Bad.Sent < 4000 {
-		t.Errorf("only %+v", r.Bad)
+	if r := rehearsed(t, "bad-clients", ""); r.BadClients.Sent < 4000 {
+		t.Errorf("only %+v", r.BadClients)
 	}
 }
 
@@ -100,7 +100,7 @@
 func TestSurgeAndDrainNight(t *testing.T) {
 	t.Parallel()
 	r := rehearsed(t, "surge-and-drain", "")
-	if r.Proxies[0].Starts != 2 || r.Clients.Moved == 0 {
-		t.Errorf("%d starts of the proxy that is killed, %d moves", r.Proxies[0].Starts, r.Clients.Moved)
+	if r.Proxies[0].Starts != 2 || r.Clients.Migrated == 0 {
+		t.Errorf("%d starts of the proxy that is killed, %d moves", r.Proxies[0].Starts, r.Clients.Migrated)
 	}
 }
--- a/cmd/chalkferry/trace.go
+++ b/cmd/chalkferry/trace.go
@@ -51,7 +51,7 @@
 	}
 	sessions := trace.Merge(all...)
 	fmt.Fprintf(os.Stderr, "%d sessions; %d lines are no session's\n", len(sessions), passed)
-	return keep(c.Out, "log "+strings.Join(c.Log, " "), sessions)
+	return writeTrace(c.Out, "log "+strings.Join(c.Log, " "), sessions)
 }
 
 type traceCheckCmd struct {
@@ -68,7 +68,7 @@
 		for _, s := range sessions {
 			listeners[s.Listener]++
 			clients[s.Key] = true
-			span = s.Arrives()
+			span = s.ArrivesAt()
 		}
 		fmt.Printf("%s: %d sessions of %d clients over %v, by listener %v\n", name, len(sessions), len(clients), span.Round(time.Millisecond), listeners)
 	}
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	return keep(c.Out, fmt.Sprintf("%s from %v to %v", c.File, c.From, c.To), trace.Cut(sessions, c.From.D(), c.To.D()))
+	return writeTrace(c.Out, fmt.Sprintf("%s from %v to %v", c.File, c.From, c.To), trace.Cut(sessions, c.From.D(), c.To.D()))
 }
 
 type traceScaleCmd struct {
@@ -113,7 +113,7 @@
 	if c.Factor != 1 {
 		sessions = trace.Scale(sessions, c.Factor, c.Spread.D(), rand.New(rand.NewSource(c.Seed)))
 	}
-	return keep(c.Out, fmt.Sprintf("%s times %g at speed %g", c.File, c.Factor, c.Speed), trace.Speed(sessions, c.Speed))
+	return writeTrace(c.Out, fmt.Sprintf("%s times %g at speed %g", c.File, c.Factor, c.Speed), trace.Speed(sessions, c.Speed))
 }
 
 type traceMergeCmd struct {
@@ -130,7 +130,7 @@
 		}
 		all = append(all, sessions)
 	}
-	return keep(c.Out, strings.Join(c.File, " and "), trace.Merge(all...))
+	return writeTrace(c.Out, strings.Join(c.File, " and "), trace.Merge(all...))
 }
 
 func readTrace(name string) ([]trace.Session, error) {
@@ -143,7 +143,7 @@
 }
 
 // keep writes a trace to a file or to standard output.
-func keep(name, source string, sessions []trace.Session) error {
+func writeTrace(name, source string, sessions []trace.Session) error {
 	if name == "" {
 		return trace.Write(io.Writer(os.Stdout), source, sessions)
 	}
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -38,18 +38,18 @@
 	codeWatch    = 4
 	codeLog      = 5
 	codeRefuse   = 7
-	codeTell     = 9
+	codePublish  = 9
 	codeTearDown = 10
 	codeMove     = 11
 	codeDial     = 12
 )
 
 const (
-	batchHeader  = 20
-	replyHeader  = 12
-	recordHeader = 5
-	entrySize    = 23
-	mostValues   = 4 // of a load report
+	batchHeader   = 20
+	replyHeader   = 12
+	recordHeader  = 5
+	entrySize     = 23
+	maxLoadValues = 4 // of a load report
 )
 
 var errShort = errors.New("record ends early")
@@ -184,7 +184,7 @@
 func (f *Fields) F64() float64 { return f.finite(math.Float64frombits(f.U64())) }
 
 // Span reads a time in milliseconds.
-func (f *Fields) Span() time.Duration {
+func (f *Fields) Duration() time.Duration {
 	d, err := millis(f.F64())
 	if f.err == nil {
 		f.err = err
@@ -204,9 +204,9 @@
 }
 
 // Report passes over a load report, which nothing reads.
-func (f *Fields) Report() {
+func (f *Fields) SkipLoadReport() {
 	n := f.U8()
-	if f.err == nil && n > mostValues {
+	if f.err == nil && n > maxLoadValues {
 		f.err = fmt.Errorf("load report of %d values", n)
 	}
 	for ; n > 0 && f.err == nil; n-- {
@@ -238,7 +238,7 @@
 		e := choice.Entry{Size: f.F32(), Cell: choice.CellID(f.U16()), Zone: choice.ZoneID(f.U16()),
 			ID: choice.ServerID(f.U32()), Standing: choice.Standing(f.U8()),
 			Model: choice.ModelID(f.U16())}
-		since := f.Span()
+		since := f.Duration()
 		e.Started, e.Since = since != 0, since-start
 		if f.err == nil && e.Standing > choice.Draining {
 			f.err = fmt.Errorf("unknown standing %d", e.Standing)
@@ -285,21 +285,21 @@
 
 func (r *Reply) u16(v uint16) { r.buf = binary.LittleEndian.AppendUint16(r.buf, v) }
 func (r *Reply) u32(v uint32) { r.buf = binary.LittleEndian.AppendUint32(r.buf, v) }
-func (r *Reply) span(d time.Duration) {
+func (r *Reply) duration(d time.Duration) {
 	r.buf = binary.LittleEndian.AppendUint64(r.buf, math.Float64bits(float64(d)/float64(time.Millisecond)))
 }
 
 func (r *Reply) Dial(inst InstanceID, id choice.SessionID, to choice.ServerID, limit time.Duration) {
 	r.record(codeDial, 18, inst)
 	r.u32(uint32(id))
-	r.span(limit)
+	r.duration(limit)
 	r.u32(uint32(to))
 }
 
-func (r *Reply) Refuse(inst InstanceID, id choice.SessionID, comeBack time.Duration) {
+func (r *Reply) Refuse(inst InstanceID, id choice.SessionID, retryAfter time.Duration) {
 	r.record(codeRefuse, 14, inst)
 	r.u32(uint32(id))
-	r.span(comeBack)
+	r.duration(retryAfter)
 }
 
 func (r *Reply) TearDown(inst InstanceID, id choice.SessionID) {
@@ -314,7 +314,7 @@
 
 func (r *Reply) Timer(inst InstanceID, after time.Duration, token choice.Token) {
 	r.record(codeTimer, 14, inst)
-	r.span(after)
+	r.duration(after)
 	r.u32(uint32(token))
 }
 
@@ -327,12 +327,12 @@
 const (
 	WordSize    = 6
 	FullMessage = 256
-	everyPeer   = 0xffff
+	allPeers    = 0xffff
 )
 
-func (r *Reply) Tell(inst InstanceID, at choice.ServerID, delay time.Duration) {
-	r.record(codeTell, 6+WordSize, inst)
-	r.u16(everyPeer)
+func (r *Reply) Publish(inst InstanceID, at choice.ServerID, delay time.Duration) {
+	r.record(codePublish, 6+WordSize, inst)
+	r.u16(allPeers)
 	r.u16(WordSize)
 	r.buf = AppendWord(r.buf, at, delay)
 }
--- a/internal/counts/counts.go
+++ b/internal/counts/counts.go
@@ -19,18 +19,18 @@
 type Fleet struct {
 	proxies     int
 	first, last time.Time
-	happened    map[string][]time.Time // by what a row of the table is called
+	events      map[string][]time.Time // by what a row of the table is called
 	dials       map[string][]time.Time // by server, of dials that have ended
-	lists       map[string][]entry     // by proxy, in the order of its log
+	lists       map[string][]logLine   // by proxy, in the order of its log
 	Skipped     int                    // lines that are no log lines
 }
 
 // New makes an empty count.
 func New() *Fleet {
-	return &Fleet{happened: map[string][]time.Time{}, dials: map[string][]time.Time{}, lists: map[string][]entry{}}
+	return &Fleet{events: map[string][]time.Time{}, dials: map[string][]time.Time{}, lists: map[string][]logLine{}}
 }
 
-type entry struct {
+type logLine struct {
 	Time     time.Time `json:"time"`
 	Side     string    `json:"side"`
 	Reason   string    `json:"reason"`
@@ -48,7 +48,7 @@
 	lines := bufio.NewScanner(log)
 	lines.Buffer(make([]byte, 0, 16<<10), 1<<20)
 	for lines.Scan() {
-		var e entry
+		var e logLine
 		at := bytes.IndexByte(lines.Bytes(), '{')
 		if at < 0 || json.Unmarshal(lines.Bytes()[at:], &e) != nil || e.Time.IsZero() {
 			f.Skipped++
@@ -63,9 +63,9 @@
 }
 
 // failed are the reasons of dials that brought no session up; those that did end with their client's reason.
-var failed = []string{"unanswered", "unreachable", "full", "error", "drains"}
+var failedDialReasons = []string{"unanswered", "unreachable", "full", "error", "drains"}
 
-func (f *Fleet) add(proxy string, e entry) {
+func (f *Fleet) add(proxy string, e logLine) {
 	if f.first.IsZero() || e.Time.Before(f.first) {
 		f.first = e.Time
 	}
@@ -73,7 +73,7 @@
 		f.last = e.Time
 	}
 	began := e.Time.Add(-time.Duration(e.Ms * float64(time.Millisecond)))
-	tell := func(kind string, at time.Time) { f.happened[kind] = append(f.happened[kind], at) }
+	tell := func(kind string, at time.Time) { f.events[kind] = append(f.events[kind], at) }
 	switch {
 	case e.Side == "client" && e.ID != "":
 		tell("came", began)
@@ -83,7 +83,7 @@
 		tell(e.Reason, e.Time)
 	case e.Side == "server":
 		f.dials[e.Server] = append(f.dials[e.Server], began)
-		if slices.Contains(failed, e.Reason) {
+		if slices.Contains(failedDialReasons, e.Reason) {
 			tell(e.Reason, e.Time)
 		}
 	case e.Message == "list":
@@ -97,7 +97,7 @@
 }
 
 // Lateness is how a revision came to the proxies.
-type Lateness struct {
+type RevisionLateness struct {
 	Revision uint64
 	First    time.Duration // since the first line of any log
 	Half     time.Duration // after the first proxy, until half of them had it or a newer one; -1: never
@@ -106,7 +106,7 @@
 }
 
 // Learnt tells of each revision how late the proxies had it. One that starts again from nothing had it before.
-func (f *Fleet) Learnt() (all []Lateness) {
+func (f *Fleet) ListLateness() (all []RevisionLateness) {
 	revisions := map[uint64]bool{}
 	for _, lists := range f.lists {
 		for _, e := range lists {
@@ -116,12 +116,12 @@
 	for _, revision := range slices.Sorted(maps.Keys(revisions)) {
 		var times []time.Time
 		for _, lists := range f.lists {
-			if i := slices.IndexFunc(lists, func(e entry) bool { return e.Revision >= revision }); i >= 0 {
+			if i := slices.IndexFunc(lists, func(e logLine) bool { return e.Revision >= revision }); i >= 0 {
 				times = append(times, lists[i].Time)
 			}
 		}
 		slices.SortFunc(times, time.Time.Compare)
-		l := Lateness{Revision: revision, First: times[0].Sub(f.first), Half: -1, All: -1, Never: f.proxies - len(times)}
+		l := RevisionLateness{Revision: revision, First: times[0].Sub(f.first), Half: -1, All: -1, Never: f.proxies - len(times)}
 		if half := (f.proxies + 1) / 2; len(times) >= half {
 			l.Half = times[half-1].Sub(times[0])
 		}
@@ -134,12 +134,12 @@
 }
 
 // Seconds are the counts of a kind.
-func (f *Fleet) Seconds(kind string) []int { return f.seconds(f.happened[kind]) }
+func (f *Fleet) PerSecond(kind string) []int { return f.countPerSecond(f.events[kind]) }
 
 // Dials are those that went to a server, by the second in which they began.
-func (f *Fleet) Dials(server string) []int { return f.seconds(f.dials[server]) }
+func (f *Fleet) DialsPerSecond(server string) []int { return f.countPerSecond(f.dials[server]) }
 
-func (f *Fleet) seconds(times []time.Time) []int {
+func (f *Fleet) countPerSecond(times []time.Time) []int {
 	row := make([]int, int(f.last.Sub(f.first)/time.Second)+1)
 	for _, at := range times {
 		row[max(int(at.Sub(f.first)/time.Second), 0)]++
@@ -164,20 +164,20 @@
 		}
 		fmt.Fprintln(out)
 	}
-	seconds := f.seconds(nil)
+	seconds := f.countPerSecond(nil)
 	for i := range seconds {
 		seconds[i] = i
 	}
 	row("second", seconds)
-	for _, kind := range slices.Sorted(maps.Keys(f.happened)) {
-		row(kind, f.Seconds(kind))
+	for _, kind := range slices.Sorted(maps.Keys(f.events)) {
+		row(kind, f.PerSecond(kind))
 	}
 	fmt.Fprintln(out, "\ndials by server, of those that have ended")
 	for _, server := range f.Servers() {
-		row(server, f.Dials(server))
+		row(server, f.DialsPerSecond(server))
 	}
 	fmt.Fprintln(out, "\nlists: when the first proxy had it, how much later half and all had it or a newer one")
-	for _, l := range f.Learnt() {
+	for _, l := range f.ListLateness() {
 		fmt.Fprintf(out, "revision %-6d %7.2f s  half %s  all %s  never %d\n", l.Revision, l.First.Seconds(), span(l.Half),
 			span(l.All), l.Never)
 	}
--- a/internal/counts/counts_test.go
+++ b/internal/counts/counts_test.go
@@ -27,8 +27,8 @@
 		dials[int(at-0.25)]++
 		f.Add(fmt.Sprint("n", proxy), strings.NewReader(log))
 	}
-	if !slices.Equal(f.Seconds("refused"), refused[:]) || !slices.Equal(f.Dials("s-1"), dials[:]) || f.Skipped != 400 {
-		t.Errorf("%v %v %d, want %v %v 400", f.Seconds("refused"), f.Dials("s-1"), f.Skipped, refused, dials)
+	if !slices.Equal(f.PerSecond("refused"), refused[:]) || !slices.Equal(f.DialsPerSecond("s-1"), dials[:]) || f.Skipped != 400 {
+		t.Errorf("%v %v %d, want %v %v 400", f.PerSecond("refused"), f.DialsPerSecond("s-1"), f.Skipped, refused, dials)
 	}
 }
 
@@ -39,8 +39,8 @@
 		"n1": line(3, `"message":"list","revision":5`), "n2": line(1, `"message":"list","revision":4`)} {
 		f.Add(proxy, strings.NewReader(log))
 	}
-	want := []Lateness{{4, 0, time.Second, 3 * time.Second, 0}, {5, 2 * time.Second, time.Second, -1, 1}}
-	if got := f.Learnt(); !slices.Equal(got, want) {
+	want := []RevisionLateness{{4, 0, time.Second, 3 * time.Second, 0}, {5, 2 * time.Second, time.Second, -1, 1}}
+	if got := f.ListLateness(); !slices.Equal(got, want) {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -14,7 +14,7 @@
 )
 
 // Most bytes of a line, its end included.
-const Most = 4096
+const MaxLength = 4096
 
 var (
 	ErrLong      = errors.New("line is too long")
@@ -27,7 +27,7 @@
 func Next(buf []byte) (text []byte, size int, err error) {
 	end := bytes.IndexByte(buf, '\n')
 	switch {
-	case end < 0 && len(buf) >= Most || end >= Most:
+	case end < 0 && len(buf) >= MaxLength || end >= MaxLength:
 		return nil, 0, ErrLong
 	case end < 0:
 		return nil, 0, nil
@@ -63,7 +63,7 @@
 }
 
 // mostPairs of an OPEN line.
-const mostPairs = 32
+const maxPairs = 32
 
 // ParseOpen reads the text of an OPEN line. Names that it does not know are passed over; none may come twice, as
 // the server might read the other one.
@@ -73,25 +73,25 @@
 	if len(words) != 4 || string(words[0]) != "OPEN" || len(words[1]) == 0 || len(words[2]) == 0 {
 		return o, ErrMalformed
 	}
-	if !plain(text[:len(text)-len(words[3])]) {
+	if !isPlainASCII(text[:len(text)-len(words[3])]) {
 		return o, ErrMalformed
 	}
 	o.ID, o.Key = words[1], words[2]
 	at := len(text) - len(words[3])
-	var names [mostPairs][]byte
+	var names [maxPairs][]byte
 	for i, pair := range bytes.Split(words[3], []byte(",")) {
 		name, value, ok := bytes.Cut(pair, []byte("="))
-		if !ok || i == mostPairs || slices.ContainsFunc(names[:i], func(n []byte) bool { return bytes.Equal(n, name) }) {
+		if !ok || i == maxPairs || slices.ContainsFunc(names[:i], func(n []byte) bool { return bytes.Equal(n, name) }) {
 			return o, ErrMalformed
 		}
 		names[i] = name
 		switch string(name) {
 		case "c", "t", "at": // named in settings and lists, in any script
-			if !printable(value) {
+			if !isPrintable(value) {
 				return o, ErrMalformed
 			}
 		default:
-			if !plain(pair) {
+			if !isPlainASCII(pair) {
 				return o, ErrMalformed
 			}
 		}
@@ -109,13 +109,13 @@
 		case "mid":
 			o.MidFlow = string(value) == "1"
 		case "h":
-			load, ok := decimal(value)
+			load, ok := parseDecimal(value)
 			if !ok {
 				return o, ErrMalformed
 			}
 			o.Load = load
 		case "d":
-			ms, ok := decimal(value)
+			ms, ok := parseDecimal(value)
 			if !ok || !(ms > 0 && ms < 1e9) {
 				return o, ErrMalformed
 			}
@@ -131,18 +131,18 @@
 }
 
 // plain tells whether a text has nothing but what can be seen of ASCII.
-func plain(text []byte) bool {
+func isPlainASCII(text []byte) bool {
 	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r > '~' })
 }
 
 // printable tells whether it has nothing but what can be seen of any script.
-func printable(text []byte) bool {
+func isPrintable(text []byte) bool {
 	return utf8.Valid(text) && !bytes.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) })
 }
 
 // decimal reads digits with at most one point among them. The library's parser also takes signs, exponents,
 // hexadecimal, underscores, Inf and NaN, which no client writes in good faith and a server may read otherwise.
-func decimal(text []byte) (float64, bool) {
+func parseDecimal(text []byte) (float64, bool) {
 	if bytes.ContainsFunc(text, func(r rune) bool { return r != '.' && (r < '0' || r > '9') }) {
 		return 0, false
 	}
@@ -175,13 +175,13 @@
 
 // Level reads the number of a LOAD line.
 func Level(text []byte) (float64, bool) {
-	return decimal(Rest(text))
+	return parseDecimal(Rest(text))
 }
 
 // Busy writes a refusal, with the time after which to come back if there is one.
-func Busy(comeBack time.Duration) []byte {
-	if comeBack <= 0 {
+func Busy(retryAfter time.Duration) []byte {
+	if retryAfter <= 0 {
 		return []byte("BUSY\r\n")
 	}
-	return append(strconv.AppendInt([]byte("BUSY "), max(int64(comeBack/time.Millisecond), 1), 10), '\r', '\n')
+	return append(strconv.AppendInt([]byte("BUSY "), max(int64(retryAfter/time.Millisecond), 1), 10), '\r', '\n')
 }
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestNext(t *testing.T) {
-	long := strings.Repeat("x", Most)
+	long := strings.Repeat("x", MaxLength)
 	for _, c := range []struct {
 		buf, text string
 		size      int
@@ -21,8 +21,8 @@
 		{"PING\n", "", 0, ErrEnd},
 		{"\n", "", 0, ErrEnd},
 		{long, "", 0, ErrLong},
-		{long[:Most-2] + "\r\n", long[:Most-2], Most, nil},
-		{long[:Most-1] + "\r\n", "", 0, ErrLong},
+		{long[:MaxLength-2] + "\r\n", long[:MaxLength-2], MaxLength, nil},
+		{long[:MaxLength-1] + "\r\n", "", 0, ErrLong},
 	} {
 		text, size, err := Next([]byte(c.buf))
 		if string(text) != c.text || size != c.size || err != c.err {
@@ -64,7 +64,7 @@
 			if err != nil || size == 0 {
 				return
 			}
-			if size > Most || !bytes.Equal(rest[:size], append(append([]byte{}, text...), '\r', '\n')) {
+			if size > MaxLength || !bytes.Equal(rest[:size], append(append([]byte{}, text...), '\r', '\n')) {
 				t.Fatalf("%q is cut to %q, %d", rest, text, size)
 			}
 			if o, err := ParseOpen(text); err == nil {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	least  = 1                // microseconds
-	most   = 10 * 60 * 1e6    // the same; longer ones count as this
-	digits = 3                // of the whole
-	coarse = 2                // of each window, to save memory
-	second = time.Millisecond // figures are told in milliseconds
+	minLatencyMicros  = 1                // microseconds
+	maxLatencyMicros  = 10 * 60 * 1e6    // the same; longer ones count as this
+	significantDigits = 3                // of the whole
+	windowDigits      = 2                // of each window, to save memory
+	reportUnit        = time.Millisecond // figures are told in milliseconds
 )
 
 // Figures are quantiles of latencies, in milliseconds.
-type Figures struct {
+type Summary struct {
 	N    int64   `json:"n"`
 	P50  float64 `json:"p50"`
 	P90  float64 `json:"p90"`
@@ -33,7 +33,7 @@
 // Window is what was to be sent within a span of time.
 type Window struct {
 	FromMs float64 `json:"from_ms"`
-	Figures
+	Summary
 }
 
 // Recorder keeps latencies, whole and by window. It may be used from any goroutine.
@@ -46,12 +46,12 @@
 
 // NewRecorder makes a recorder with windows of a span; 0 for none.
 func NewRecorder(span time.Duration) *Recorder {
-	return &Recorder{span: span, all: hdrhistogram.New(least, most, digits)}
+	return &Recorder{span: span, all: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits)}
 }
 
 // Record takes what something took that was to begin at a time since the run's start.
 func (r *Recorder) Record(intended, took time.Duration) {
-	us := min(max(took.Microseconds(), least), most)
+	us := min(max(took.Microseconds(), minLatencyMicros), maxLatencyMicros)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.all.RecordValue(us)
@@ -63,22 +63,22 @@
 		r.windows = append(r.windows, nil)
 	}
 	if r.windows[n] == nil {
-		r.windows[n] = hdrhistogram.New(least, most, coarse)
+		r.windows[n] = hdrhistogram.New(minLatencyMicros, maxLatencyMicros, windowDigits)
 	}
 	r.windows[n].RecordValue(us)
 }
 
-func figures(h *hdrhistogram.Histogram) Figures {
-	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / float64(second/time.Microsecond) }
-	return Figures{N: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9),
-		Max: float64(h.Max()) / float64(second/time.Microsecond)}
+func summarize(h *hdrhistogram.Histogram) Summary {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / float64(reportUnit/time.Microsecond) }
+	return Summary{N: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9),
+		Max: float64(h.Max()) / float64(reportUnit/time.Microsecond)}
 }
 
 // Figures tells the whole.
-func (r *Recorder) Figures() Figures {
+func (r *Recorder) Summary() Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return figures(r.all)
+	return summarize(r.all)
 }
 
 // Windows tells each window in which anything was to be sent.
@@ -88,19 +88,19 @@
 	var windows []Window
 	for n, h := range r.windows {
 		if h != nil {
-			windows = append(windows, Window{float64(time.Duration(n)*r.span) / float64(second), figures(h)})
+			windows = append(windows, Window{float64(time.Duration(n)*r.span) / float64(reportUnit), summarize(h)})
 		}
 	}
 	return windows
 }
 
 // Curve is the latency in milliseconds at each of some quantiles (0 to 100).
-func (r *Recorder) Curve(quantiles []float64) []float64 {
+func (r *Recorder) AtQuantiles(quantiles []float64) []float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	curve := make([]float64, len(quantiles))
 	for i, q := range quantiles {
-		curve[i] = float64(r.all.ValueAtQuantile(q)) / float64(second/time.Microsecond)
+		curve[i] = float64(r.all.ValueAtQuantile(q)) / float64(reportUnit/time.Microsecond)
 	}
 	return curve
 }
@@ -114,7 +114,7 @@
 }
 
 // lateShare is the share of sends that may be later than the bound before a run counts as late.
-const lateShare = 0.01
+const maxLateShare = 0.01
 
 // NewLateness makes a measure with the bound beyond which a send is late.
 func NewLateness(bound time.Duration) *Lateness {
@@ -122,7 +122,7 @@
 }
 
 // Sent takes how late a send was.
-func (l *Lateness) Sent(by time.Duration) {
+func (l *Lateness) Record(by time.Duration) {
 	l.recorder.Record(-1, by)
 	if by > l.bound {
 		l.late.Add(1)
@@ -131,9 +131,9 @@
 
 // Late tells how many sends were later than the bound, whether that is more than a hundredth of them, and the
 // lateness of all.
-func (l *Lateness) Late() (n int64, tooMany bool, all Figures) {
-	all, n = l.recorder.Figures(), l.late.Load()
-	return n, float64(n) > lateShare*float64(all.N), all
+func (l *Lateness) Result() (n int64, tooMany bool, all Summary) {
+	all, n = l.recorder.Summary(), l.late.Load()
+	return n, float64(n) > maxLateShare*float64(all.N), all
 }
 
 // Bound is what counts as late.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -52,10 +52,10 @@
 			t.Errorf("window from %v ms: p99 %v ms", w.FromMs, w.P99)
 		}
 	}
-	if f := open.Figures(); f.P90 < 50 || f.Max < 195 {
+	if f := open.Summary(); f.P90 < 50 || f.Max < 195 {
 		t.Errorf("the open loop shows %+v", f)
 	}
-	if f := waiting.Figures(); f.P99 > 5 {
+	if f := waiting.Summary(); f.P99 > 5 {
 		t.Errorf("the waiting generator was to hide the stall, it shows %+v", f)
 	}
 }
@@ -72,9 +72,9 @@
 			if i < c.late {
 				by = 50 * ms
 			}
-			l.Sent(by)
+			l.Record(by)
 		}
-		if n, tooMany, all := l.Late(); int(n) != c.late || tooMany != c.want || all.N != int64(c.of) {
+		if n, tooMany, all := l.Result(); int(n) != c.late || tooMany != c.want || all.N != int64(c.of) {
 			t.Errorf("%+v: %d, %v, %+v", c, n, tooMany, all)
 		}
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,18 +8,18 @@
 )
 
 // MostBytes of a word.
-const MostBytes = 256
+const MaxDatagram = 256
 
-const waiting = 64 // words to be sent; more are dropped, as any may be lost
+const sendQueueLength = 64 // words to be sent; more are dropped, as any may be lost
 
 // Peers is one proxy's end.
 type Peers struct {
 	conn *net.UDPConn
 	to   []netip.AddrPort
-	out  chan message
+	out  chan datagram
 }
 
-type message struct {
+type datagram struct {
 	word []byte
 	to   []netip.AddrPort
 }
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Peers{out: make(chan message, waiting)}
+	p := &Peers{out: make(chan datagram, sendQueueLength)}
 	if err := p.Address(all, others); err != nil {
 		return nil, err
 	}
@@ -67,7 +67,7 @@
 }
 
 func (p *Peers) read(hear func([]byte)) {
-	buf := make([]byte, MostBytes+1)
+	buf := make([]byte, MaxDatagram+1)
 	for {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
@@ -76,7 +76,7 @@
 			}
 			return
 		}
-		if n <= MostBytes {
+		if n <= MaxDatagram {
 			hear(append([]byte(nil), buf[:n]...))
 		}
 	}
@@ -93,7 +93,7 @@
 // Tell sends a word; it never blocks.
 func (p *Peers) Tell(word []byte) {
 	select {
-	case p.out <- message{word, p.to}:
+	case p.out <- datagram{word, p.to}:
 	default:
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.Tell(make([]byte, MostBytes+1))
+	p.Tell(make([]byte, MaxDatagram+1))
 	p.Tell([]byte("late"))
 	got := map[string]bool{}
 	for range 2 {
@@ -42,7 +42,7 @@
 	if !got["two late"] || !got["three late"] {
 		t.Errorf("%v", got)
 	}
-	for range 10 * waiting {
+	for range 10 * sendQueueLength {
 		p.Tell([]byte("late"))
 	}
 }
--- a/internal/rehearse/alone.go
+++ b/internal/rehearse/alone.go
@@ -13,28 +13,28 @@
 )
 
 // Alone sends a scenario's sessions at addresses, with no stand-in behind them: only what clients see is judged.
-func Alone(ctx context.Context, s *Scenario, addresses []string, progress io.Writer) (*Report, error) {
+func GenerateLoad(ctx context.Context, s *Scenario, addresses []string, progress io.Writer) (*Report, error) {
 	sessions, err := s.Schedule()
 	if err != nil {
 		return nil, err
 	}
-	n := &night{scenario: s}
-	n.start.Store(time.Now().Add(2 * mostStart).UnixNano())
+	n := &rehearsal{scenario: s}
+	n.start.Store(time.Now().Add(2 * maxStartTime).UnixNano())
 	n.judge = judge.New(leeway, 0, 0, s.Proxies.Passes, nil)
-	n.judge.SeesClientsOnly()
+	n.judge.ObserveClientsOnly()
 	n.front = front.New(s.Seed, n.now, s.Proxies.Notice.D())
 	for _, address := range addresses {
 		n.front.Add(address, "")
 	}
-	n.clients = client.New(s.Seed, n.now, n.judge, n.front, s.manners(), s.Window.D(), s.LateBound.D())
+	n.clients = client.New(s.Seed, n.now, n.judge, n.front, s.clientBehavior(), s.Window.D(), s.LateBound.D())
 	n.clients.ProxyGone = func(judge.ProxyID) bool { return false }
 	stop, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var asking sync.WaitGroup
 	asking.Go(func() { n.front.Run(stop) })
-	for limit := time.Now().Add(mostStart / 4); n.front.Ready() < len(addresses); {
+	for limit := time.Now().Add(maxStartTime / 4); n.front.ReadyCount() < len(addresses); {
 		if time.Now().After(limit) {
-			return nil, fmt.Errorf("%d of %d addresses answer PING with PONG", n.front.Ready(), len(addresses))
+			return nil, fmt.Errorf("%d of %d addresses answer PING with PONG", n.front.ReadyCount(), len(addresses))
 		}
 		select {
 		case <-time.After(tick):
@@ -50,13 +50,13 @@
 }
 
 // manners are what the scenario's clients do alike.
-func (s *Scenario) manners() client.Manners {
-	return client.Manners{Retries: s.Clients.Retries, Backoff: s.Clients.Backoff.D(), RejoinLeast: s.Clients.Rejoin[0].D(),
-		RejoinMost: s.Clients.Rejoin[1].D(), MessageEvery: s.Clients.MessageEvery.D(), Passes: s.Proxies.Passes}
+func (s *Scenario) clientBehavior() client.Behavior {
+	return client.Behavior{Retries: s.Clients.Retries, Backoff: s.Clients.Backoff.D(), RejoinMin: s.Clients.Rejoin[0].D(),
+		RejoinMax: s.Clients.Rejoin[1].D(), MessageEvery: s.Clients.MessageEvery.D(), PassThrough: s.Proxies.Passes}
 }
 
 // Rate replaces all arrivals by one stream of so many a second, at random.
-func (s *Scenario) Rate(rate float64) {
+func (s *Scenario) SetRate(rate float64) {
 	s.Arrivals = []Arrivals{{Shape: "poisson", To: s.Length, Rate: rate, ToRate: rate}}
 	s.Expect = Expect{}
 }
--- a/internal/rehearse/capacity.go
+++ b/internal/rehearse/capacity.go
@@ -9,10 +9,10 @@
 )
 
 // Step is one rate of a climb.
-type Step struct {
+type CapacityStep struct {
 	Rate     float64      `json:"rate"` // sessions a second
-	Connects load.Figures `json:"connect_ms"`
-	Messages load.Figures `json:"message_ms"`
+	Connects load.Summary `json:"connect_ms"`
+	Messages load.Summary `json:"message_ms"`
 	CPU      float64      `json:"cpu"` // of the proxies, in cores, while the step lasted
 	Refused  int64        `json:"refused"`
 	Late     bool         `json:"late"` // the generator was
@@ -20,24 +20,24 @@
 }
 
 // Climb is how far a rate could be raised.
-type Climb struct {
-	Scenario string  `json:"scenario"`
-	Steps    []Step  `json:"steps"`
-	Carried  float64 `json:"carried"` // the highest rate whose p99 was not twice that of the first step
-	Why      string  `json:"why"`     // the climb ended
+type CapacitySearch struct {
+	Scenario string         `json:"scenario"`
+	Steps    []CapacityStep `json:"steps"`
+	Carried  float64        `json:"carried"` // the highest rate whose p99 was not twice that of the first step
+	Why      string         `json:"why"`     // the climb ended
 }
 
 // beyond is how many times the first step's p99 ends a climb.
-const beyond = 2
+const capacityP99Multiple = 2
 
 // Climbs raises a scenario's rate by a factor from step to step, each a run of its own, until the p99 of the
 // handshake has doubled twice in a row, the generator is late, or a rule is broken.
-func Climbs(ctx context.Context, s *Scenario, o Options, from, factor float64, most int, told io.Writer) (*Climb, error) {
-	c := &Climb{Scenario: s.Name, Why: "all steps were taken"}
+func FindCapacity(ctx context.Context, s *Scenario, o Options, from, factor float64, most int, told io.Writer) (*CapacitySearch, error) {
+	c := &CapacitySearch{Scenario: s.Name, Why: "all steps were taken"}
 	first, over := 0.0, 0
 	for n, rate := 0, from; n < most; n, rate = n+1, rate*factor {
 		again := *s
-		again.Rate(rate)
+		again.SetRate(rate)
 		r, err := Run(ctx, &again, o)
 		if err != nil {
 			return nil, err
@@ -50,7 +50,7 @@
 		for _, p := range r.Proxies {
 			cpu += p.CPUSeconds
 		}
-		step := Step{rate, r.Connects, r.Messages, cpu / (s.Length + s.Settle).D().Seconds(), r.Clients.Refused, r.Late, r.Failed}
+		step := CapacityStep{rate, r.Connects, r.Messages, cpu / (s.Length + s.Settle).D().Seconds(), r.Clients.Refused, r.Late, r.Failed}
 		c.Steps = append(c.Steps, step)
 		fmt.Fprintf(told, "%8.0f a second: handshake p50 %7.2f p99 %8.2f ms, message p50 %6.2f p99 %7.2f ms, CPU %.2f, %d refused, lateness p99 %.2f ms\n",
 			rate, r.Connects.P50, r.Connects.P99, r.Messages.P50, r.Messages.P99, step.CPU, r.Clients.Refused, r.Lateness.P99)
@@ -64,12 +64,12 @@
 		case len(r.Failed) > 0:
 			c.Why = r.Failed[0]
 			return c, nil
-		case r.Connects.P99 <= beyond*first:
+		case r.Connects.P99 <= capacityP99Multiple*first:
 			c.Carried, over = rate, 0
 			continue
 		}
 		if over++; over == 2 {
-			c.Why = fmt.Sprintf("the p99 of the handshake passed %d times the first step's %.2f ms", beyond, first)
+			c.Why = fmt.Sprintf("the p99 of the handshake passed %d times the first step's %.2f ms", capacityP99Multiple, first)
 			return c, nil
 		}
 	}
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -15,18 +15,18 @@
 )
 
 // timeline brings about the faults, each in its own time; several may overlap, also on one node.
-func (n *night) timeline(ctx context.Context) {
+func (n *rehearsal) startFaults(ctx context.Context) {
 	for _, f := range n.scenario.Faults {
-		n.running.Go(func() {
+		n.faultsRunning.Go(func() {
 			if n.sleep(ctx, f.At.D()-n.now()) {
-				n.bring(ctx, f)
+				n.inject(ctx, f)
 			}
 		})
 	}
 }
 
 // sleep waits; it tells whether the time passed before the night's end.
-func (n *night) sleep(ctx context.Context, d time.Duration) bool {
+func (n *rehearsal) sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(max(d, 0)):
 		return true
@@ -36,7 +36,7 @@
 }
 
 // bring brings one fault about, and ends it after its time.
-func (n *night) bring(ctx context.Context, f Fault) {
+func (n *rehearsal) inject(ctx context.Context, f Fault) {
 	var undo []func()
 	end := func(call func()) { undo = append(undo, call) }
 	for _, i := range f.Nodes {
@@ -46,31 +46,31 @@
 			each.Hang()
 			end(each.Recover)
 		case "slow":
-			each.Slow(f.Factor)
-			end(func() { each.Slow(1) })
+			each.SetSlowdown(f.Factor)
+			end(func() { each.SetSlowdown(1) })
 		case "stall":
 			each.Stall(f.For.D())
 		case "kill":
 			each.Kill()
-			n.list.Change(id, "gone", "", time.Time{})
-			end(func() { n.back(i, each.Start(false)) })
+			n.list.Update(id, "gone", "", time.Time{})
+			end(func() { n.listAgain(i, each.Start(false)) })
 		case "restart":
 			each.Kill()
-			n.back(i, each.Start(false))
+			n.listAgain(i, each.Start(false))
 		case "vanish":
 			if err := each.Vanish(); err != nil {
-				n.say("node %d can't vanish: %v", i, err)
+				n.addTrouble("node %d can't vanish: %v", i, err)
 			}
-			end(func() { n.back(i, each.Return()) })
+			end(func() { n.listAgain(i, each.Return()) })
 		case "half-open":
 			each.HalfOpen(f.Share)
 		case "drain":
-			n.list.Change(id, "draining", "", time.Time{})
-			n.running.Go(func() {
+			n.list.Update(id, "draining", "", time.Time{})
+			n.faultsRunning.Go(func() {
 				each.Drain(ctx, f.For.D(), f.AtOnce)
 				if ctx.Err() == nil {
 					each.Kill()
-					n.list.Change(id, "gone", "", time.Time{})
+					n.list.Update(id, "gone", "", time.Time{})
 				}
 			})
 		}
@@ -78,51 +78,51 @@
 	for _, i := range f.Proxies {
 		switch f.Kind {
 		case "proxy-kill":
-			n.judge.ProxyDies(judge.ProxyID(i))
+			n.judge.ProxyDied(judge.ProxyID(i))
 			n.processes[i].kill()
 			if f.For > 0 {
-				end(func() { n.restart(i) })
+				end(func() { n.restartProxy(i) })
 			}
 		case "proxy-leave":
-			n.leave(ctx, i)
+			n.stopProxy(ctx, i)
 			if f.For > 0 {
-				end(func() { n.restart(i) })
+				end(func() { n.restartProxy(i) })
 			}
 		case "proxy-reload":
-			n.reload(i, false)
+			n.reloadProxy(i, false)
 		}
 	}
 	switch f.Kind {
 	case "add":
-		n.add(f.Count)
+		n.addNodes(f.Count)
 	case "list-late":
-		n.list.Late(f.By.D())
-		end(func() { n.list.Late(n.scenario.Platform.ListLate.D()) })
+		n.list.SetDelay(f.By.D())
+		end(func() { n.list.SetDelay(n.scenario.Platform.ListLate.D()) })
 	case "list-down":
-		n.list.Down(true)
-		end(func() { n.list.Down(false) })
+		n.list.SetDown(true)
+		end(func() { n.list.SetDown(false) })
 	case "list-cut":
-		n.list.Cut(true)
-		end(func() { n.list.Cut(false) })
+		n.list.SetReset(true)
+		end(func() { n.list.SetReset(false) })
 	case "list-stale":
-		n.list.Stale(true)
-		end(func() { n.list.Stale(false) })
+		n.list.SetStale(true)
+		end(func() { n.list.SetStale(false) })
 	case "list-moved":
 		for i := range n.processes {
-			n.reload(i, true)
+			n.reloadProxy(i, true)
 		}
 	case "clients-drop":
 		n.clients.Drop(f.Share)
 	case "bad-clients", "silent-clients":
-		n.bad.run(ctx, n, f)
+		n.badClients.run(ctx, n, f)
 	case "rolling-restart":
 		for i := range n.processes {
-			n.leave(ctx, i)
+			n.stopProxy(ctx, i)
 			if ctx.Err() != nil {
 				return
 			}
-			n.restart(i)
-			if !n.sleep(ctx, 2*n.front.Notice()) {
+			n.restartProxy(i)
+			if !n.sleep(ctx, 2*n.front.DetectionDelay()) {
 				return
 			}
 		}
@@ -135,84 +135,84 @@
 }
 
 // back lists a node that has started again, at whatever address it has.
-func (n *night) back(i int, err error) {
+func (n *rehearsal) listAgain(i int, err error) {
 	if err != nil {
-		n.say("node %d does not start again: %v", i, err)
+		n.addTrouble("node %d does not start again: %v", i, err)
 		return
 	}
 	each := n.nodes[i]
-	n.list.Change(judge.NodeID(i), "ready", each.Address, time.Unix(0, n.start.Load()).Add(each.StartedAt()))
+	n.list.Update(judge.NodeID(i), "ready", each.Address, time.Unix(0, n.start.Load()).Add(each.StartedAt()))
 }
 
 // add switches spare nodes on, cold.
-func (n *night) add(count int) {
+func (n *rehearsal) addNodes(count int) {
 	n.mu.Lock()
-	from := n.scenario.Platform.Nodes + n.added
-	n.added += count
+	from := n.scenario.Platform.Nodes + n.spareNodesAdded
+	n.spareNodesAdded += count
 	n.mu.Unlock()
 	for i := from; i < min(from+count, len(n.nodes)); i++ {
-		n.back(i, n.nodes[i].Start(false))
+		n.listAgain(i, n.nodes[i].Start(false))
 	}
 }
 
 // leave ends a proxy as the platform does at a planned restart: SIGTERM while connections still come for a moment,
 // and SIGKILL no sooner than the longest dial timeout and 0.7 s after.
-func (n *night) leave(ctx context.Context, i int) {
+func (n *rehearsal) stopProxy(ctx context.Context, i int) {
 	p := n.processes[i]
-	n.judge.ProxyLeaves(judge.ProxyID(i))
+	n.judge.ProxyLeaving(judge.ProxyID(i))
 	p.signal(syscall.SIGTERM, true)
 	n.sleep(ctx, 300*time.Millisecond)
-	n.front.Stop(judge.ProxyID(i), true)
+	n.front.SetLeaving(judge.ProxyID(i), true)
 	var patience time.Duration
 	for _, l := range n.scenario.Listeners {
 		patience = max(patience, l.DialTimeout.D())
 	}
 	within, cancel := context.WithTimeout(ctx, min(patience, 3*time.Second)+700*time.Millisecond)
 	defer cancel()
-	p.ended(within)
+	p.waitExit(within)
 	if ctx.Err() != nil { // the night is over; it may go on leaving
 		return
 	}
 	if n.scenario.Proxies.Passes { // what it holds goes on by another
-		n.judge.ProxyDies(judge.ProxyID(i))
+		n.judge.ProxyDied(judge.ProxyID(i))
 		p.kill()
 		return
 	}
 	p.kill()
 	n.sleep(ctx, 2*leeway) // what it held is lost, so it is not dead to the judge before that was seen
 	n.judge.Check(n.now())
-	n.judge.ProxyDies(judge.ProxyID(i))
+	n.judge.ProxyDied(judge.ProxyID(i))
 }
 
 // restart starts a proxy again with the list as it is now.
-func (n *night) restart(i int) {
+func (n *rehearsal) restartProxy(i int) {
 	p := n.processes[i]
 	p.kill()
-	p.config["known"] = n.list.Known()
-	n.judge.ProxyStarts(n.now(), judge.ProxyID(i))
-	n.front.Stop(judge.ProxyID(i), false)
+	p.config["known"] = n.list.Snapshot()
+	n.judge.ProxyStarted(n.now(), judge.ProxyID(i))
+	n.front.SetLeaving(judge.ProxyID(i), false)
 	if err := p.start(); err != nil {
-		n.say("proxy %d does not start again: %v", i, err)
+		n.addTrouble("proxy %d does not start again: %v", i, err)
 	}
 }
 
 // reload replaces a proxy's configuration and sends it SIGHUP; moved gives discovery another address.
-func (n *night) reload(i int, moved bool) {
+func (n *rehearsal) reloadProxy(i int, moved bool) {
 	p := n.processes[i]
 	if moved {
-		door, err := n.list.Open(p.id, "127.0.0.1:0")
+		door, err := n.list.OpenEndpoint(p.id, "127.0.0.1:0")
 		if err != nil {
-			n.say("discovery can't move for proxy %d: %v", i, err)
+			n.addTrouble("discovery can't move for proxy %d: %v", i, err)
 			return
 		}
-		was := p.door
-		p.door = door
+		was := p.endpoint
+		p.endpoint = door
 		p.config["discovery"] = door.Address
 		defer was.Close(1500 * time.Millisecond)
 	}
-	p.config["known"] = n.list.Known()
-	if _, err := p.write(); err != nil {
-		n.say("proxy %d's configuration: %v", i, err)
+	p.config["known"] = n.list.Snapshot()
+	if _, err := p.writeConfig(); err != nil {
+		n.addTrouble("proxy %d's configuration: %v", i, err)
 		return
 	}
 	p.signal(syscall.SIGHUP, false)
@@ -224,10 +224,10 @@
 }
 
 // owed is how long a bad client may be left with neither an error nor a close.
-const owed = 3 * time.Second
+const badClientTimeout = 3 * time.Second
 
 // nonsense is what bad clients send.
-func nonsense(rng *rand.Rand, listener string) []byte {
+func invalidInput(rng *rand.Rand, listener string) []byte {
 	choices := [][]byte{
 		[]byte("HELLO\r\n"),
 		[]byte("OPEN\r\n"),
@@ -247,7 +247,7 @@
 }
 
 // run sends a number of bad clients over the fault's time: such that send nonsense, or such that say nothing.
-func (b *badClients) run(ctx context.Context, n *night, f Fault) {
+func (b *badClients) run(ctx context.Context, n *rehearsal, f Fault) {
 	rng := rand.New(rand.NewSource(n.scenario.Seed + int64(f.At)))
 	over := max(f.For.D(), time.Second)
 	gaps := make([]time.Duration, f.Count)
@@ -262,16 +262,16 @@
 		}
 		address := n.processes[i%len(n.processes)].address
 		if f.Kind == "silent-clients" {
-			n.running.Go(func() { b.one(ctx, address, nil) })
+			n.faultsRunning.Go(func() { b.runOne(ctx, address, nil) })
 		} else {
-			text := nonsense(rng, n.scenario.Listeners[0].Name)
-			n.running.Go(func() { b.one(ctx, address, text) })
+			text := invalidInput(rng, n.scenario.Listeners[0].Name)
+			n.faultsRunning.Go(func() { b.runOne(ctx, address, text) })
 		}
 	}
 }
 
 // one is a bad client; it reads what it is sent.
-func (b *badClients) one(ctx context.Context, address string, text []byte) {
+func (b *badClients) runOne(ctx context.Context, address string, text []byte) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		b.failed.Add(1)
@@ -281,7 +281,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
 	defer stop()
 	b.sent.Add(1)
-	conn.SetDeadline(time.Now().Add(owed))
+	conn.SetDeadline(time.Now().Add(badClientTimeout))
 	conn.Write(text) // it may be closed on already
 	got := make([]byte, 64)
 	for heard := 0; ; {
--- a/internal/rehearse/html.go
+++ b/internal/rehearse/html.go
@@ -54,23 +54,23 @@
 }
 
 func (r *Report) plots() ([]plot, error) {
-	by := func(windows []load.Window, of func(load.Figures) float64) (x, y []float64) {
+	by := func(windows []load.Window, of func(load.Summary) float64) (x, y []float64) {
 		for _, w := range windows {
-			x, y = append(x, w.FromMs/1000), append(y, of(w.Figures))
+			x, y = append(x, w.FromMs/1000), append(y, of(w.Summary))
 		}
 		return x, y
 	}
-	p50 := func(f load.Figures) float64 { return f.P50 }
-	p99 := func(f load.Figures) float64 { return f.P99 }
+	p50 := func(f load.Summary) float64 { return f.P50 }
+	p99 := func(f load.Summary) float64 { return f.P99 }
 	var times, open, most, least, load []float64
 	fds := make([][]float64, len(r.Proxies))
 	for _, s := range r.Samples {
 		if s.AtMs < 0 {
 			continue
 		}
-		times, open, load = append(times, s.AtMs/1000), append(open, float64(s.Open)), append(load, s.MostLoad)
+		times, open, load = append(times, s.AtMs/1000), append(open, float64(s.OpenSessions)), append(load, s.MaxLoad)
 		high, low := 0, -1
-		for _, held := range s.Held {
+		for _, held := range s.SessionsByNode {
 			high = max(high, held)
 			if low < 0 || held < low {
 				low = held
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -25,7 +25,7 @@
 
 const (
 	idle    processState = iota // not started, or ended as it was told to
-	runs                        // serves
+	running                     // serves
 	ending                      // was told to end
 	crashed                     // ended by itself, or was killed for its memory
 )
@@ -41,25 +41,25 @@
 	sockets int
 	profile string // a file for a profile of its CPU, "" for none
 
-	mu      sync.Mutex
-	state   processState
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	config  map[string]any
-	door    *list.Door
-	starts  int
-	killed  time.Duration // of CPU, by those that have ended
-	peakRSS uint64
-	peakFDs int
-	fds     int
-	rss     uint64
-	cpuTime time.Duration
-	why     []string // crashes
-	overFDs int      // samples at its limit
+	mu               sync.Mutex
+	state            processState
+	cmd              *exec.Cmd
+	exited           chan struct{}
+	config           map[string]any
+	endpoint         *list.Endpoint
+	starts           int
+	finishedCPU      time.Duration // of CPU, by those that have ended
+	peakRSS          uint64
+	peakFDs          int
+	fds              int
+	rss              uint64
+	cpuTime          time.Duration
+	crashReasons     []string // crashes
+	samplesAtFDLimit int      // samples at its limit
 }
 
 // write puts the configuration in place of the one before at once.
-func (p *process) write() (string, error) {
+func (p *process) writeConfig() (string, error) {
 	text, err := json.Marshal(p.config)
 	if err != nil {
 		return "", err
@@ -74,7 +74,7 @@
 // start starts the process. It needs no lock; starts of one proxy don't overlap.
 func (p *process) start() error {
 	p.config["seed"] = fmt.Sprintf("%016x", uint64(p.starts)*0x9e3779b97f4a7c15+uint64(p.id)+1)
-	file, err := p.write()
+	file, err := p.writeConfig()
 	if err != nil {
 		return err
 	}
@@ -109,7 +109,7 @@
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.exited, p.state = cmd, exited, runs
+	p.cmd, p.exited, p.state = cmd, exited, running
 	p.starts++
 	p.mu.Unlock()
 	go p.wait(cmd, exited)
@@ -139,18 +139,18 @@
 	err := cmd.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.killed += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	p.finishedCPU += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 	if rusage, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
 		p.peakRSS = max(p.peakRSS, uint64(rusage.Maxrss)<<10)
 	}
 	p.cpuTime, p.fds, p.rss = 0, 0, 0
-	if p.state == runs {
+	if p.state == running {
 		p.state = crashed
 		text := "it ended by itself"
 		if err != nil {
 			text = err.Error()
 		}
-		p.why = append(p.why, text)
+		p.crashReasons = append(p.crashReasons, text)
 	} else if p.state == ending {
 		p.state = idle
 	}
@@ -161,7 +161,7 @@
 func (p *process) signal(sig syscall.Signal, ends bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state != runs && p.state != ending {
+	if p.state != running && p.state != ending {
 		return
 	}
 	if ends {
@@ -173,11 +173,11 @@
 // kill ends it at once and waits for its end.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL, true)
-	p.ended(context.Background())
+	p.waitExit(context.Background())
 }
 
 // ended waits for the process to end.
-func (p *process) ended(ctx context.Context) {
+func (p *process) waitExit(ctx context.Context) {
 	p.mu.Lock()
 	exited := p.exited
 	p.mu.Unlock()
@@ -192,7 +192,7 @@
 
 // keepOff binds this process's threads to the processors that no proxy has to itself, so that what is measured of a
 // proxy is not the generator's. It returns what takes that back.
-func keepOff(taken []int) (func(), error) {
+func bindAwayFrom(taken []int) (func(), error) {
 	var all, rest unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &all); err != nil {
 		return nil, err
@@ -217,16 +217,16 @@
 }
 
 // gone tells whether it is dead or leaving.
-func (p *process) gone() bool {
+func (p *process) isDown() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state != runs
+	return p.state != running
 }
 
 // sample reads what the process uses, and kills it over its memory as the platform does.
 func (p *process) sample() {
 	p.mu.Lock()
-	if p.state != runs && p.state != ending {
+	if p.state != running && p.state != ending {
 		p.mu.Unlock()
 		return
 	}
@@ -252,13 +252,13 @@
 	p.rss, p.peakRSS = status.VmRSS, max(p.peakRSS, status.VmHWM)
 	p.fds, p.peakFDs = fds, max(p.peakFDs, fds)
 	if fds >= p.sockets {
-		p.overFDs++
+		p.samplesAtFDLimit++
 	}
 	p.cpuTime = time.Duration(stat.CPUTime() * float64(time.Second))
 	over := status.VmRSS > uint64(p.memory)<<20
-	if over && p.state == runs {
+	if over && p.state == running {
 		p.state = crashed
-		p.why = append(p.why, fmt.Sprintf("killed: it used %d MB of %d", status.VmRSS>>20, p.memory))
+		p.crashReasons = append(p.crashReasons, fmt.Sprintf("killed: it used %d MB of %d", status.VmRSS>>20, p.memory))
 	}
 	p.mu.Unlock()
 	if over {
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -20,13 +20,13 @@
 // TestMain is also the wicked proxy: the test's own program, started as one by a name that says what it does wrong.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 2 && os.Args[1] == "serve" {
-		wicked(filepath.Base(os.Args[0]), os.Args[2])
+		faultyProxy(filepath.Base(os.Args[0]), os.Args[2])
 	}
 	os.Exit(m.Run())
 }
 
 // wicked is a proxy that places by no rule and breaks the one that it is named for.
-func wicked(how, file string) {
+func faultyProxy(how, file string) {
 	var told struct {
 		Listen, Discovery string
 		Known             struct {
@@ -59,11 +59,11 @@
 		if how == "cold" || how == "drain" {
 			at = 0
 		}
-		go mistreat(how, c, nodes[at%len(nodes)].HostPort, nodes[(at+1)%len(nodes)].HostPort)
+		go handleFaulty(how, c, nodes[at%len(nodes)].HostPort, nodes[(at+1)%len(nodes)].HostPort)
 	}
 }
 
-func mistreat(how string, c net.Conn, first, second string) {
+func handleFaulty(how string, c net.Conn, first, second string) {
 	defer c.Close()
 	lines := bufio.NewReader(c)
 	open, err := lines.ReadString('\n')
@@ -168,16 +168,16 @@
 	}{
 		{"kind", "repeatable", "", "", ""},
 		{"kind", "once-only", "", "", ""},
-		{"silent", "repeatable", "", "", judge.Lost},
-		{"two-answers", "repeatable", "", "", judge.Lost},
-		{"made-up", "repeatable", "", "", judge.Lost},
-		{"gives-up", "repeatable", "", "", judge.Lost},
-		{"cuts-off", "repeatable", "", "", judge.Lost},
-		{"holds-back", "repeatable", "", "", judge.Lost},
-		{"two-dials", "repeatable", "", "", judge.Twice},
-		{"again", "once-only", "", "", judge.Twice},
-		{"drain", "repeatable", drain, "", judge.Drain},
-		{"cold", "repeatable", restart, "sessions_per_core = 4", judge.Cold},
+		{"silent", "repeatable", "", "", judge.SessionLost},
+		{"two-answers", "repeatable", "", "", judge.SessionLost},
+		{"made-up", "repeatable", "", "", judge.SessionLost},
+		{"gives-up", "repeatable", "", "", judge.SessionLost},
+		{"cuts-off", "repeatable", "", "", judge.SessionLost},
+		{"holds-back", "repeatable", "", "", judge.SessionLost},
+		{"two-dials", "repeatable", "", "", judge.DuplicateEffect},
+		{"again", "once-only", "", "", judge.DuplicateEffect},
+		{"drain", "repeatable", drain, "", judge.DrainIgnored},
+		{"cold", "repeatable", restart, "sessions_per_core = 4", judge.ColdNodeOverloaded},
 	} {
 		t.Run(c.how+" "+c.effect, func(t *testing.T) {
 			t.Parallel()
@@ -196,7 +196,7 @@
 				t.Fatalf("%q was not found: %v, %v, %+v, %+v", c.rule, r.RuleCounts, r.Failed, r.Clients, r.Samples)
 			}
 			for _, b := range r.Rules {
-				if b.Rule == c.rule && c.rule != judge.Cold && (b.Session == "" || b.AtMs <= 0) {
+				if b.Rule == c.rule && c.rule != judge.ColdNodeOverloaded && (b.Session == "" || b.AtMs <= 0) {
 					t.Errorf("no session or time: %v", b)
 				}
 			}
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -18,12 +18,12 @@
 
 // Sample is the state of a night at a moment.
 type Sample struct {
-	AtMs     float64   `json:"at_ms"`
-	Open     int       `json:"open"`
-	Held     []int     `json:"held"`      // sessions, by node
-	MostLoad float64   `json:"most_load"` // of the node that is asked for most of what it can do
-	FDs      []int     `json:"fds"`       // by proxy
-	RSSMB    []float64 `json:"rss_mb"`    // the same
+	AtMs           float64   `json:"at_ms"`
+	OpenSessions   int       `json:"open"`
+	SessionsByNode []int     `json:"held"`      // sessions, by node
+	MaxLoad        float64   `json:"most_load"` // of the node that is asked for most of what it can do
+	FDs            []int     `json:"fds"`       // by proxy
+	RSSMB          []float64 `json:"rss_mb"`    // the same
 }
 
 // ProxyUse is what one proxy used.
@@ -39,7 +39,7 @@
 }
 
 // Short counts what failed for want of descriptors, by who was short.
-type Short struct {
+type Shortages struct {
 	Generator int64 `json:"generator"`
 	StandIns  int   `json:"standins"`
 	Proxies   int   `json:"proxies"` // samples at the limit, and sessions that a proxy had no room for
@@ -66,22 +66,22 @@
 	Answers     map[string]int64   `json:"answers"`
 	Clients     client.Counts      `json:"clients"`
 	OpenAtEnd   int                `json:"open_at_end"`
-	Rules       []judge.Breach     `json:"rules_broken"`
+	Rules       []judge.Violation  `json:"rules_broken"`
 	RuleCounts  map[judge.Rule]int `json:"rules_counted"`
 	Late        bool               `json:"late"` // the generator was; the latencies are its own as well
 	LateSends   int64              `json:"late_sends"`
 	LateBoundMs float64            `json:"late_bound_ms"`
-	Lateness    load.Figures       `json:"lateness_ms"`
-	Connects    load.Figures       `json:"connect_ms"`
-	Messages    load.Figures       `json:"message_ms"`
+	Lateness    load.Summary       `json:"lateness_ms"`
+	Connects    load.Summary       `json:"connect_ms"`
+	Messages    load.Summary       `json:"message_ms"`
 	ConnectBy   []load.Window      `json:"connect_windows"`
 	MessageBy   []load.Window      `json:"message_windows"`
 	Quantiles   []float64          `json:"quantiles"`
 	ConnectAt   []float64          `json:"connect_at_quantiles_ms"`
 	MessageAt   []float64          `json:"message_at_quantiles_ms"`
 	Proxies     []ProxyUse         `json:"proxies"`
-	Short       Short              `json:"short_of_descriptors"`
-	Bad         BadClients         `json:"bad_clients"`
+	Short       Shortages          `json:"short_of_descriptors"`
+	BadClients  BadClients         `json:"bad_clients"`
 	Faults      []string           `json:"faults"`
 	Samples     []Sample           `json:"samples"`
 	Trouble     []string           `json:"trouble,omitempty"` // of the rehearsal itself
@@ -90,46 +90,46 @@
 
 var quantiles = []float64{0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99, 100}
 
-func (n *night) report(scheduled int, interrupted bool) *Report {
+func (n *rehearsal) report(scheduled int, interrupted bool) *Report {
 	s := n.scenario
 	r := &Report{Scenario: s.Name, Seed: s.Seed, Cores: runtime.NumCPU(), LengthMs: float64(s.Length.D().Milliseconds()),
-		Interrupted: interrupted, Scheduled: scheduled, Clients: n.clients.Counts(), Trouble: n.trouble, Samples: n.samples,
-		Connects: n.clients.Connects.Figures(), Messages: n.clients.Messages.Figures(),
+		Interrupted: interrupted, Scheduled: scheduled, Clients: n.clients.Counts(), Trouble: n.troubles, Samples: n.samples,
+		Connects: n.clients.Connects.Summary(), Messages: n.clients.Messages.Summary(),
 		ConnectBy: n.clients.Connects.Windows(), MessageBy: n.clients.Messages.Windows(),
-		Quantiles: quantiles, ConnectAt: n.clients.Connects.Curve(quantiles), MessageAt: n.clients.Messages.Curve(quantiles),
+		Quantiles: quantiles, ConnectAt: n.clients.Connects.AtQuantiles(quantiles), MessageAt: n.clients.Messages.AtQuantiles(quantiles),
 		LateBoundMs: float64(s.LateBound.D()) / float64(time.Millisecond)}
 	c := r.Clients
 	r.Sessions = c.Sessions
-	r.Answers = map[string]int64{"accepted": c.Accepted, "refused": c.Refused, "torn_down": c.TornDown, "broken": c.Broken,
+	r.Answers = map[string]int64{"accepted": c.Accepted, "refused": c.Refused, "torn_down": c.Failed, "broken": c.ConnectionLost,
 		"unanswered": c.Unanswered, "no_proxy": c.NoProxy}
-	r.Rules, r.RuleCounts = n.judge.Breaches()
+	r.Rules, r.RuleCounts = n.judge.Violations()
 	if r.Rules == nil {
-		r.Rules = []judge.Breach{}
+		r.Rules = []judge.Violation{}
 	}
-	r.LateSends, r.Late, r.Lateness = n.clients.Lateness.Late()
+	r.LateSends, r.Late, r.Lateness = n.clients.Lateness.Result()
 	r.Short.Generator = c.NoSocket
 	for _, each := range n.nodes {
-		r.Short.StandIns += each.Figures().ShortOf
+		r.Short.StandIns += each.Stats().DescriptorShortages
 	}
 	r.OpenAtEnd = n.openAtEnd
 	for i, p := range n.processes {
 		p.mu.Lock()
 		r.Proxies = append(r.Proxies, ProxyUse{Name: fmt.Sprintf("n%d", i), PeakRSSMB: float64(p.peakRSS) / (1 << 20), MemoryMB: p.memory,
-			Descriptors: p.peakFDs, Sockets: p.sockets, CPUSeconds: (p.killed + p.cpuTime).Seconds(), Starts: p.starts, Crashes: p.why})
-		r.Short.Proxies += p.overFDs
+			Descriptors: p.peakFDs, Sockets: p.sockets, CPUSeconds: (p.finishedCPU + p.cpuTime).Seconds(), Starts: p.starts, Crashes: p.crashReasons})
+		r.Short.Proxies += p.samplesAtFDLimit
 		p.mu.Unlock()
-		r.Short.Proxies += noRoom(filepath.Join(p.folder, "log"))
+		r.Short.Proxies += countDescriptorRefusals(filepath.Join(p.folder, "log"))
 	}
-	r.Bad = BadClients{n.bad.sent.Load(), n.bad.answered.Load(), n.bad.closed.Load(), n.bad.unanswered.Load(), n.bad.failed.Load()}
+	r.BadClients = BadClients{n.badClients.sent.Load(), n.badClients.answered.Load(), n.badClients.closed.Load(), n.badClients.unanswered.Load(), n.badClients.failed.Load()}
 	for _, f := range s.Faults {
 		r.Faults = append(r.Faults, f.String())
 	}
-	r.judge(s)
+	r.evaluate(s)
 	return r
 }
 
 // noRoom counts the sessions that a proxy turned away for want of descriptors, by its log.
-func noRoom(file string) int {
+func countDescriptorRefusals(file string) int {
 	text, err := os.ReadFile(file)
 	if err != nil { // it never started
 		return 0
@@ -138,7 +138,7 @@
 }
 
 // judge gives the verdict: by rules and counts alone, not by times.
-func (r *Report) judge(s *Scenario) {
+func (r *Report) evaluate(s *Scenario) {
 	r.Failed = []string{}
 	no := func(format string, args ...any) { r.Failed = append(r.Failed, fmt.Sprintf(format, args...)) }
 	var rules []string
@@ -157,10 +157,10 @@
 			no("proxy %s held %d descriptors of %d", p.Name, p.Descriptors, p.Sockets)
 		}
 	}
-	if r.Bad.Unanswered > 0 {
-		no("%d of %d bad clients got neither an error nor a close", r.Bad.Unanswered, r.Bad.Sent)
+	if r.BadClients.Unanswered > 0 {
+		no("%d of %d bad clients got neither an error nor a close", r.BadClients.Unanswered, r.BadClients.Sent)
 	}
-	if least := s.Expect.AcceptedLeast; !r.Interrupted && float64(r.Clients.Served) < least*float64(r.Sessions) {
+	if least := s.Expect.MinAccepted; !r.Interrupted && float64(r.Clients.Served) < least*float64(r.Sessions) {
 		no("%d of %d sessions were accepted, at least a share of %g was wanted", r.Clients.Served, r.Sessions, least)
 	}
 	if s.Expect.NoCutOff && r.Clients.CutOff > 0 {
@@ -191,10 +191,10 @@
 	}
 	c := r.Clients
 	fmt.Fprintf(to, "%s (seed %d): %d sessions of %d, %d tries: %d accepted, %d refused, %d torn down, %d broken, %d unanswered\n",
-		r.Scenario, r.Seed, r.Sessions, r.Scheduled, c.Tries, c.Accepted, c.Refused, c.TornDown, c.Broken, c.Unanswered)
+		r.Scenario, r.Seed, r.Sessions, r.Scheduled, c.Attempts, c.Accepted, c.Refused, c.Failed, c.ConnectionLost, c.Unanswered)
 	fmt.Fprintf(to, "%d sessions were accepted at least once; then %d completed, %d moved, %d cut off, %d went on by another proxy, %d open at the end; %d gave up\n",
-		c.Served, c.Completed, c.Moved, c.CutOff, c.Passed, r.OpenAtEnd, c.Given)
-	row := func(name string, f load.Figures) {
+		c.Served, c.Completed, c.Migrated, c.CutOff, c.Resumed, r.OpenAtEnd, c.GivenUp)
+	row := func(name string, f load.Summary) {
 		fmt.Fprintf(to, "%-12s n %7d  p50 %8.2f  p90 %8.2f  p99 %8.2f  p99.9 %8.2f  max %8.2f ms\n", name, f.N, f.P50, f.P90, f.P99, f.P999, f.Max)
 	}
 	row("handshake", r.Connects)
@@ -204,8 +204,8 @@
 		fmt.Fprintf(to, "proxy %s: %.1f MB of %d, %d descriptors of %d, %.2f s of CPU, %d starts\n", p.Name, p.PeakRSSMB, p.MemoryMB,
 			p.Descriptors, p.Sockets, p.CPUSeconds, p.Starts)
 	}
-	if r.Bad.Sent > 0 {
-		fmt.Fprintf(to, "bad clients: %d, %d answered, %d closed on, %d left with neither\n", r.Bad.Sent, r.Bad.Answered, r.Bad.Closed, r.Bad.Unanswered)
+	if r.BadClients.Sent > 0 {
+		fmt.Fprintf(to, "bad clients: %d, %d answered, %d closed on, %d left with neither\n", r.BadClients.Sent, r.BadClients.Answered, r.BadClients.Closed, r.BadClients.Unanswered)
 	}
 	for _, f := range r.Faults {
 		fmt.Fprintf(to, "fault %s\n", f)
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -24,36 +24,36 @@
 )
 
 // night is one run of a scenario.
-type night struct {
-	scenario  *Scenario
-	start     atomic.Int64 // Unix time in nanoseconds
-	judge     *judge.Judge
-	nodes     []*node.Node
-	zones     []string // of each node
-	list      *list.List
-	front     *front.Front
-	clients   *client.Clients
-	processes []*process
-	bad       badClients
-	folder    string
-	samples   []Sample
-	mu        sync.Mutex
-	trouble   []string // of the rehearsal itself
-	added     int
-	openAtEnd int
-	running   sync.WaitGroup // faults
+type rehearsal struct {
+	scenario        *Scenario
+	start           atomic.Int64 // Unix time in nanoseconds
+	judge           *judge.Judge
+	nodes           []*node.Node
+	zones           []string // of each node
+	list            *list.List
+	front           *front.Front
+	clients         *client.Clients
+	processes       []*process
+	badClients      badClients
+	folder          string
+	samples         []Sample
+	mu              sync.Mutex
+	troubles        []string // of the rehearsal itself
+	spareNodesAdded int
+	openAtEnd       int
+	faultsRunning   sync.WaitGroup // faults
 }
 
 // nights counts those of this process.
-var nights atomic.Int64
+var rehearsals atomic.Int64
 
 // leeway is what the rules' limits are longer by.
 const leeway = 50 * time.Millisecond
 
 const (
-	tick       = 100 * time.Millisecond
-	sampleSpan = 250 * time.Millisecond
-	mostStart  = 20 * time.Second
+	tick         = 100 * time.Millisecond
+	sampleSpan   = 250 * time.Millisecond
+	maxStartTime = 20 * time.Second
 )
 
 // Options say how a run is done.
@@ -75,12 +75,12 @@
 	if len(sessions) == 0 {
 		return nil, fmt.Errorf("%s: not one session arrives", s.Name)
 	}
-	n := &night{scenario: s}
+	n := &rehearsal{scenario: s}
 	if n.folder, err = os.MkdirTemp("", "chalkferry-rehearsal-"); err != nil {
 		return nil, err
 	}
 	defer os.RemoveAll(n.folder)
-	n.start.Store(time.Now().Add(mostStart * 2).UnixNano())
+	n.start.Store(time.Now().Add(maxStartTime * 2).UnixNano())
 	defer n.close()
 	if err := n.build(o); err != nil {
 		return nil, err
@@ -90,7 +90,7 @@
 		for _, p := range n.processes {
 			taken = append(taken, p.cpu)
 		}
-		release, err := keepOff(taken)
+		release, err := bindAwayFrom(taken)
 		if err != nil {
 			return nil, err
 		}
@@ -99,7 +99,7 @@
 	stop, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go n.front.Run(stop)
-	if err := n.ready(stop); err != nil {
+	if err := n.waitReady(stop); err != nil {
 		return nil, err
 	}
 	n.start.Store(time.Now().Add(2 * tick).UnixNano())
@@ -109,7 +109,7 @@
 	}
 	r := n.report(len(sessions), ctx.Err() != nil)
 	if o.Profiles != "" { // they are written as a proxy ends in good order
-		n.endInOrder()
+		n.stopAllProxies()
 	}
 	if o.Logs != "" {
 		r.Trouble = append(r.Trouble, n.keepLogs(o.Logs)...)
@@ -117,10 +117,10 @@
 	return r, nil
 }
 
-func (n *night) now() time.Duration { return time.Duration(time.Now().UnixNano() - n.start.Load()) }
+func (n *rehearsal) now() time.Duration { return time.Duration(time.Now().UnixNano() - n.start.Load()) }
 
 // build makes the stand-ins and starts the proxies.
-func (n *night) build(o Options) error {
+func (n *rehearsal) build(o Options) error {
 	s := n.scenario
 	rng := rand.New(rand.NewSource(s.Seed ^ 0x5e2d58d8b3bcdee))
 	total := s.Platform.Nodes + s.Platform.Spare
@@ -132,21 +132,21 @@
 	}
 	n.judge = judge.New(leeway, s.Platform.DrainGrace.D(), s.Platform.MustAsk.D(), s.Proxies.Passes, places)
 	n.front = front.New(s.Seed, n.now, s.Proxies.Notice.D())
-	n.clients = client.New(s.Seed, n.now, n.judge, n.front, s.manners(), s.Window.D(), s.LateBound.D())
-	n.clients.ProxyGone = func(id judge.ProxyID) bool { return n.processes[id].gone() }
+	n.clients = client.New(s.Seed, n.now, n.judge, n.front, s.clientBehavior(), s.Window.D(), s.LateBound.D())
+	n.clients.ProxyGone = func(id judge.ProxyID) bool { return n.processes[id].isDown() }
 	members := make([]list.Member, total)
 	// Addresses of its own, so that a node or a proxy that starts again finds its port free.
-	block := 64 + (os.Getpid()*16+int(nights.Add(1)))%128
+	block := 64 + (os.Getpid()*16+int(rehearsals.Add(1)))%128
 	usual := 1 / s.Platform.SessionsPerCore
 	for i := range total {
 		speed := s.Platform.Speed[0] + rng.Float64()*(s.Platform.Speed[1]-s.Platform.Speed[0])
 		m := node.Machine{Cores: s.Platform.Cores[rng.Intn(len(s.Platform.Cores))], Speed: speed,
-			Handshake: s.Platform.HandshakeWork.D().Seconds(), GroupCost: s.Platform.GroupCost, Mean: usual,
-			ColdFrom: s.Platform.ColdFrom, ColdSpan: s.Platform.ColdSpan.D(), Multiple: s.Platform.FallMultiple,
-			Window: s.Platform.FallWindow.D(), Most: s.Platform.MostSessions}
+			HandshakeWork: s.Platform.HandshakeWork.D().Seconds(), GroupCost: s.Platform.GroupCost, MeanLoad: usual,
+			ColdFrom: s.Platform.ColdFrom, ColdSpan: s.Platform.ColdSpan.D(), OverloadMultiple: s.Platform.FallMultiple,
+			OverloadWindow: s.Platform.FallWindow.D(), MaxSessions: s.Platform.MaxSessions}
 		address := fmt.Sprintf("127.%d.%d.%d:0", block, i/250, i%250+1)
-		each := node.New(judge.NodeID(i), address, m, node.Talk{Loads: s.Platform.TellsLoad, Delays: s.Platform.TellsDelay,
-			Probes: s.Platform.Probes, Passes: s.Proxies.Passes}, s.Seed+int64(i), n.now, n.judge, n.clients.Plan, n.fell)
+		each := node.New(judge.NodeID(i), address, m, node.Protocol{ReportsLoad: s.Platform.ReportsLoad, ReportsDelay: s.Platform.ReportsDelay,
+			AnswersProbes: s.Platform.Probes, PassThrough: s.Proxies.Passes}, s.Seed+int64(i), n.now, n.judge, n.clients.Plan, n.delistFailed)
 		n.nodes = append(n.nodes, each)
 		members[i] = list.Member{ID: fmt.Sprintf("push-%d", i), Locality: n.zones[i], Flavor: "stand-in", Cell: i / 4,
 			Phase: "ready", Size: m.Cores}
@@ -161,7 +161,7 @@
 	}
 	n.list = list.New(n.now, n.judge, s.Platform.ListLate.D(), members)
 	for i := s.Platform.Nodes; i < total; i++ {
-		n.judge.Changed(n.now(), judge.NodeID(i), true)
+		n.judge.NodeChanged(n.now(), judge.NodeID(i), true)
 	}
 	if o.Direct {
 		for i, each := range n.nodes[:s.Platform.Nodes] {
@@ -178,7 +178,7 @@
 	return nil
 }
 
-func (n *night) addProxy(i int, ip string, o Options) error {
+func (n *rehearsal) addProxy(i int, ip string, o Options) error {
 	s := n.scenario
 	address, err := freeAddress(ip)
 	if err != nil {
@@ -196,12 +196,12 @@
 		return err
 	}
 	p.id = n.front.Add(address, s.Platform.Zones[i%len(s.Platform.Zones)])
-	if p.door, err = n.list.Open(p.id, "127.0.0.1:0"); err != nil {
+	if p.endpoint, err = n.list.OpenEndpoint(p.id, "127.0.0.1:0"); err != nil {
 		return err
 	}
-	p.config = map[string]any{"name": fmt.Sprintf("n%d", i), "listen": address, "discovery": p.door.Address,
+	p.config = map[string]any{"name": fmt.Sprintf("n%d", i), "listen": address, "discovery": p.endpoint.Address,
 		"limits":   map[string]any{"cores": 1, "memory_mb": s.Proxies.MemoryMB, "sockets": s.Proxies.Sockets},
-		"known":    n.list.Known(),
+		"known":    n.list.Snapshot(),
 		"settings": s.settings(i)}
 	n.processes = append(n.processes, p)
 	return p.start()
@@ -230,26 +230,26 @@
 	return map[string]any{"areas": p.Zones, "discovery": "ask", "groupSize": s.Proxies.Count, "me": me,
 		"ceilings": map[string]any{"connectTimeout": 150, "connIdle": 10000, "mostDials": s.Proxies.Dials, "probes": p.Probes},
 		"domain": map[string]any{"mode": mode, "groups": s.Clients.Groups > 0, "messageAim": targets,
-			"tellsLoad": p.TellsLoad, "tellsDelay": p.TellsDelay},
+			"tellsLoad": p.ReportsLoad, "tellsDelay": p.ReportsDelay},
 		"invariants": map[string]any{"mustAskIn": ms(p.MustAsk), "cold": ms(p.ColdSpan), "coldFrom": p.ColdFrom,
 			"fallMultiple": p.FallMultiple, "tipAfter": ms(p.FallWindow)},
 		"listeners": listeners, "tenants": tenants}
 }
 
 // ready waits until the front has taken all proxies in.
-func (n *night) ready(ctx context.Context) error {
-	for limit := time.Now().Add(mostStart); ; {
+func (n *rehearsal) waitReady(ctx context.Context) error {
+	for limit := time.Now().Add(maxStartTime); ; {
 		for i, p := range n.processes {
-			if p.gone() {
-				return fmt.Errorf("proxy %d does not serve: %s", i, n.lastWords(p))
+			if p.isDown() {
+				return fmt.Errorf("proxy %d does not serve: %s", i, n.logTail(p))
 			}
 		}
 		all := n.front.Len()
-		if n.front.Ready() == all {
+		if n.front.ReadyCount() == all {
 			return nil
 		}
 		if time.Now().After(limit) {
-			return fmt.Errorf("%d of %d proxies are ready after %v", n.front.Ready(), all, mostStart)
+			return fmt.Errorf("%d of %d proxies are ready after %v", n.front.ReadyCount(), all, maxStartTime)
 		}
 		select {
 		case <-time.After(tick):
@@ -260,7 +260,7 @@
 }
 
 // lastWords is the end of a proxy's log.
-func (n *night) lastWords(p *process) string {
+func (n *rehearsal) logTail(p *process) string {
 	text, err := os.ReadFile(filepath.Join(p.folder, "log"))
 	if err != nil {
 		return err.Error()
@@ -270,18 +270,18 @@
 }
 
 // play runs the night itself.
-func (n *night) play(ctx context.Context, sessions []trace.Session, progress io.Writer) {
+func (n *rehearsal) play(ctx context.Context, sessions []trace.Session, progress io.Writer) {
 	s := n.scenario
 	whole, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
-	n.timeline(whole)
+	n.startFaults(whole)
 	var watch sync.WaitGroup
 	watching, stopWatching := context.WithCancel(context.Background())
 	watch.Go(func() { n.watch(watching, len(sessions), progress) })
 
 	times := make([]time.Duration, len(sessions))
 	for i, each := range sessions {
-		times[i] = each.Arrives()
+		times[i] = each.ArrivesAt()
 	}
 	var out sync.WaitGroup
 	usual := 1 / s.Platform.SessionsPerCore
@@ -291,13 +291,13 @@
 		w := sessions[i]
 		l := s.Listeners[s.listener(w.Listener)]
 		timeout := l.DialTimeout.D()
-		if w.Wait > 0 {
-			timeout = time.Duration(w.Wait * float64(time.Millisecond))
+		if w.DialTimeoutMs > 0 {
+			timeout = time.Duration(w.DialTimeoutMs * float64(time.Millisecond))
 		}
-		n.clients.Run(whole, client.Want{At: times[i], Listener: w.Listener, Title: w.Title, Zone: w.Zone, Key: w.Key,
-			Group: w.Group, Life: time.Duration(w.Life * float64(time.Millisecond)), Returned: w.Returned,
-			Kind: judge.Kind{Timeout: timeout, Effect: judge.Effect(l.Effect), Window: l.RepeatWindow.D(), Group: l.Group},
-			Load: node.Load{Cores: w.Load * usual, Group: w.Group}, Changes: s.Clients.LoadChanges.D()})
+		n.clients.Run(whole, client.Request{ArrivesAt: times[i], Listener: w.Listener, Tenant: w.Tenant, Zone: w.Zone, Key: w.Key,
+			Group: w.Group, Lifetime: time.Duration(w.LifetimeMs * float64(time.Millisecond)), Returned: w.Returned,
+			Terms: judge.Terms{DialTimeout: timeout, Effect: judge.Effect(l.Effect), RepeatWindow: l.RepeatWindow.D(), Group: l.Group},
+			Load:  node.Load{Cores: w.Load * usual, Group: w.Group}, LoadChangeEvery: s.Clients.LoadChanges.D()})
 	})
 	out.Add(called - len(times))
 	select {
@@ -307,7 +307,7 @@
 	n.openAtEnd = n.clients.Open()
 	cancelAll()
 	out.Wait()
-	n.running.Wait()
+	n.faultsRunning.Wait()
 	time.Sleep(2 * leeway)
 	n.judge.Check(n.now() + time.Hour) // what is still pending has had its time, or is over
 	stopWatching()
@@ -315,7 +315,7 @@
 }
 
 // watch looks after nodes, rules and processes while the night lasts.
-func (n *night) watch(ctx context.Context, sessions int, progress io.Writer) {
+func (n *rehearsal) watch(ctx context.Context, sessions int, progress io.Writer) {
 	ticks := time.NewTicker(tick)
 	defer ticks.Stop()
 	sampled := n.now()
@@ -336,7 +336,7 @@
 		for i, p := range n.processes {
 			p.sample()
 			if p.crashedNow() {
-				n.judge.ProxyDies(judge.ProxyID(i))
+				n.judge.ProxyDied(judge.ProxyID(i))
 			}
 		}
 		sample := n.sampleNow()
@@ -345,13 +345,13 @@
 		n.mu.Unlock()
 		if progress != nil {
 			c := n.clients.Counts()
-			_, broken := n.judge.Breaches()
+			_, broken := n.judge.Violations()
 			rules := 0
 			for _, times := range broken {
 				rules += times
 			}
 			fmt.Fprintf(progress, "\r%s  %4.1f of %.1f s  sessions %d of %d  open %d  refused %d  rules broken %d \x1b[K", n.scenario.Name,
-				n.now().Seconds(), (n.scenario.Length + n.scenario.Settle).D().Seconds(), c.Sessions, sessions, sample.Open, c.Refused, rules)
+				n.now().Seconds(), (n.scenario.Length + n.scenario.Settle).D().Seconds(), c.Sessions, sessions, sample.OpenSessions, c.Refused, rules)
 		}
 	}
 }
@@ -362,13 +362,13 @@
 	return p.state == crashed
 }
 
-func (n *night) sampleNow() Sample {
-	s := Sample{AtMs: float64(n.now().Milliseconds()), Open: n.clients.Open()}
+func (n *rehearsal) sampleNow() Sample {
+	s := Sample{AtMs: float64(n.now().Milliseconds()), OpenSessions: n.clients.Open()}
 	for _, each := range n.nodes {
-		f := each.Figures()
-		s.Held = append(s.Held, f.Held)
+		f := each.Stats()
+		s.SessionsByNode = append(s.SessionsByNode, f.Sessions)
 		if f.Capacity > 0 {
-			s.MostLoad = max(s.MostLoad, f.Asked/f.Capacity)
+			s.MaxLoad = max(s.MaxLoad, f.Demand/f.Capacity)
 		}
 	}
 	for _, p := range n.processes {
@@ -381,12 +381,12 @@
 }
 
 // fell takes a node that was pushed over off the list.
-func (n *night) fell(each *node.Node) { n.list.Change(each.ID, "gone", "", time.Time{}) }
+func (n *rehearsal) delistFailed(each *node.Node) { n.list.Update(each.ID, "gone", "", time.Time{}) }
 
 // close ends all that a night has started.
-func (n *night) close() {
+func (n *rehearsal) close() {
 	for i, p := range n.processes {
-		n.judge.ProxyDies(judge.ProxyID(i))
+		n.judge.ProxyDied(judge.ProxyID(i))
 		p.kill()
 	}
 	if n.list != nil {
@@ -397,26 +397,26 @@
 	}
 }
 
-func (n *night) say(format string, args ...any) {
+func (n *rehearsal) addTrouble(format string, args ...any) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.trouble = append(n.trouble, fmt.Sprintf(format, args...))
+	n.troubles = append(n.troubles, fmt.Sprintf(format, args...))
 }
 
 // endInOrder has all proxies leave, and waits for them.
-func (n *night) endInOrder() {
-	ctx, cancel := context.WithTimeout(context.Background(), mostStart)
+func (n *rehearsal) stopAllProxies() {
+	ctx, cancel := context.WithTimeout(context.Background(), maxStartTime)
 	defer cancel()
 	for _, p := range n.processes {
 		p.signal(syscall.SIGTERM, true)
 	}
 	for _, p := range n.processes {
-		p.ended(ctx)
+		p.waitExit(ctx)
 	}
 }
 
 // keepLogs copies the proxies' logs to a folder.
-func (n *night) keepLogs(to string) (trouble []string) {
+func (n *rehearsal) keepLogs(to string) (trouble []string) {
 	if err := os.MkdirAll(to, 0o755); err != nil {
 		return []string{err.Error()}
 	}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -50,7 +50,7 @@
 	Cores           []float64   // each node has one of them
 	Speed           []float64   // least and most
 	SessionsPerCore float64     `toml:"sessions_per_core"`
-	MostSessions    int         `toml:"most_sessions"`
+	MaxSessions     int         `toml:"most_sessions"`
 	GroupCost       float64     `toml:"group_cost"`
 	HandshakeWork   strict.Span `toml:"handshake_work"`
 	ColdFrom        float64     `toml:"cold_from"`
@@ -60,8 +60,8 @@
 	DrainGrace      strict.Span `toml:"drain_grace"`
 	MustAsk         strict.Span `toml:"must_ask"`
 	ListLate        strict.Span `toml:"list_late"`
-	TellsLoad       bool        `toml:"tells_load"`
-	TellsDelay      bool        `toml:"tells_delay"`
+	ReportsLoad     bool        `toml:"tells_load"`
+	ReportsDelay    bool        `toml:"tells_delay"`
 	Probes          bool
 }
 
@@ -141,8 +141,8 @@
 
 // Expect are counts that the run is held to beside the rules.
 type Expect struct {
-	AcceptedLeast float64 `toml:"accepted_least"` // share of sessions that were accepted at least once
-	NoCutOff      bool    `toml:"no_cut_off"`
+	MinAccepted float64 `toml:"accepted_least"` // share of sessions that were accepted at least once
+	NoCutOff    bool    `toml:"no_cut_off"`
 }
 
 // faults are the kinds, what each acts on and what it needs.
@@ -210,10 +210,10 @@
 		LateBound: strict.Span(20 * time.Millisecond), Window: strict.Span(time.Second),
 		Settle: strict.Span(time.Second),
 		Platform: Platform{Nodes: 8, Zones: []string{"here"}, Cores: []float64{2, 3}, Speed: []float64{0.9, 1.4},
-			SessionsPerCore: 16, MostSessions: 2000, GroupCost: 2, HandshakeWork: strict.Span(2 * time.Millisecond), ColdFrom: 0.2,
+			SessionsPerCore: 16, MaxSessions: 2000, GroupCost: 2, HandshakeWork: strict.Span(2 * time.Millisecond), ColdFrom: 0.2,
 			ColdSpan: strict.Span(15 * time.Second), FallMultiple: 3, FallWindow: strict.Span(3 * time.Second),
 			DrainGrace: strict.Span(time.Second), MustAsk: strict.Span(4 * time.Second),
-			ListLate: strict.Span(500 * time.Millisecond), TellsLoad: true, Probes: true},
+			ListLate: strict.Span(500 * time.Millisecond), ReportsLoad: true, Probes: true},
 		Proxies: Proxies{Count: 2, MemoryMB: 96, Sockets: 2048, Pin: true, Notice: strict.Span(1500 * time.Millisecond), Dials: 4},
 		Clients: Clients{Retries: 2, Backoff: strict.Span(50 * time.Millisecond),
 			Rejoin:       []strict.Span{strict.Span(50 * time.Millisecond), strict.Span(time.Second)},
@@ -245,7 +245,7 @@
 		{"platform.cores", len(p.Cores) == 0 || slices.Min(p.Cores) <= 0, "must be above 0"},
 		{"platform.speed", len(p.Speed) != 2 || p.Speed[0] <= 0 || p.Speed[1] < p.Speed[0], "must be the least and the most"},
 		{"platform.sessions_per_core", p.SessionsPerCore <= 0, "must be above 0"},
-		{"platform.most_sessions", p.MostSessions < 1, "must be 1 or more"},
+		{"platform.most_sessions", p.MaxSessions < 1, "must be 1 or more"},
 		{"platform.group_cost", p.GroupCost < 0, "must not be negative"},
 		{"platform.handshake_work", p.HandshakeWork < 0, "must not be negative"},
 		{"platform.cold_from", p.ColdFrom <= 0 || p.ColdFrom > 1, "must be above 0, 1 at most"},
@@ -269,7 +269,7 @@
 		{"clients.load_spread", s.Clients.LoadSpread < 0 || s.Clients.LoadSpread > 3, "must be 0 to 3"},
 		{"trace.speed", s.Trace.Speed < 1 || s.Trace.Speed > 100, "must be 1 to 100"},
 		{"trace.scale", s.Trace.Scale <= 0 || s.Trace.Scale > 1000, "must be above 0, 1000 at most"},
-		{"expect.accepted_least", s.Expect.AcceptedLeast < 0 || s.Expect.AcceptedLeast > 1, "must be 0 to 1"},
+		{"expect.accepted_least", s.Expect.MinAccepted < 0 || s.Expect.MinAccepted > 1, "must be 0 to 1"},
 		{"listener", len(s.Listeners) == 0, "there is none"},
 		{"arrivals", len(s.Arrivals) == 0 && s.Trace.File == "", "there are none, and no trace"},
 	} {
@@ -441,7 +441,7 @@
 			if s.listener(each.Listener) < 0 {
 				return nil, fmt.Errorf("%s: session %d is for listener %q, which the scenario does not have", s.Trace.File, i+1, each.Listener)
 			}
-			s.fill(&sessions[i], rng)
+			s.fillDefaults(&sessions[i], rng)
 		}
 		return sessions, nil
 	}
@@ -470,7 +470,7 @@
 	sessions := make([]trace.Session, len(times))
 	for i, at := range times {
 		w := &sessions[i]
-		w.At, w.Listener, w.Group = float64(at)/float64(time.Millisecond), listener, group
+		w.AtMs, w.Listener, w.Group = float64(at)/float64(time.Millisecond), listener, group
 		w.Key = fmt.Sprintf("%016x", rng.Uint64()|1)
 		if w.Listener == "" {
 			w.Listener = s.anyListener(rng)
@@ -481,18 +481,18 @@
 			w.Group = fmt.Sprintf("%x", 0x5c00+min(n, s.Clients.Groups-1))
 		}
 		if n := len(s.Clients.Titles); n > 0 {
-			w.Title = s.Clients.Titles[rng.Intn(n)]
+			w.Tenant = s.Clients.Titles[rng.Intn(n)]
 		}
-		s.fill(w, rng)
+		s.fillDefaults(w, rng)
 	}
 	return sessions
 }
 
 // fill draws what a session does not tell.
-func (s *Scenario) fill(w *trace.Session, rng *rand.Rand) {
+func (s *Scenario) fillDefaults(w *trace.Session, rng *rand.Rand) {
 	l := s.Listeners[s.listener(w.Listener)]
-	if w.Life == 0 {
-		w.Life = rng.ExpFloat64() * float64(l.Life) / float64(time.Millisecond)
+	if w.LifetimeMs == 0 {
+		w.LifetimeMs = rng.ExpFloat64() * float64(l.Life) / float64(time.Millisecond)
 	}
 	if w.Load == 0 {
 		spread := s.Clients.LoadSpread // log-normal with a mean of the listener's load
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -24,50 +24,50 @@
 )
 
 // Manners are what all clients of a platform do alike.
-type Manners struct {
+type Behavior struct {
 	Retries      int           // after a refusal, a teardown or a break before the answer
 	Backoff      time.Duration // before a retry, doubled each time
-	RejoinLeast  time.Duration // after a move or a break
-	RejoinMost   time.Duration
+	RejoinMin    time.Duration // after a move or a break
+	RejoinMax    time.Duration
 	MessageEvery time.Duration // 0: none
-	Passes       bool          // sessions pass through proxies and outlive them
+	PassThrough  bool          // sessions pass through proxies and outlive them
 }
 
 // Want is what one client asks for.
-type Want struct {
-	At       time.Duration // since the run's start
-	Listener string
-	Title    string
-	Zone     string
-	Key      string
-	Group    string
-	Kind     judge.Kind
-	Life     time.Duration
-	Load     node.Load
-	Changes  time.Duration // of its load, on average; 0 for none
-	Returned bool
+type Request struct {
+	ArrivesAt       time.Duration // since the run's start
+	Listener        string
+	Tenant          string
+	Zone            string
+	Key             string
+	Group           string
+	Terms           judge.Terms
+	Lifetime        time.Duration
+	Load            node.Load
+	LoadChangeEvery time.Duration // of its load, on average; 0 for none
+	Returned        bool
 }
 
 // Counts are how sessions and dials ended.
 type Counts struct {
-	Sessions   int64 `json:"sessions"` // that clients wanted
-	Tries      int64 `json:"tries"`
-	Accepted   int64 `json:"accepted"`
-	Refused    int64 `json:"refused"`
-	TornDown   int64 `json:"torn_down"`
-	Broken     int64 `json:"broken"`     // connections that ended without an answer, as the proxy died
-	Unanswered int64 `json:"unanswered"` // given up at the dial timeout
-	NoProxy    int64 `json:"no_proxy"`   // nobody to connect to, or it refused the connection
-	Stopped    int64 `json:"stopped"`    // waited for an answer when the run ended
-	Moved      int64 `json:"moved"`
-	CutOff     int64 `json:"cut_off"` // open sessions that ended without a word
-	Passed     int64 `json:"passed"`  // that went on by another proxy
-	Completed  int64 `json:"completed"`
-	Served     int64 `json:"served"`   // sessions that were accepted at least once
-	Given      int64 `json:"given_up"` // after the last retry
-	NoSocket   int64 `json:"no_socket"`
-	Messages   int64 `json:"messages"`
-	Unheard    int64 `json:"messages_unanswered"`
+	Sessions           int64 `json:"sessions"` // that clients wanted
+	Attempts           int64 `json:"tries"`
+	Accepted           int64 `json:"accepted"`
+	Refused            int64 `json:"refused"`
+	Failed             int64 `json:"torn_down"`
+	ConnectionLost     int64 `json:"broken"`     // connections that ended without an answer, as the proxy died
+	Unanswered         int64 `json:"unanswered"` // given up at the dial timeout
+	NoProxy            int64 `json:"no_proxy"`   // nobody to connect to, or it refused the connection
+	Interrupted        int64 `json:"stopped"`    // waited for an answer when the run ended
+	Migrated           int64 `json:"moved"`
+	CutOff             int64 `json:"cut_off"` // open sessions that ended without a word
+	Resumed            int64 `json:"passed"`  // that went on by another proxy
+	Completed          int64 `json:"completed"`
+	Served             int64 `json:"served"`   // sessions that were accepted at least once
+	GivenUp            int64 `json:"given_up"` // after the last retry
+	NoSocket           int64 `json:"no_socket"`
+	Messages           int64 `json:"messages"`
+	MessagesUnanswered int64 `json:"messages_unanswered"`
 }
 
 // Clients are all clients of a run.
@@ -75,7 +75,7 @@
 	now      func() time.Duration
 	judge    *judge.Judge
 	front    *front.Front
-	manners  Manners
+	manners  Behavior
 	Connects *load.Recorder // handshakes, from the intended time to UP
 	Messages *load.Recorder // lines, from the intended time to the echo
 	Lateness *load.Lateness
@@ -98,7 +98,7 @@
 }
 
 // New makes the clients of a run.
-func New(seed int64, now func() time.Duration, j *judge.Judge, f *front.Front, m Manners, window, lateBound time.Duration) *Clients {
+func New(seed int64, now func() time.Duration, j *judge.Judge, f *front.Front, m Behavior, window, lateBound time.Duration) *Clients {
 	rng := rand.New(rand.NewSource(seed))
 	return &Clients{now: now, judge: j, front: f, manners: m, rand: rng, salt: rng.Uint64(),
 		Connects: load.NewRecorder(window), Messages: load.NewRecorder(window), Lateness: load.NewLateness(lateBound),
@@ -164,7 +164,7 @@
 // session is what one client wants, over all its connections.
 type session struct {
 	clients *Clients
-	want    Want
+	want    Request
 	left    time.Duration // of its life
 	id      judge.SessionID
 	again   bool
@@ -183,10 +183,10 @@
 
 // Run is one client, from its first try to its end. It returns when the client has what it wants, has given up, or
 // the context ends.
-func (c *Clients) Run(ctx context.Context, w Want) {
+func (c *Clients) Run(ctx context.Context, w Request) {
 	c.count(&c.counts.Sessions)
-	s := &session{clients: c, want: w, left: w.Life, again: w.Returned}
-	intended, retries, backoff := w.At, 0, c.manners.Backoff
+	s := &session{clients: c, want: w, left: w.Lifetime, again: w.Returned}
+	intended, retries, backoff := w.ArrivesAt, 0, c.manners.Backoff
 	for ctx.Err() == nil {
 		how, comeBack := s.try(ctx, intended)
 		var wait time.Duration
@@ -194,11 +194,11 @@
 		case done, stopped:
 			return
 		case rejoin:
-			wait = c.between(c.manners.RejoinLeast, c.manners.RejoinMost)
+			wait = c.between(c.manners.RejoinMin, c.manners.RejoinMax)
 			s.again, retries, backoff = true, 0, c.manners.Backoff
 		case retry:
 			if retries++; retries > c.manners.Retries {
-				c.count(&c.counts.Given)
+				c.count(&c.counts.GivenUp)
 				return
 			}
 			wait = max(backoff, comeBack)
@@ -215,11 +215,11 @@
 // try asks once, by a proxy that the front names.
 func (s *session) try(ctx context.Context, intended time.Duration) (outcome, time.Duration) {
 	c := s.clients
-	c.count(&c.counts.Tries)
+	c.count(&c.counts.Attempts)
 	s.name()
 	defer s.forget()
-	limit := c.now() + s.want.Kind.Timeout
-	c.Lateness.Sent(c.now() - intended)
+	limit := c.now() + s.want.Terms.DialTimeout
+	c.Lateness.Record(c.now() - intended)
 	conn, at, ok := s.connect(ctx, limit)
 	if !ok {
 		return retry, 0
@@ -228,25 +228,25 @@
 	stop := context.AfterFunc(ctx, func() { conn.SetReadDeadline(time.Now()) })
 	defer stop()
 	if !s.ask(conn, at, false) {
-		c.count(&c.counts.Broken)
+		c.count(&c.counts.ConnectionLost)
 		return retry, 0
 	}
 	lines := bufio.NewReaderSize(conn, 512)
-	conn.SetReadDeadline(time.Now().Add(s.want.Kind.Timeout + leeway))
+	conn.SetReadDeadline(time.Now().Add(s.want.Terms.DialTimeout + leeway))
 	answer, err := lines.ReadString('\n')
 	now := c.now()
 	switch verb, rest, _ := strings.Cut(strings.TrimRight(answer, "\r\n"), " "); {
 	case ctx.Err() != nil && err != nil:
-		c.judge.Left(now, s.id)
-		c.count(&c.counts.Stopped)
+		c.judge.ClientLeft(now, s.id)
+		c.count(&c.counts.Interrupted)
 		return stopped, 0
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.judge.Unanswered(now, s.id)
 		c.count(&c.counts.Unanswered)
 		return retry, 0
 	case err != nil:
-		c.judge.Broke(now, s.id)
-		c.count(&c.counts.Broken)
+		c.judge.ConnectionLost(now, s.id)
+		c.count(&c.counts.ConnectionLost)
 		return retry, 0
 	case verb == "UP":
 		c.judge.Answered(now, s.id, judge.Accepted, rest)
@@ -264,8 +264,8 @@
 		ms, _ := strconv.ParseInt(rest, 10, 64) // without one: 0
 		return retry, time.Duration(ms) * time.Millisecond
 	default:
-		c.judge.Answered(now, s.id, judge.TornDown, "")
-		c.count(&c.counts.TornDown)
+		c.judge.Answered(now, s.id, judge.Failed, "")
+		c.count(&c.counts.Failed)
 		s.afterwards(conn, lines)
 		return retry, 0
 	}
@@ -281,7 +281,7 @@
 	defer c.mu.Unlock()
 	c.nextID++
 	s.id = judge.SessionID(fmt.Sprintf("%016x", (c.salt+c.nextID)*0x9e3779b97f4a7c15)) // odd: no two are alike
-	c.plans[s.id] = &plan{s.want.Load, s.want.Changes}
+	c.plans[s.id] = &plan{s.want.Load, s.want.LoadChangeEvery}
 }
 
 // forget tells nodes that the client has gone.
@@ -323,10 +323,10 @@
 func (s *session) ask(conn net.Conn, at judge.ProxyID, midFlow bool) bool {
 	w, c := s.want, s.clients
 	text := fmt.Sprintf("OPEN %s %s c=%s", s.id, w.Key, w.Listener)
-	if w.Title != "" {
-		text += ",t=" + w.Title
+	if w.Tenant != "" {
+		text += ",t=" + w.Tenant
 	}
-	text += fmt.Sprintf(",d=%d", w.Kind.Timeout.Milliseconds())
+	text += fmt.Sprintf(",d=%d", w.Terms.DialTimeout.Milliseconds())
 	if w.Group != "" {
 		text += ",g=" + w.Group
 	}
@@ -336,9 +336,9 @@
 	if midFlow {
 		text += ",mid=1"
 	}
-	c.judge.Taken(c.now(), s.id, at, w.Kind)
+	c.judge.Requested(c.now(), s.id, at, w.Terms)
 	if _, err := io.WriteString(conn, text+"\r\n"); err != nil {
-		c.judge.Left(c.now(), s.id) // its last byte was not taken
+		c.judge.ClientLeft(c.now(), s.id) // its last byte was not taken
 		return false
 	}
 	return true
@@ -348,9 +348,9 @@
 func (s *session) afterwards(conn net.Conn, lines *bufio.Reader) {
 	conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
 	if text, _ := lines.ReadString('\n'); text != "" { // its end, or nothing, is as it should be
-		s.clients.judge.Extra(s.clients.now(), s.id, text)
+		s.clients.judge.UnexpectedLine(s.clients.now(), s.id, text)
 	}
-	s.clients.judge.Left(s.clients.now(), s.id)
+	s.clients.judge.ClientLeft(s.clients.now(), s.id)
 }
 
 // flow is the lines of one open session.
@@ -392,12 +392,12 @@
 		for i, at := range unheard { // what never came back took at least so long, unless it was just sent
 			if now-sent[i] > 50*time.Millisecond {
 				c.Messages.Record(at, now-at)
-				c.count(&c.counts.Unheard)
+				c.count(&c.counts.MessagesUnanswered)
 			}
 		}
 		if !ended { // the client ends it, for one reason or another
 			s.forget()
-			c.judge.Left(now, s.id)
+			c.judge.ClientLeft(now, s.id)
 			conn.Close()
 			switch reason {
 			case "life":
@@ -410,21 +410,21 @@
 		}
 		switch reason {
 		case "BYE":
-			c.judge.Left(now, s.id)
+			c.judge.ClientLeft(now, s.id)
 			c.count(&c.counts.Completed)
 			return done
 		case "MOVE":
-			c.judge.Left(now, s.id)
-			c.count(&c.counts.Moved)
+			c.judge.ClientLeft(now, s.id)
+			c.count(&c.counts.Migrated)
 			return rejoin
 		}
-		if c.manners.Passes && c.ProxyGone(at) {
+		if c.manners.PassThrough && c.ProxyGone(at) {
 			next, reader, taken, on := s.passOn(ctx)
 			if on {
 				conn.Close()
 				conn, lines = next, reader
 				defer next.Close()
-				c.count(&c.counts.Passed)
+				c.count(&c.counts.Resumed)
 				continue
 			}
 			if taken {
@@ -432,7 +432,7 @@
 				return rejoin
 			}
 		}
-		c.judge.Broke(now, s.id)
+		c.judge.ConnectionLost(now, s.id)
 		c.count(&c.counts.CutOff)
 		return rejoin
 	}
@@ -466,10 +466,10 @@
 			return false, "stopped"
 		case <-beat.C:
 			now := c.now()
-			c.Lateness.Sent(now - next)
+			c.Lateness.Record(now - next)
 			f.mu.Lock()
 			if len(f.sent) > 0 {
-				c.judge.Silent(now, s.id, now-f.sent[0])
+				c.judge.Unresponsive(now, s.id, now-f.sent[0])
 			}
 			f.out, f.sent = append(f.out, next), append(f.sent, now)
 			f.mu.Unlock()
@@ -513,16 +513,16 @@
 func (s *session) passOn(ctx context.Context) (conn net.Conn, lines *bufio.Reader, taken, on bool) {
 	c := s.clients
 	select {
-	case <-time.After(c.front.Notice()):
+	case <-time.After(c.front.DetectionDelay()):
 	case <-ctx.Done():
 		return nil, nil, false, false
 	}
-	conn, at, ok := s.connect(ctx, c.now()+s.want.Kind.Timeout)
+	conn, at, ok := s.connect(ctx, c.now()+s.want.Terms.DialTimeout)
 	if !ok || !s.ask(conn, at, true) {
 		return nil, nil, false, false
 	}
 	lines = bufio.NewReaderSize(conn, 512)
-	conn.SetReadDeadline(time.Now().Add(s.want.Kind.Timeout + leeway))
+	conn.SetReadDeadline(time.Now().Add(s.want.Terms.DialTimeout + leeway))
 	text, err := lines.ReadString('\n')
 	now := c.now()
 	switch rest, up := strings.CutPrefix(strings.TrimRight(text, "\r\n"), "UP "); {
@@ -532,13 +532,13 @@
 	case err == nil && strings.HasPrefix(text, "BUSY"):
 		c.judge.Answered(now, s.id, judge.Refused, "")
 	case err == nil:
-		c.judge.Answered(now, s.id, judge.TornDown, "")
+		c.judge.Answered(now, s.id, judge.Failed, "")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.judge.Unanswered(now, s.id)
 	default:
-		c.judge.Broke(now, s.id)
+		c.judge.ConnectionLost(now, s.id)
 	}
 	conn.Close()
-	c.judge.Left(now, s.id)
+	c.judge.ClientLeft(now, s.id)
 	return nil, nil, true, false
 }
--- a/internal/standin/front/front.go
+++ b/internal/standin/front/front.go
@@ -100,7 +100,7 @@
 }
 
 // Stop has no new connection dealt to a proxy that is about to leave, or again.
-func (f *Front) Stop(id judge.ProxyID, leaving bool) {
+func (f *Front) SetLeaving(id judge.ProxyID, leaving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.proxies[id].leaving = leaving
@@ -110,7 +110,7 @@
 }
 
 // Notice is how long the front takes to notice a death.
-func (f *Front) Notice() time.Duration { return f.notice }
+func (f *Front) DetectionDelay() time.Duration { return f.notice }
 
 // Len is how many proxies there are.
 func (f *Front) Len() int {
@@ -120,7 +120,7 @@
 }
 
 // Ready is how many proxies get connections.
-func (f *Front) Ready() int {
+func (f *Front) ReadyCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
--- a/internal/standin/judge/judge.go
+++ b/internal/standin/judge/judge.go
@@ -28,10 +28,10 @@
 type Rule string
 
 const (
-	Lost  Rule = "session lost"
-	Twice Rule = "effect twice"
-	Drain Rule = "drain not kept"
-	Cold  Rule = "cold server pushed over"
+	SessionLost        Rule = "session lost"
+	DuplicateEffect    Rule = "effect twice"
+	DrainIgnored       Rule = "drain not kept"
+	ColdNodeOverloaded Rule = "cold server pushed over"
 )
 
 // Answer is a final answer that a client was given.
@@ -40,7 +40,7 @@
 const (
 	Accepted Answer = "accepted"
 	Refused  Answer = "refused"
-	TornDown Answer = "torn-down"
+	Failed   Answer = "torn-down"
 )
 
 // Effect says what a second run of a session would do.
@@ -53,15 +53,15 @@
 )
 
 // Kind is what the rules need to know of a session's listener.
-type Kind struct {
-	Timeout time.Duration // the dial timeout
-	Effect  Effect
-	Window  time.Duration // of a referenced session's repeats
-	Group   string        // "all", "zone" or "cell": who drops its repeats
+type Terms struct {
+	DialTimeout  time.Duration // the dial timeout
+	Effect       Effect
+	RepeatWindow time.Duration // of a referenced session's repeats
+	Group        string        // "all", "zone" or "cell": who drops its repeats
 }
 
 // Breach is one broken rule.
-type Breach struct {
+type Violation struct {
 	Rule    Rule      `json:"rule"`
 	Session SessionID `json:"session,omitempty"`
 	Node    NodeID    `json:"node"`  // -1 where none is concerned
@@ -70,7 +70,7 @@
 	Text    string    `json:"text"`
 }
 
-func (b Breach) String() string {
+func (b Violation) String() string {
 	text := fmt.Sprintf("%.0f ms: %s", b.AtMs, b.Rule)
 	if b.Session != "" {
 		text += fmt.Sprintf(", session %s", b.Session)
@@ -96,7 +96,7 @@
 type session struct {
 	id       SessionID
 	proxy    ProxyID
-	kind     Kind
+	kind     Terms
 	taken    time.Duration
 	answer   Answer
 	dials    []*dial
@@ -133,7 +133,7 @@
 	nodes    map[NodeID]*listed
 	proxies  map[ProxyID]*proxy
 	pending  []pending
-	breaches []Breach
+	breaches []Violation
 	counted  map[Rule]int
 	clients  bool // only they are seen
 }
@@ -154,12 +154,12 @@
 }
 
 // SeesClientsOnly tells that the servers are no stand-ins: what they made and ended is not known.
-func (j *Judge) SeesClientsOnly() { j.clients = true }
+func (j *Judge) ObserveClientsOnly() { j.clients = true }
 
 func (j *Judge) breach(now time.Duration, rule Rule, id SessionID, node NodeID, proxy ProxyID, format string, args ...any) {
 	j.counted[rule]++
 	if len(j.breaches) < mostKept {
-		j.breaches = append(j.breaches, Breach{rule, id, node, proxy, float64(now) / float64(time.Millisecond),
+		j.breaches = append(j.breaches, Violation{rule, id, node, proxy, float64(now) / float64(time.Millisecond),
 			fmt.Sprintf(format, args...)})
 	}
 }
@@ -184,7 +184,7 @@
 }
 
 // Taken tells that a first line's last byte was written to a connection that the proxy's machine had accepted.
-func (j *Judge) Taken(now time.Duration, id SessionID, at ProxyID, kind Kind) {
+func (j *Judge) Requested(now time.Duration, id SessionID, at ProxyID, kind Terms) {
 	defer j.lock()()
 	was := j.sessions[id]
 	s := &session{id: id, proxy: at, kind: kind, taken: now}
@@ -202,19 +202,19 @@
 		return
 	}
 	if s.answer != "" {
-		j.breach(now, Lost, id, -1, s.proxy, "%s after it was %s", answer, s.answer)
+		j.breach(now, SessionLost, id, -1, s.proxy, "%s after it was %s", answer, s.answer)
 		return
 	}
 	s.answer = answer
-	if took := now - s.taken; took > s.kind.Timeout+j.leeway {
-		j.breach(now, Lost, id, -1, s.proxy, "%s after %v, its dial timeout is %v", answer, took.Round(time.Millisecond),
-			s.kind.Timeout)
+	if took := now - s.taken; took > s.kind.DialTimeout+j.leeway {
+		j.breach(now, SessionLost, id, -1, s.proxy, "%s after %v, its dial timeout is %v", answer, took.Round(time.Millisecond),
+			s.kind.DialTimeout)
 	}
 	switch answer {
 	case Accepted:
 		s.open = true
 		if !j.clients && !slices.Contains(s.receipts, receipt) {
-			j.breach(now, Lost, id, -1, s.proxy, "accepted with receipt %q, which no server made for it", receipt)
+			j.breach(now, SessionLost, id, -1, s.proxy, "accepted with receipt %q, which no server made for it", receipt)
 		}
 	case Refused:
 		if s.kind.Effect != OnceOnly {
@@ -222,7 +222,7 @@
 		}
 		for _, d := range s.dials {
 			if d.mayRun {
-				j.breach(now, Twice, id, d.node, s.proxy, "refused, though a dial of this once-only session may have run")
+				j.breach(now, DuplicateEffect, id, d.node, s.proxy, "refused, though a dial of this once-only session may have run")
 				break
 			}
 		}
@@ -230,10 +230,10 @@
 }
 
 // Extra tells that something came after a refusal or a teardown.
-func (j *Judge) Extra(now time.Duration, id SessionID, text string) {
+func (j *Judge) UnexpectedLine(now time.Duration, id SessionID, text string) {
 	defer j.lock()()
 	if s := j.sessions[id]; s != nil && !s.over {
-		j.breach(now, Lost, id, -1, s.proxy, "%q came after it was %s", text, s.answer)
+		j.breach(now, SessionLost, id, -1, s.proxy, "%q came after it was %s", text, s.answer)
 	}
 }
 
@@ -241,19 +241,19 @@
 func (j *Judge) Unanswered(now time.Duration, id SessionID) {
 	defer j.lock()()
 	if s := j.sessions[id]; s != nil && s.answer == "" && !j.proxyOf(s.proxy).dead {
-		j.breach(now, Lost, id, -1, s.proxy, "no answer within its dial timeout of %v", s.kind.Timeout)
+		j.breach(now, SessionLost, id, -1, s.proxy, "no answer within its dial timeout of %v", s.kind.DialTimeout)
 	}
 	j.forget(now, id)
 }
 
 // Left tells that the client ended the session itself, or was told to move.
-func (j *Judge) Left(now time.Duration, id SessionID) {
+func (j *Judge) ClientLeft(now time.Duration, id SessionID) {
 	defer j.lock()()
 	j.forget(now, id)
 }
 
 // Broke tells that a session's connection ended with neither an answer, a move nor a goodbye.
-func (j *Judge) Broke(now time.Duration, id SessionID) {
+func (j *Judge) ConnectionLost(now time.Duration, id SessionID) {
 	defer j.lock()()
 	s := j.sessions[id]
 	if s == nil {
@@ -264,14 +264,14 @@
 	case s.answer == "":
 		j.after(now+j.leeway, func(due time.Duration) {
 			if !j.proxyOf(s.proxy).dead {
-				j.breach(now, Lost, id, -1, s.proxy, "its connection ended without an answer")
+				j.breach(now, SessionLost, id, -1, s.proxy, "its connection ended without an answer")
 			}
 			j.drop(s)
 		})
 	case s.open:
 		j.after(now+j.leeway, func(due time.Duration) {
 			if p := j.proxyOf(s.proxy); !j.clients && s.wentAt == 0 && !p.dead && !(p.leaving && j.passes) {
-				j.breach(now, Lost, id, -1, s.proxy, "cut off without MOVE while its server held it")
+				j.breach(now, SessionLost, id, -1, s.proxy, "cut off without MOVE while its server held it")
 			}
 			j.drop(s)
 		})
@@ -295,25 +295,25 @@
 }
 
 // Held tells that a line took long on its way through the proxy; over a second loses the session.
-func (j *Judge) Held(now time.Duration, id SessionID, took time.Duration) {
+func (j *Judge) LineDelayed(now time.Duration, id SessionID, took time.Duration) {
 	if took <= time.Second+j.leeway {
 		return
 	}
 	defer j.lock()()
 	if s := j.sessions[id]; s != nil && !s.over && !j.proxyOf(s.proxy).dead {
-		j.breach(now, Lost, id, -1, s.proxy, "a line was held back for %v", took.Round(time.Millisecond))
+		j.breach(now, SessionLost, id, -1, s.proxy, "a line was held back for %v", took.Round(time.Millisecond))
 	}
 }
 
 // Silent tells that a client's line has been out for so long while the session stood; past seven seconds its proxy
 // should have ended or moved it.
-func (j *Judge) Silent(now time.Duration, id SessionID, out time.Duration) {
+func (j *Judge) Unresponsive(now time.Duration, id SessionID, out time.Duration) {
 	if out <= mostSilent+j.leeway {
 		return
 	}
 	defer j.lock()()
 	if s := j.sessions[id]; s != nil && !s.over && s.open && !j.proxyOf(s.proxy).dead {
-		j.breach(now, Lost, id, -1, s.proxy, "nothing came back for %v and it was neither ended nor moved", out.Round(time.Millisecond))
+		j.breach(now, SessionLost, id, -1, s.proxy, "nothing came back for %v and it was neither ended nor moved", out.Round(time.Millisecond))
 		s.over = true
 	}
 }
@@ -323,7 +323,7 @@
 
 // Arrived tells that a session's first line came whole at a node, its first byte at first. The dial's number is for
 // the other calls; it is -1 for a session that the judge does not know.
-func (j *Judge) Arrived(now, first time.Duration, id SessionID, at NodeID, resumed bool) Dial {
+func (j *Judge) DialArrived(now, first time.Duration, id SessionID, at NodeID, resumed bool) Dial {
 	defer j.lock()()
 	s := j.sessions[id]
 	if s == nil {
@@ -337,7 +337,7 @@
 		if earlier.out {
 			j.after(now+j.leeway, func(due time.Duration) {
 				if earlier.out || earlier.ended > now+j.leeway {
-					j.breach(now, Twice, id, at, s.proxy, "dialled while its dial to node %d, %v before, was out", earlier.node,
+					j.breach(now, DuplicateEffect, id, at, s.proxy, "dialled while its dial to node %d, %v before, was out", earlier.node,
 						(now - earlier.arrived).Round(time.Millisecond))
 				}
 			})
@@ -346,7 +346,7 @@
 	j.again(now, s, d)
 	s.dials = append(s.dials, d)
 	if told, known := j.toldAt(now, s.proxy, at); known && !resumed && first > told+j.grace+j.leeway {
-		j.breach(now, Drain, id, at, s.proxy, "dialled %v after the proxy was told of the drain, the grace is %v",
+		j.breach(now, DrainIgnored, id, at, s.proxy, "dialled %v after the proxy was told of the drain, the grace is %v",
 			(first - told).Round(time.Millisecond), j.grace)
 	}
 	return Dial(len(s.dials) - 1)
@@ -354,7 +354,7 @@
 
 // Asked names what tells whether a dial's connection has ended, as the machine knows it: the node may not have come to
 // read that yet. It must neither block nor call the judge.
-func (j *Judge) Asked(id SessionID, n Dial, ended func() bool) {
+func (j *Judge) SetDialProbe(id SessionID, n Dial, ended func() bool) {
 	defer j.lock()()
 	if d := j.dial(id, n); d != nil {
 		d.asked = ended
@@ -369,14 +369,14 @@
 		}
 		switch s.kind.Effect {
 		case OnceOnly:
-			j.breach(now, Twice, s.id, d.node, s.proxy, "once-only, dialled again though its dial to node %d may have run", earlier.node)
+			j.breach(now, DuplicateEffect, s.id, d.node, s.proxy, "once-only, dialled again though its dial to node %d may have run", earlier.node)
 		case Referenced:
 			a, b := j.places[earlier.node], j.places[d.node]
 			if s.kind.Group == "zone" && a.Zone != b.Zone || s.kind.Group == "cell" && a.Cell != b.Cell {
-				j.breach(now, Twice, s.id, d.node, s.proxy, "referenced, repeated outside the %s of node %d", s.kind.Group, earlier.node)
-			} else if now-earlier.arrived > s.kind.Window+j.leeway {
-				j.breach(now, Twice, s.id, d.node, s.proxy, "referenced, repeated after %v, its window is %v",
-					(now - earlier.arrived).Round(time.Millisecond), s.kind.Window)
+				j.breach(now, DuplicateEffect, s.id, d.node, s.proxy, "referenced, repeated outside the %s of node %d", s.kind.Group, earlier.node)
+			} else if now-earlier.arrived > s.kind.RepeatWindow+j.leeway {
+				j.breach(now, DuplicateEffect, s.id, d.node, s.proxy, "referenced, repeated after %v, its window is %v",
+					(now - earlier.arrived).Round(time.Millisecond), s.kind.RepeatWindow)
 			}
 		default:
 			continue
@@ -386,7 +386,7 @@
 }
 
 // TurnedAway tells that the node answered BUSY: the dial has never run.
-func (j *Judge) TurnedAway(id SessionID, n Dial) {
+func (j *Judge) DialRefused(id SessionID, n Dial) {
 	defer j.lock()()
 	if d := j.dial(id, n); d != nil {
 		d.mayRun, d.out = false, false
@@ -394,7 +394,7 @@
 }
 
 // Made tells the receipt that a node made for a session.
-func (j *Judge) Made(id SessionID, receipt string) {
+func (j *Judge) ReceiptIssued(id SessionID, receipt string) {
 	defer j.lock()()
 	if s := j.sessions[id]; s != nil {
 		s.receipts = append(s.receipts, receipt)
@@ -428,14 +428,14 @@
 	if closed {
 		j.after(now+time.Second+j.leeway, func(due time.Duration) {
 			if s.open && !s.over && j.sessions[id] == s && !j.proxyOf(s.proxy).dead {
-				j.breach(due, Lost, id, -1, s.proxy, "its server ended it a second ago and its client was not told")
+				j.breach(due, SessionLost, id, -1, s.proxy, "its server ended it a second ago and its client was not told")
 			}
 		})
 	}
 }
 
 // Changed tells that a node has begun to drain or is gone (off), or is ready again.
-func (j *Judge) Changed(now time.Duration, at NodeID, off bool) {
+func (j *Judge) NodeChanged(now time.Duration, at NodeID, off bool) {
 	defer j.lock()()
 	if n := j.nodes[at]; n == nil || n.off != off {
 		j.nodes[at] = &listed{off: off, changed: now, told: map[ProxyID]time.Duration{}}
@@ -443,7 +443,7 @@
 }
 
 // Told tells that discovery has written the node's state to a proxy.
-func (j *Judge) Told(now time.Duration, to ProxyID, at NodeID, off bool) {
+func (j *Judge) NodePublished(now time.Duration, to ProxyID, at NodeID, off bool) {
 	defer j.lock()()
 	if n := j.nodes[at]; n != nil && n.off == off {
 		if _, known := n.told[to]; !known {
@@ -453,7 +453,7 @@
 }
 
 // Watching tells that a proxy asks discovery, or that its watch has begun or ended.
-func (j *Judge) Watching(now time.Duration, id ProxyID, watching bool) {
+func (j *Judge) SetWatching(now time.Duration, id ProxyID, watching bool) {
 	defer j.lock()()
 	p := j.proxyOf(id)
 	p.watching, p.asked = watching, now
@@ -477,19 +477,19 @@
 }
 
 // ProxyDies tells that a proxy is about to be killed or was found dead: what it held is the clients' to retry.
-func (j *Judge) ProxyDies(id ProxyID) {
+func (j *Judge) ProxyDied(id ProxyID) {
 	defer j.lock()()
 	j.proxyOf(id).dead = true
 }
 
 // ProxyLeaves tells that a proxy is about to get SIGTERM.
-func (j *Judge) ProxyLeaves(id ProxyID) {
+func (j *Judge) ProxyLeaving(id ProxyID) {
 	defer j.lock()()
 	j.proxyOf(id).leaving = true
 }
 
 // ProxyStarts tells that a proxy is started again. It knows nothing of what an earlier one was told.
-func (j *Judge) ProxyStarts(now time.Duration, id ProxyID) {
+func (j *Judge) ProxyStarted(now time.Duration, id ProxyID) {
 	defer j.lock()()
 	for _, s := range j.sessions { // those of the one before are not this one's to answer
 		if s.proxy == id {
@@ -504,9 +504,9 @@
 }
 
 // FellOver tells that a node that had just started was sent too much for too long.
-func (j *Judge) FellOver(now time.Duration, at NodeID, text string) {
+func (j *Judge) NodeOverloaded(now time.Duration, at NodeID, text string) {
 	defer j.lock()()
-	j.breach(now, Cold, "", at, -1, "%s", text)
+	j.breach(now, ColdNodeOverloaded, "", at, -1, "%s", text)
 }
 
 // Check judges what has become due.
@@ -524,7 +524,7 @@
 }
 
 // Breaches are the broken rules so far, the first of them in detail, and how often each was broken.
-func (j *Judge) Breaches() ([]Breach, map[Rule]int) {
+func (j *Judge) Violations() ([]Violation, map[Rule]int) {
 	defer j.lock()()
 	counted := map[Rule]int{}
 	for rule, n := range j.counted {
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -39,24 +39,24 @@
 
 // List is the service: what it knows, and how it behaves.
 type List struct {
-	now     func() time.Duration
-	judge   *judge.Judge
-	mu      sync.Mutex
-	late    time.Duration // until a change shows
-	down    bool          // calls end with 503, watches end
-	cut     bool          // calls are reset
-	stale   bool          // whole lists of a lower revision are told
-	names   []string      // by node
-	members []Member      // the same
-	version uint64
-	changed chan struct{} // closed at each change, and when the behaviour changes
-	doors   []*Door
-	calls   int
+	now       func() time.Duration
+	judge     *judge.Judge
+	mu        sync.Mutex
+	delay     time.Duration // until a change shows
+	down      bool          // calls end with 503, watches end
+	reset     bool          // calls are reset
+	stale     bool          // whole lists of a lower revision are told
+	names     []string      // by node
+	members   []Member      // the same
+	revision  uint64
+	changed   chan struct{} // closed at each change, and when the behaviour changes
+	endpoints []*Endpoint
+	calls     int
 }
 
 // New makes a service that knows the members, all as of revision 1.
 func New(now func() time.Duration, j *judge.Judge, late time.Duration, members []Member) *List {
-	l := &List{now: now, judge: j, late: late, version: 1, changed: make(chan struct{})}
+	l := &List{now: now, judge: j, delay: late, revision: 1, changed: make(chan struct{})}
 	for _, m := range members {
 		m.revision = 1
 		l.members, l.names = append(l.members, m), append(l.names, m.ID)
@@ -65,7 +65,7 @@
 }
 
 // Known is the list as a proxy's configuration has it.
-func (l *List) Known() json.RawMessage {
+func (l *List) Snapshot() json.RawMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	text, _ := json.Marshal(l.answer(0)) // plain values: it can't fail
@@ -74,7 +74,7 @@
 
 // answer needs the lock.
 func (l *List) answer(after uint64) answer {
-	a := answer{Revision: l.version, Complete: after == 0 || after > l.version, Members: []Member{}}
+	a := answer{Revision: l.revision, Complete: after == 0 || after > l.revision, Members: []Member{}}
 	for _, m := range l.members {
 		if m.Phase == "gone" && a.Complete {
 			continue
@@ -86,50 +86,50 @@
 	return a
 }
 
-func (l *List) tell() {
+func (l *List) notifyWatches() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
 // Change has a member's phase, address or start show after the service's lateness.
-func (l *List) Change(id judge.NodeID, phase, hostPort string, upSince time.Time) {
+func (l *List) Update(id judge.NodeID, phase, hostPort string, upSince time.Time) {
 	l.mu.Lock()
-	late := l.late
+	late := l.delay
 	l.mu.Unlock()
 	time.AfterFunc(late, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.version++
+		l.revision++
 		m := &l.members[id]
-		m.Phase, m.revision = phase, l.version
+		m.Phase, m.revision = phase, l.revision
 		if hostPort != "" {
 			m.HostPort = hostPort
 		}
 		if !upSince.IsZero() {
 			m.UpSinceMs = upSince.UnixMilli()
 		}
-		l.judge.Changed(l.now(), id, phase != "ready")
-		l.tell()
+		l.judge.NodeChanged(l.now(), id, phase != "ready")
+		l.notifyWatches()
 	})
 }
 
 // Late sets how late changes show from now on.
-func (l *List) Late(by time.Duration) { l.set(func() { l.late = by }) }
+func (l *List) SetDelay(by time.Duration) { l.set(func() { l.delay = by }) }
 
 // Down has calls end with 503 and watches end, until it is called with false.
-func (l *List) Down(down bool) { l.set(func() { l.down = down }) }
+func (l *List) SetDown(down bool) { l.set(func() { l.down = down }) }
 
 // Cut has calls and watches be reset, until it is called with false.
-func (l *List) Cut(cut bool) { l.set(func() { l.cut = cut }) }
+func (l *List) SetReset(cut bool) { l.set(func() { l.reset = cut }) }
 
 // Stale has it tell whole lists of a lower revision, until it is called with false.
-func (l *List) Stale(stale bool) { l.set(func() { l.stale = stale }) }
+func (l *List) SetStale(stale bool) { l.set(func() { l.stale = stale }) }
 
 func (l *List) set(change func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	change()
-	l.tell()
+	l.notifyWatches()
 }
 
 // Calls is how many calls came.
@@ -140,7 +140,7 @@
 }
 
 // Door is the address at which one proxy asks.
-type Door struct {
+type Endpoint struct {
 	Address  string
 	list     *List
 	proxy    judge.ProxyID
@@ -151,22 +151,22 @@
 }
 
 // Open opens an address for a proxy, "" at the one it is given.
-func (l *List) Open(proxy judge.ProxyID, address string) (*Door, error) {
+func (l *List) OpenEndpoint(proxy judge.ProxyID, address string) (*Endpoint, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	d := &Door{Address: listener.Addr().String(), list: l, proxy: proxy, listener: listener, closed: make(chan struct{})}
+	d := &Endpoint{Address: listener.Addr().String(), list: l, proxy: proxy, listener: listener, closed: make(chan struct{})}
 	d.server = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
 	go d.server.Serve(listener)
 	l.mu.Lock()
-	l.doors = append(l.doors, d)
+	l.endpoints = append(l.endpoints, d)
 	l.mu.Unlock()
 	return d, nil
 }
 
 // Close takes no new call and ends the open ones after a wait.
-func (d *Door) Close(wait time.Duration) {
+func (d *Endpoint) Close(wait time.Duration) {
 	d.once.Do(func() {
 		d.listener.Close()
 		time.AfterFunc(wait, func() {
@@ -180,18 +180,18 @@
 func (l *List) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, d := range l.doors {
+	for _, d := range l.endpoints {
 		d.Close(0)
 	}
 }
 
-func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := d.list
 	l.mu.Lock()
 	l.calls++
-	down, cut := l.down, l.cut
+	down, cut := l.down, l.reset
 	l.mu.Unlock()
-	l.judge.Watching(l.now(), d.proxy, false)
+	l.judge.SetWatching(l.now(), d.proxy, false)
 	switch {
 	case cut:
 		panic(http.ErrAbortHandler)
@@ -210,18 +210,18 @@
 		d.write(w, a)
 		return
 	}
-	l.judge.Watching(l.now(), d.proxy, true)
-	defer func() { l.judge.Watching(l.now(), d.proxy, false) }()
+	l.judge.SetWatching(l.now(), d.proxy, true)
+	defer func() { l.judge.SetWatching(l.now(), d.proxy, false) }()
 	d.watch(w, r, after)
 }
 
-func (d *Door) watch(w http.ResponseWriter, r *http.Request, after uint64) {
+func (d *Endpoint) watch(w http.ResponseWriter, r *http.Request, after uint64) {
 	l := d.list
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	for isFirst := true; ; isFirst = false {
 		l.mu.Lock()
-		a, changed, down, cut, stale := l.answer(after), l.changed, l.down, l.cut, l.stale
+		a, changed, down, cut, stale := l.answer(after), l.changed, l.down, l.reset, l.stale
 		if stale {
 			a = l.answer(0)
 			a.Revision, a.stale = max(after, 2)-1, true
@@ -258,7 +258,7 @@
 }
 
 // write writes one list, and then tells the judge what was told.
-func (d *Door) write(w http.ResponseWriter, a answer) bool {
+func (d *Endpoint) write(w http.ResponseWriter, a answer) bool {
 	text, _ := json.Marshal(a) // plain values: it can't fail
 	if _, err := w.Write(append(text, '\n')); err != nil {
 		return false
@@ -273,7 +273,7 @@
 	}
 	for i, name := range d.list.names {
 		if phase, listed := phases[name]; listed && phase != "ready" || a.Complete && !listed {
-			d.list.judge.Told(d.list.now(), d.proxy, judge.NodeID(i), true)
+			d.list.judge.NodePublished(d.list.now(), d.proxy, judge.NodeID(i), true)
 		}
 	}
 	return true
--- a/internal/standin/list/list_test.go
+++ b/internal/standin/list/list_test.go
@@ -19,15 +19,15 @@
 	j := judge.New(0, grace, time.Hour, false, []judge.Place{{}, {}})
 	l := New(now, j, 0, []Member{{ID: "a", HostPort: "127.0.0.1:1", Phase: "ready"}, {ID: "b", HostPort: "127.0.0.1:2", Phase: "ready"}})
 	t.Cleanup(l.Close)
-	var doors [2]*Door
+	var doors [2]*Endpoint
 	for i := range doors {
-		d, err := l.Open(judge.ProxyID(i), "127.0.0.1:0")
+		d, err := l.OpenEndpoint(judge.ProxyID(i), "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		doors[i] = d
 	}
-	watch := func(d *Door, after string) (*http.Response, *bufio.Scanner) {
+	watch := func(d *Endpoint, after string) (*http.Response, *bufio.Scanner) {
 		t.Helper()
 		r, err := http.Get("http://" + d.Address + "/api/targets?watch=1&after=" + after)
 		if err != nil {
@@ -53,36 +53,36 @@
 	if a := next(lines); !a.Complete || len(a.Members) != 2 || a.Revision != 1 {
 		t.Fatalf("%+v", a)
 	}
-	l.Change(0, "draining", "", time.Time{})
+	l.Update(0, "draining", "", time.Time{})
 	if a := next(lines); a.Complete || len(a.Members) != 1 || a.Members[0].Phase != "draining" || a.Revision != 2 {
 		t.Fatalf("%+v", a)
 	}
 	time.Sleep(5 * grace)
 	for proxy := range doors { // both dial the node that drains; the first was told
 		id := judge.SessionID(rune('x' + proxy))
-		j.Taken(now(), id, judge.ProxyID(proxy), judge.Kind{Timeout: time.Second, Effect: judge.Repeatable})
-		j.Arrived(now(), now(), id, 0, false)
+		j.Requested(now(), id, judge.ProxyID(proxy), judge.Terms{DialTimeout: time.Second, Effect: judge.Repeatable})
+		j.DialArrived(now(), now(), id, 0, false)
 	}
-	if found, _ := j.Breaches(); len(found) != 1 || found[0].Proxy != 0 || found[0].Rule != judge.Drain {
+	if found, _ := j.Violations(); len(found) != 1 || found[0].Proxy != 0 || found[0].Rule != judge.DrainIgnored {
 		t.Fatalf("%v", found)
 	}
 
-	l.Stale(true)
+	l.SetStale(true)
 	_, lines = watch(doors[1], "2")
 	if a := next(lines); a.Revision >= 2 || !a.Complete {
 		t.Errorf("stale: %+v", a)
 	}
-	l.Stale(false)
-	l.Down(true)
+	l.SetStale(false)
+	l.SetDown(true)
 	if r, _ := watch(doors[1], "2"); r == nil || r.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("down: %v", r)
 	}
-	l.Down(false)
-	l.Cut(true)
+	l.SetDown(false)
+	l.SetReset(true)
 	if r, _ := watch(doors[1], "2"); r != nil {
 		t.Errorf("cut: %v", r.Status)
 	}
-	l.Cut(false)
+	l.SetReset(false)
 	doors[1].Close(0)
 	if r, _ := watch(doors[1], "2"); r != nil {
 		t.Errorf("closed: %v", r.Status)
--- a/internal/standin/node/model.go
+++ b/internal/standin/node/model.go
@@ -10,16 +10,16 @@
 
 // Machine is what a node can do.
 type Machine struct {
-	Cores     float64
-	Speed     float64       // of a core, against the yardstick's 1
-	Handshake float64       // work of a new session, in core seconds of the yardstick
-	GroupCost float64       // of each group that the node holds any session of, in Mean
-	Mean      float64       // load of a usual session, in cores
-	ColdFrom  float64       // share of its capacity at the start
-	ColdSpan  time.Duration // until it is warm
-	Multiple  float64       // it falls over when asked for more than this times what it can do
-	Window    time.Duration // for so long while it is cold
-	Most      int           // sessions that it holds
+	Cores            float64
+	Speed            float64       // of a core, against the yardstick's 1
+	HandshakeWork    float64       // work of a new session, in core seconds of the yardstick
+	GroupCost        float64       // of each group that the node holds any session of, in Mean
+	MeanLoad         float64       // load of a usual session, in cores
+	ColdFrom         float64       // share of its capacity at the start
+	ColdSpan         time.Duration // until it is warm
+	OverloadMultiple float64       // it falls over when asked for more than this times what it can do
+	OverloadWindow   time.Duration // for so long while it is cold
+	MaxSessions      int           // sessions that it holds
 }
 
 // Load is what one session asks of its node.
@@ -63,15 +63,15 @@
 func (m *Model) Capacity() float64 { return m.machine.Cores * m.machine.Speed * m.Warmth() / m.slow }
 
 // Asked is what its sessions and groups ask for, in cores.
-func (m *Model) Asked() float64 {
-	return m.asked + float64(len(m.groups))*m.machine.GroupCost*m.machine.Mean
+func (m *Model) Demand() float64 {
+	return m.asked + float64(len(m.groups))*m.machine.GroupCost*m.machine.MeanLoad
 }
 
 // Held is how many sessions it has.
-func (m *Model) Held() int { return m.held }
+func (m *Model) Sessions() int { return m.held }
 
 // Slow makes it slower by a factor; 1 is its usual speed.
-func (m *Model) Slow(factor float64) { m.slow = factor }
+func (m *Model) SetSlowdown(factor float64) { m.slow = factor }
 
 // step bounds how far the model looks at once, so that a ramp is followed.
 const step = 100 * time.Millisecond
@@ -83,34 +83,34 @@
 		m.now += dt
 		s := dt.Seconds()
 		m.recent *= math.Exp(-s)
-		m.backlog = max(m.backlog+(m.Asked()-m.Capacity())*s, 0)
+		m.backlog = max(m.backlog+(m.Demand()-m.Capacity())*s, 0)
 		can := m.Capacity() * m.slow // a slow neighbour is no part of the rule
-		isOver := m.Warmth() < 1 && m.Asked()+m.recent > m.machine.Multiple*can
+		isOver := m.Warmth() < 1 && m.Demand()+m.recent > m.machine.OverloadMultiple*can
 		if isOver && !m.over {
 			m.overSince = m.now
 		}
 		m.over = isOver
-		if isOver && m.fallen == "" && m.now-m.overSince >= m.machine.Window {
+		if isOver && m.fallen == "" && m.now-m.overSince >= m.machine.OverloadWindow {
 			m.fallen = fmt.Sprintf("asked for %.2f cores, over %.1f times the %.2f it could do, for %v",
-				m.Asked()+m.recent, m.machine.Multiple, can, m.machine.Window)
+				m.Demand()+m.recent, m.machine.OverloadMultiple, can, m.machine.OverloadWindow)
 		}
 	}
 }
 
 // Fallen is why the node has fallen over by now, "" where it has not.
-func (m *Model) Fallen() string { return m.fallen }
+func (m *Model) FailureReason() string { return m.fallen }
 
 // Begin takes a session's handshake: its work piles up before it is answered.
-func (m *Model) Begin() {
-	m.backlog += m.machine.Handshake
-	m.recent += m.machine.Handshake
+func (m *Model) BeginHandshake() {
+	m.backlog += m.machine.HandshakeWork
+	m.recent += m.machine.HandshakeWork
 }
 
 // Refuse takes a session that is turned away: the cold rule counts what is sent, also what can't be taken.
 func (m *Model) Refuse(l Load) { m.recent += l.Cores }
 
 // Full tells whether it holds all that it can.
-func (m *Model) Full() bool { return m.held >= m.machine.Most }
+func (m *Model) Full() bool { return m.held >= m.machine.MaxSessions }
 
 // Add takes a session that stands.
 func (m *Model) Add(l Load) {
@@ -134,15 +134,15 @@
 func (m *Model) Change(from, to float64) { m.asked = max(m.asked-from+to, 0) }
 
 // mostDelay bounds what a node that is far behind lets a message wait.
-const mostDelay = 5 * time.Second
+const maxDelay = 5 * time.Second
 
 // Delay is how long a message that comes now waits: for what has piled up, and as in a queue that is served at
 // random times, growing as load nears what can be done.
 func (m *Model) Delay() time.Duration {
 	can := m.Capacity()
-	use := min(m.Asked()/can, 0.95)
+	use := min(m.Demand()/can, 0.95)
 	wait := m.backlog/can + messageWork/(m.machine.Speed/m.slow)*use/(1-use)
-	return min(time.Duration(wait*float64(time.Second)), mostDelay)
+	return min(time.Duration(wait*float64(time.Second)), maxDelay)
 }
 
 // messageWork is a message's own work, in core seconds.
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -34,11 +34,11 @@
 const keep = 8 * time.Second
 
 // Talk is what a node says beside its answers.
-type Talk struct {
-	Loads  bool // LOAD with a session's load, in microseconds of work a second
-	Delays bool // LOAD with the delay of messages, in milliseconds, once a second on one connection
-	Probes bool // PING and STATS are answered
-	Passes bool // sessions pass through proxies and outlive them
+type Protocol struct {
+	ReportsLoad   bool // LOAD with a session's load, in microseconds of work a second
+	ReportsDelay  bool // LOAD with the delay of messages, in milliseconds, once a second on one connection
+	AnswersProbes bool // PING and STATS are answered
+	PassThrough   bool // sessions pass through proxies and outlive them
 }
 
 // standing is a node's state.
@@ -69,7 +69,7 @@
 	judge   *judge.Judge
 	plans   func(judge.SessionID) Plan
 	machine Machine
-	talk    Talk
+	talk    Protocol
 	onFall  func(*Node)
 
 	mu       sync.Mutex
@@ -92,7 +92,7 @@
 }
 
 // New makes a node that has run for long; Start begins to listen.
-func New(id judge.NodeID, address string, m Machine, talk Talk, seed int64, now func() time.Duration, j *judge.Judge,
+func New(id judge.NodeID, address string, m Machine, talk Protocol, seed int64, now func() time.Duration, j *judge.Judge,
 	plans func(judge.SessionID) Plan, onFall func(*Node)) *Node {
 	n := &Node{ID: id, Address: address, now: now, judge: j, plans: plans, machine: m, talk: talk, onFall: onFall,
 		standing: dead, rand: rand.New(rand.NewSource(seed)), hole: -1, conns: map[*conn]bool{},
@@ -209,12 +209,12 @@
 }
 
 // Slow makes the node slower by a factor, 1 as usual.
-func (n *Node) Slow(factor float64) {
+func (n *Node) SetSlowdown(factor float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.model != nil {
 		n.model.Advance(n.now())
-		n.model.Slow(factor)
+		n.model.SetSlowdown(factor)
 	}
 }
 
@@ -375,7 +375,7 @@
 	}
 	now := n.now()
 	n.model.Advance(now)
-	why := n.model.Fallen()
+	why := n.model.FailureReason()
 	if why == "" {
 		n.tell(now)
 	}
@@ -387,7 +387,7 @@
 	}
 	n.mu.Unlock()
 	if why != "" {
-		n.judge.FellOver(now, n.ID, why)
+		n.judge.NodeOverloaded(now, n.ID, why)
 		n.fall(fallen)
 		n.onFall(n)
 	}
@@ -398,7 +398,7 @@
 	if n.standing != running && n.standing != hung { // one that hangs still tells loads
 		return
 	}
-	if n.talk.Delays && n.beat != nil && now >= n.beat.beatAt {
+	if n.talk.ReportsDelay && n.beat != nil && now >= n.beat.beatAt {
 		n.beat.beatAt += time.Second
 		n.beat.say(fmt.Sprintf("LOAD %d\r\n", n.model.Delay().Milliseconds()), 0)
 	}
@@ -414,24 +414,24 @@
 }
 
 // Figures are a node's state at a moment.
-type Figures struct {
-	Held     int
-	Total    int
-	Asked    float64 // cores
-	Capacity float64 // cores
-	Delay    time.Duration
-	ShortOf  int // accepts that failed for want of descriptors
-	Up       bool
+type Stats struct {
+	Sessions            int
+	Accepted            int
+	Demand              float64 // cores
+	Capacity            float64 // cores
+	Delay               time.Duration
+	DescriptorShortages int // accepts that failed for want of descriptors
+	Running             bool
 }
 
 // Figures tells how the node stands.
-func (n *Node) Figures() Figures {
+func (n *Node) Stats() Stats {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	f := Figures{ShortOf: n.shortOf, Up: n.standing == running, Total: n.total}
+	f := Stats{DescriptorShortages: n.shortOf, Running: n.standing == running, Accepted: n.total}
 	if n.model != nil && n.standing != dead && n.standing != fallen {
 		n.model.Advance(n.now())
-		f.Held, f.Asked, f.Capacity, f.Delay = n.model.Held(), n.model.Asked(), n.model.Capacity(), n.model.Delay()
+		f.Sessions, f.Demand, f.Capacity, f.Delay = n.model.Sessions(), n.model.Demand(), n.model.Capacity(), n.model.Delay()
 	}
 	return f
 }
@@ -509,7 +509,7 @@
 		n.judge.DialEnded(now, c.id, c.dial)
 	}
 	n.mu.Lock()
-	if c.stands && n.talk.Passes && c.plan.Alive != nil && c.plan.Alive() && n.conns[c] {
+	if c.stands && n.talk.PassThrough && c.plan.Alive != nil && c.plan.Alive() && n.conns[c] {
 		n.kept[c.id], c.keptTo = c, now+keep
 	} else {
 		c.leave()
@@ -559,13 +559,13 @@
 		return
 	}
 	switch {
-	case !n.talk.Probes:
+	case !n.talk.AnswersProbes:
 		c.say("NO\r\n", 0)
 	case text == "PING":
 		c.say("PONG\r\n", n.model.Delay())
 	case text == "STATS":
 		n.model.Advance(n.now())
-		c.say(fmt.Sprintf("STATS x0=%.4f\r\n", n.model.Asked()/n.model.Capacity()), n.model.Delay())
+		c.say(fmt.Sprintf("STATS x0=%.4f\r\n", n.model.Demand()/n.model.Capacity()), n.model.Delay())
 	default:
 		c.say("SYNTAX\r\n", 0)
 	}
@@ -586,8 +586,8 @@
 	}
 	now := n.now()
 	c.id = judge.SessionID(o.ID)
-	c.dial = n.judge.Arrived(now, first, c.id, n.ID, o.At != nil || o.MidFlow)
-	n.judge.Asked(c.id, c.dial, c.endUnread)
+	c.dial = n.judge.DialArrived(now, first, c.id, n.ID, o.At != nil || o.MidFlow)
+	n.judge.SetDialProbe(c.id, c.dial, c.endUnread)
 	if n.standing != running {
 		return
 	}
@@ -596,14 +596,14 @@
 		c.takeOver(now)
 		return
 	}
-	n.model.Begin()
+	n.model.BeginHandshake()
 	wait := n.model.Delay()
 	c.plan = n.plans(c.id)
 	if n.draining || n.model.Full() || wait >= o.Left {
 		if !n.draining {
 			n.model.Refuse(c.plan.Load)
 		}
-		n.judge.TurnedAway(c.id, c.dial)
+		n.judge.DialRefused(c.id, c.dial)
 		c.sayLast("BUSY\r\n", min(wait, o.Left/2))
 		return
 	}
@@ -611,7 +611,7 @@
 	n.total++
 	n.receipts++
 	receipt := fmt.Sprintf("n%d.%d", n.ID, n.receipts)
-	n.judge.Made(c.id, receipt)
+	n.judge.ReceiptIssued(c.id, receipt)
 	c.say("UP "+receipt+"\r\n", wait)
 	c.tellLoad()
 }
@@ -658,7 +658,7 @@
 		held.mute = true
 		c.stand(now)
 		receipt := fmt.Sprintf("n%d.again", n.ID)
-		n.judge.Made(c.id, receipt)
+		n.judge.ReceiptIssued(c.id, receipt)
 		c.say("UP "+receipt+"\r\n", n.model.Delay())
 		return
 	}
@@ -666,7 +666,7 @@
 }
 
 func (c *conn) tellLoad() {
-	if c.node.talk.Loads && !c.mute {
+	if c.node.talk.ReportsLoad && !c.mute {
 		c.say("LOAD "+strconv.FormatInt(int64(c.plan.Load.Cores*1e6), 10)+"\r\n", 0)
 	}
 }
@@ -677,7 +677,7 @@
 	now := n.now()
 	if words := strings.Fields(text); len(words) == 3 {
 		if us, err := strconv.ParseInt(words[2], 10, 64); err == nil {
-			n.judge.Held(now, c.id, now-time.Duration(us)*time.Microsecond)
+			n.judge.LineDelayed(now, c.id, now-time.Duration(us)*time.Microsecond)
 		}
 	}
 	n.mu.Lock()
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -20,8 +20,8 @@
 
 const ms = time.Millisecond
 
-var machine = Machine{Cores: 2, Speed: 1, Handshake: 0.002, GroupCost: 2, Mean: 0.1, ColdFrom: 0.2,
-	ColdSpan: 10 * time.Second, Multiple: 3, Window: time.Second, Most: 100}
+var machine = Machine{Cores: 2, Speed: 1, HandshakeWork: 0.002, GroupCost: 2, MeanLoad: 0.1, ColdFrom: 0.2,
+	ColdSpan: 10 * time.Second, OverloadMultiple: 3, OverloadWindow: time.Second, MaxSessions: 100}
 
 // Whatever comes and goes, what is asked is the sum of what is held, work piles up only beyond what can be done, and
 // delays follow it.
@@ -34,7 +34,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
 				l := Load{rapid.Float64Range(0, 0.5).Draw(t, "load"), rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "group")}
-				m.Begin()
+				m.BeginHandshake()
 				m.Add(l)
 				held = append(held, l)
 			case 1:
@@ -43,7 +43,7 @@
 					held = held[1:]
 				}
 			case 2:
-				m.Slow(rapid.Float64Range(1, 4).Draw(t, "slow"))
+				m.SetSlowdown(rapid.Float64Range(1, 4).Draw(t, "slow"))
 			}
 			was := m.backlog
 			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "gap")) * ms
@@ -55,14 +55,14 @@
 					groups[l.Group] = true
 				}
 			}
-			asked += float64(len(groups)) * machine.GroupCost * machine.Mean
-			if math.Abs(asked-m.Asked()) > 1e-9 || m.Held() != len(held) {
-				t.Fatalf("asked %v for %v, held %d of %d", m.Asked(), asked, m.Held(), len(held))
+			asked += float64(len(groups)) * machine.GroupCost * machine.MeanLoad
+			if math.Abs(asked-m.Demand()) > 1e-9 || m.Sessions() != len(held) {
+				t.Fatalf("asked %v for %v, held %d of %d", m.Demand(), asked, m.Sessions(), len(held))
 			}
-			if m.Asked() < machine.Cores*machine.ColdFrom/4 && m.backlog > was {
+			if m.Demand() < machine.Cores*machine.ColdFrom/4 && m.backlog > was {
 				t.Fatalf("work piles up from %v to %v", was, m.backlog)
 			}
-			if m.Delay() < 0 || m.Delay() > mostDelay || m.Warmth() < machine.ColdFrom || m.Warmth() > 1 {
+			if m.Delay() < 0 || m.Delay() > maxDelay || m.Warmth() < machine.ColdFrom || m.Warmth() > 1 {
 				t.Fatalf("delay %v, warmth %v", m.Delay(), m.Warmth())
 			}
 		}
@@ -82,7 +82,7 @@
 		m.Advance(c.d)
 		m.Remove(Load{Cores: c.load})
 		m.Advance(5 * time.Second)
-		if why := m.Fallen(); (why != "") != c.want {
+		if why := m.FailureReason(); (why != "") != c.want {
 			t.Errorf("%+v: %q", c, why)
 		}
 	}
@@ -93,7 +93,7 @@
 	lines *bufio.Reader
 }
 
-func (s session) hear(t *testing.T, want string) {
+func (s session) expect(t *testing.T, want string) {
 	t.Helper()
 	s.SetReadDeadline(time.Now().Add(2 * time.Second))
 	if got, err := s.lines.ReadString('\n'); err != nil || !strings.HasPrefix(got, want) {
@@ -102,7 +102,7 @@
 }
 
 // quiet checks that nothing comes, and that the connection stays.
-func (s session) quiet(t *testing.T) {
+func (s session) expectSilence(t *testing.T) {
 	t.Helper()
 	s.SetReadDeadline(time.Now().Add(150 * ms))
 	var timeout net.Error
@@ -116,7 +116,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	j := judge.New(50*ms, 0, 0, false, []judge.Place{{}})
-	n := New(0, "127.0.0.1:0", machine, Talk{Loads: true}, 1, now, j,
+	n := New(0, "127.0.0.1:0", machine, Protocol{ReportsLoad: true}, 1, now, j,
 		func(judge.SessionID) Plan { return Plan{Load: Load{Cores: 0.01}} }, func(*Node) {})
 	if err := n.Start(true); err != nil {
 		t.Fatal(err)
@@ -139,44 +139,44 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.hear(t, "UP ")
-		s.hear(t, "LOAD ")
+		s.expect(t, "UP ")
+		s.expect(t, "LOAD ")
 		fmt.Fprint(s, "M 1\r\n")
-		s.hear(t, "M 1")
+		s.expect(t, "M 1")
 		return s
 	}
 	s := up()
 
 	n.Hang()
 	fmt.Fprint(s, "M 2\r\n")
-	s.quiet(t)
+	s.expectSilence(t)
 	if other, err := connect(); err != nil {
 		t.Error("one that hangs takes connections: ", err)
 	} else {
-		other.quiet(t)
+		other.expectSilence(t)
 	}
 	n.Recover()
 	fmt.Fprint(s, "M 3\r\n")
-	s.hear(t, "M 3")
+	s.expect(t, "M 3")
 
 	before := time.Now()
 	n.Stall(200 * ms)
 	fmt.Fprint(s, "M 4\r\n")
-	s.hear(t, "M 4")
+	s.expect(t, "M 4")
 	if took := time.Since(before); took < 190*ms {
 		t.Errorf("a line in a stall of 200 ms took %v", took)
 	}
 
 	n.HalfOpen(1)
 	fmt.Fprint(s, "M 5\r\n")
-	s.quiet(t)
+	s.expectSilence(t)
 	s = up() // others are well
 
 	if err := n.Vanish(); err != nil {
 		t.Fatal(err)
 	}
 	fmt.Fprint(s, "M 6\r\n")
-	s.quiet(t)
+	s.expectSilence(t)
 	if _, err := connect(); err == nil {
 		t.Error("a connection to a machine that vanished came up")
 	}
@@ -203,12 +203,12 @@
 	s = up()
 
 	go n.Drain(t.Context(), 100*ms, true)
-	s.hear(t, "MOVE")
+	s.expect(t, "MOVE")
 	late, err := connect()
 	if err != nil {
 		t.Fatal(err)
 	}
-	late.hear(t, "BUSY")
+	late.expect(t, "BUSY")
 }
 
 // A process that is killed, or asked for a session that another connection is just beginning, while first lines come
@@ -218,7 +218,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	j := judge.New(50*ms, 0, 0, false, []judge.Place{{}})
-	n := New(0, "127.0.0.1:0", machine, Talk{Passes: true}, 1, now, j,
+	n := New(0, "127.0.0.1:0", machine, Protocol{PassThrough: true}, 1, now, j,
 		func(judge.SessionID) Plan {
 			return Plan{Load: Load{Cores: 0.001}, Alive: func() bool { return false }}
 		}, func(*Node) {})
@@ -258,8 +258,8 @@
 				}
 			}
 		}
-		if f := n.Figures(); f.Held != 0 || f.Up {
-			t.Fatalf("killed, it holds %d, up %v", f.Held, f.Up)
+		if f := n.Stats(); f.Sessions != 0 || f.Running {
+			t.Fatalf("killed, it holds %d, up %v", f.Sessions, f.Running)
 		}
 	}
 }
@@ -286,7 +286,7 @@
 						return now()
 					}
 				}
-				nodes[i] = New(judge.NodeID(i), "127.0.0.1:0", machine, Talk{}, 1, clock, j, plans, func(*Node) {})
+				nodes[i] = New(judge.NodeID(i), "127.0.0.1:0", machine, Protocol{}, 1, clock, j, plans, func(*Node) {})
 				if err := nodes[i].Start(true); err != nil {
 					t.Fatal(err)
 				}
@@ -296,7 +296,7 @@
 				nodes[0].Close()
 				nodes[1].Close()
 			}()
-			j.Taken(now(), "9", 0, judge.Kind{Timeout: time.Second})
+			j.Requested(now(), "9", 0, judge.Terms{DialTimeout: time.Second})
 			dial := func(n *Node) (net.Conn, session) {
 				c, err := net.Dial("tcp", n.Address)
 				if err != nil {
@@ -304,7 +304,7 @@
 				}
 				fmt.Fprint(c, "OPEN 9 7 c=page,d=500\r\n")
 				s := session{c, bufio.NewReader(c)}
-				s.hear(t, "UP ")
+				s.expect(t, "UP ")
 				return c, s
 			}
 			first, _ := dial(nodes[0])
@@ -320,7 +320,7 @@
 			defer first.Close()
 			defer second.Close()
 			j.Check(now() + time.Second)
-			if _, counted := j.Breaches(); (counted[judge.Twice] > 0) != (how == "not at all") {
+			if _, counted := j.Violations(); (counted[judge.DuplicateEffect] > 0) != (how == "not at all") {
 				t.Errorf("broken: %v", counted)
 			}
 		})
--- a/internal/standin/way/way.go
+++ b/internal/standin/way/way.go
@@ -11,19 +11,19 @@
 	"time"
 )
 
-const kept = 8 // of the first packets, to be played again
+const replayCount = 8 // of the first packets, to be played again
 
 // Way carries what comes to its address on to another.
 type Way struct {
 	conn *net.UDPConn
 	to   netip.AddrPort
 
-	mu            sync.Mutex
-	chance        *rand.Rand
-	cut           bool
-	lost, doubled float64
-	late          time.Duration
-	old           [][]byte
+	mu                        sync.Mutex
+	chance                    *rand.Rand
+	cut                       bool
+	lossShare, duplicateShare float64
+	maxDelay                  time.Duration
+	replayable                [][]byte
 }
 
 // Open opens a way from an address (port 0: any) to another; the seed is that of its chance.
@@ -39,7 +39,7 @@
 	if w.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err != nil {
 		return nil, err
 	}
-	go w.carry()
+	go w.relay()
 	return w, nil
 }
 
@@ -59,7 +59,7 @@
 // Faulty loses and doubles packets by chance, as shares, and has each come up to a span late, so that they overtake.
 func (w *Way) Faulty(lost, doubled float64, late time.Duration) {
 	w.mu.Lock()
-	w.lost, w.doubled, w.late = lost, doubled, late
+	w.lossShare, w.duplicateShare, w.maxDelay = lost, doubled, late
 	w.mu.Unlock()
 }
 
@@ -67,7 +67,7 @@
 func (w *Way) Again() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, packet := range w.old {
+	for _, packet := range w.replayable {
 		w.conn.WriteToUDPAddrPort(packet, w.to) // may be lost like any
 	}
 }
@@ -75,7 +75,7 @@
 // Send sends a packet that nobody told, cut or not.
 func (w *Way) Send(packet []byte) { w.conn.WriteToUDPAddrPort(packet, w.to) }
 
-func (w *Way) carry() {
+func (w *Way) relay() {
 	text := make([]byte, 1<<16)
 	for {
 		n, _, err := w.conn.ReadFromUDPAddrPort(text)
@@ -83,7 +83,7 @@
 			return
 		}
 		packet := bytes.Clone(text[:n])
-		for _, late := range w.fate(packet) {
+		for _, late := range w.copies(packet) {
 			if late == 0 {
 				w.Send(packet)
 				continue
@@ -94,21 +94,21 @@
 }
 
 // fate is how late each copy of a packet comes.
-func (w *Way) fate(packet []byte) (copies []time.Duration) {
+func (w *Way) copies(packet []byte) (copies []time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.old) < kept {
-		w.old = append(w.old, packet)
+	if len(w.replayable) < replayCount {
+		w.replayable = append(w.replayable, packet)
 	}
-	if w.cut || w.chance.Float64() < w.lost {
+	if w.cut || w.chance.Float64() < w.lossShare {
 		return nil
 	}
 	n := 1
-	if w.chance.Float64() < w.doubled {
+	if w.chance.Float64() < w.duplicateShare {
 		n = 2
 	}
 	for range n {
-		copies = append(copies, time.Duration(w.chance.Int63n(int64(w.late)+1)))
+		copies = append(copies, time.Duration(w.chance.Int63n(int64(w.maxDelay)+1)))
 	}
 	return copies
 }
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -84,7 +84,7 @@
 	}
 	if last.Last == 0 { // not one batch: the next writer's first segment has this name
 		err = os.Remove(name)
-	} else if err = f.keepStart(name, last.Good); err == nil {
+	} else if err = f.copyPrefix(name, last.Good); err == nil {
 		err = os.Rename(name+".new", name) // at once: the good part is always under one name or the other
 	}
 	if err != nil {
@@ -94,7 +94,7 @@
 }
 
 // keepStart makes a new file of the first bytes of another.
-func (f *Folder) keepStart(name string, good int) error {
+func (f *Folder) copyPrefix(name string, good int) error {
 	text, err := os.ReadFile(name)
 	if err != nil {
 		return err
--- a/internal/store/format.go
+++ b/internal/store/format.go
@@ -16,10 +16,10 @@
 const Version = 1
 
 const (
-	magic      = "CKFS"
-	headerSize = 4 + 2 + 2 + 8 + 4 // magic, version, reserved, first sequence, CRC-32C of what is before
-	frameSize  = 4 + 4 + 8         // length of the payload, CRC-32C of sequence and payload, sequence
-	mostBatch  = 1 << 20           // bytes of a payload
+	magic         = "CKFS"
+	headerSize    = 4 + 2 + 2 + 8 + 4 // magic, version, reserved, first sequence, CRC-32C of what is before
+	frameSize     = 4 + 4 + 8         // length of the payload, CRC-32C of sequence and payload, sequence
+	maxBatchBytes = 1 << 20           // bytes of a payload
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -55,13 +55,13 @@
 		return 0, errors.New("header is damaged")
 	}
 	if version := binary.LittleEndian.Uint16(text[4:]); version > Version {
-		return 0, fmt.Errorf("%w: it is of version %d, this build reads up to %d", ErrLater, version, Version)
+		return 0, fmt.Errorf("%w: it is of version %d, this build reads up to %d", ErrNewerVersion, version, Version)
 	}
 	return Seq(binary.LittleEndian.Uint64(text[8:])), nil
 }
 
 // ErrLater tells that a folder was written by a later build.
-var ErrLater = errors.New("folder of a later version")
+var ErrNewerVersion = errors.New("folder of a later version")
 
 // appendBatch frames a batch.
 func appendBatch(to []byte, seq Seq, ops []Op) ([]byte, error) {
@@ -83,7 +83,7 @@
 			text(string(op.Value))
 		}
 	}
-	if len(payload) > mostBatch {
+	if len(payload) > maxBatchBytes {
 		return to, ErrTooLarge
 	}
 	to = binary.LittleEndian.AppendUint32(to, uint32(len(payload)))
@@ -102,7 +102,7 @@
 		return 0, nil, 0, errTorn
 	}
 	n := binary.LittleEndian.Uint32(text)
-	if n > mostBatch || len(text) < frameSize+int(n) {
+	if n > maxBatchBytes || len(text) < frameSize+int(n) {
 		return 0, nil, 0, errTorn
 	}
 	size = frameSize + int(n)
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -39,7 +39,7 @@
 	return fmt.Sprintf("%s at byte %d: %s; good up to batch %d", d.Segment, d.At, d.Text, d.Good)
 }
 
-const suffix = ".segment"
+const segmentSuffix = ".segment"
 
 // Recover reads all segments of a folder. A last segment that ends within a batch is what a loss of power leaves: its
 // whole batches count, and Torn says what does not. Anything else that is wrong is a *Damage.
@@ -50,7 +50,7 @@
 	}
 	var names []string
 	for _, e := range entries {
-		if strings.HasSuffix(e.Name(), suffix) {
+		if strings.HasSuffix(e.Name(), segmentSuffix) {
 			names = append(names, e.Name())
 		}
 	}
@@ -61,14 +61,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := r.segment(name, text, i == 0, i == len(names)-1); err != nil {
+		if err := r.recoverSegment(name, text, i == 0, i == len(names)-1); err != nil {
 			return nil, err
 		}
 	}
 	return r, nil
 }
 
-func (r *Recovered) segment(name string, text []byte, isFirst, isLast bool) error {
+func (r *Recovered) recoverSegment(name string, text []byte, isFirst, isLast bool) error {
 	damage := func(at int, format string, args ...any) error {
 		return &Damage{name, at, r.Last, fmt.Sprintf(format, args...)}
 	}
@@ -79,7 +79,7 @@
 			r.Torn = fmt.Sprintf("%s: %v", name, err)
 			return nil
 		}
-		if errors.Is(err, ErrLater) {
+		if errors.Is(err, ErrNewerVersion) {
 			return fmt.Errorf("%s: %w", name, err)
 		}
 		return damage(0, "%v", err)
@@ -93,7 +93,7 @@
 	for s.Good < len(text) {
 		seq, ops, size, err := readBatch(text[s.Good:])
 		if err != nil {
-			if !isLast || follows(text[s.Good+1:], r.Last) {
+			if !isLast || laterBatchFollows(text[s.Good+1:], r.Last) {
 				return damage(s.Good, "%v, and others follow", err)
 			}
 			r.Torn = fmt.Sprintf("%s: %v from byte %d of %d", name, err, s.Good, len(text))
@@ -112,7 +112,7 @@
 
 // follows tells whether a whole batch of a later number stands anywhere in a text: then what is before it is no torn
 // end, but damage in the middle.
-func follows(text []byte, last Seq) bool {
+func laterBatchFollows(text []byte, last Seq) bool {
 	for at := range text {
 		if seq, _, _, err := readBatch(text[at:]); err == nil && seq > last {
 			return true
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -21,7 +21,7 @@
 	seq := Seq(1)
 	for range 3 {
 		text := appendHeader(nil, seq)
-		name := fmt.Sprintf("%016x%s", seq, suffix)
+		name := fmt.Sprintf("%016x%s", seq, segmentSuffix)
 		for range 2 + rng.Intn(3) {
 			var ops []Op
 			for range 1 + rng.Intn(3) {
@@ -116,10 +116,10 @@
 	text := appendHeader(nil, 1)
 	text[4] = Version + 1
 	binary.LittleEndian.PutUint32(text[headerSize-4:], crc32.Checksum(text[:headerSize-4], castagnoli))
-	if _, err := Recover(fstest.MapFS{"1" + suffix: {Data: text}}); !errors.Is(err, ErrLater) {
+	if _, err := Recover(fstest.MapFS{"1" + segmentSuffix: {Data: text}}); !errors.Is(err, ErrNewerVersion) {
 		t.Fatal(err)
 	}
-	if _, err := appendBatch(nil, 1, []Op{{Value: make([]byte, mostBatch)}}); !errors.Is(err, ErrTooLarge) {
+	if _, err := appendBatch(nil, 1, []Op{{Value: make([]byte, maxBatchBytes)}}); !errors.Is(err, ErrTooLarge) {
 		t.Fatal(err)
 	}
 }
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -9,23 +9,23 @@
 // Writer appends batches. Many that wait share one sync (group commit): each is acknowledged after the sync that made
 // it last, in the order in which they came. It never blocks who appends.
 type Writer struct {
-	disk    Disk
-	most    int // batches that may wait
-	segment int // bytes after which the next commit begins another segment
-	mu      sync.Mutex
-	waiting []waiting
-	shed    int
-	failed  error
-	closed  bool
-	wake    chan struct{}
-	ended   chan struct{}
+	disk            Disk
+	maxPending      int // batches that may wait
+	maxSegmentBytes int // bytes after which the next commit begins another segment
+	mu              sync.Mutex
+	pending         []pendingBatch
+	shed            int
+	failed          error
+	closed          bool
+	wake            chan struct{}
+	ended           chan struct{}
 
 	file File // the rest is the committing goroutine's
 	size int
 	last Seq
 }
 
-type waiting struct {
+type pendingBatch struct {
 	ops  []Op
 	done func(Seq, error)
 }
@@ -40,7 +40,7 @@
 // NewWriter goes on behind what was recovered, in a segment of its own: a torn end is never written over. At most so
 // many batches wait; a segment that has reached so many bytes is followed by another.
 func NewWriter(disk Disk, r *Recovered, most, segment int) (*Writer, error) {
-	w := &Writer{disk: disk, most: most, segment: segment, last: r.Last, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	w := &Writer{disk: disk, maxPending: most, maxSegmentBytes: segment, last: r.Last, wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	if r.Torn != "" {
 		return nil, fmt.Errorf("the end is torn, repair it first: %s", r.Torn)
 	}
@@ -61,11 +61,11 @@
 		return ErrClosed
 	case w.failed != nil:
 		return w.failed
-	case len(w.waiting) >= w.most:
+	case len(w.pending) >= w.maxPending:
 		w.shed++
 		return ErrFull
 	}
-	w.waiting = append(w.waiting, waiting{ops, done})
+	w.pending = append(w.pending, pendingBatch{ops, done})
 	select {
 	case w.wake <- struct{}{}:
 	default:
@@ -109,8 +109,8 @@
 // has lost, a later one that succeeds does not bring back.
 func (w *Writer) commit() {
 	w.mu.Lock()
-	batches, failed := w.waiting, w.failed
-	w.waiting = nil
+	batches, failed := w.pending, w.failed
+	w.pending = nil
 	w.mu.Unlock()
 	if len(batches) == 0 {
 		return
@@ -147,7 +147,7 @@
 }
 
 func (w *Writer) write(first Seq, text []byte) error {
-	if w.file != nil && w.size >= w.segment {
+	if w.file != nil && w.size >= w.maxSegmentBytes {
 		file := w.file
 		w.file, w.size = nil, 0
 		if err := file.Close(); err != nil {
@@ -155,7 +155,7 @@
 		}
 	}
 	if w.file == nil {
-		file, err := w.disk.Create(fmt.Sprintf("%016x%s", uint64(first), suffix))
+		file, err := w.disk.Create(fmt.Sprintf("%016x%s", uint64(first), segmentSuffix))
 		if err != nil {
 			return err
 		}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -21,21 +21,21 @@
 
 // Session is one arrival. Times are in milliseconds.
 type Session struct {
-	At       float64 `json:"at"`                 // since the trace's start
-	Listener string  `json:"listener"`           //
-	Title    string  `json:"title,omitempty"`    // the tenant
-	Zone     string  `json:"zone,omitempty"`     // of the client
-	Key      string  `json:"key"`                // of the client, hexadecimal
-	Group    string  `json:"group,omitempty"`    //
-	Wait     float64 `json:"wait,omitempty"`     // its dial timeout; 0: the listener's
-	Load     float64 `json:"load,omitempty"`     // in usual sessions; 0: not known
-	Life     float64 `json:"life,omitempty"`     // how long it stood; 0: not known
-	Answer   string  `json:"answer,omitempty"`   // how it ended when it was recorded
-	Returned bool    `json:"returned,omitempty"` // its client came again after a break or a move
+	AtMs          float64 `json:"at"`                 // since the trace's start
+	Listener      string  `json:"listener"`           //
+	Tenant        string  `json:"title,omitempty"`    // the tenant
+	Zone          string  `json:"zone,omitempty"`     // of the client
+	Key           string  `json:"key"`                // of the client, hexadecimal
+	Group         string  `json:"group,omitempty"`    //
+	DialTimeoutMs float64 `json:"wait,omitempty"`     // its dial timeout; 0: the listener's
+	Load          float64 `json:"load,omitempty"`     // in usual sessions; 0: not known
+	LifetimeMs    float64 `json:"life,omitempty"`     // how long it stood; 0: not known
+	Answer        string  `json:"answer,omitempty"`   // how it ended when it was recorded
+	Returned      bool    `json:"returned,omitempty"` // its client came again after a break or a move
 }
 
 // Arrives is when the session arrives, since the trace's start.
-func (s Session) Arrives() time.Duration { return time.Duration(s.At * float64(time.Millisecond)) }
+func (s Session) ArrivesAt() time.Duration { return time.Duration(s.AtMs * float64(time.Millisecond)) }
 
 type header struct {
 	Trace  int    `json:"chalkferry_trace"`
@@ -52,12 +52,12 @@
 
 func (e *Error) Error() string { return fmt.Sprintf("%s:%d: %s", e.Name, e.Line, e.Text) }
 
-const mostLine = 64 << 10
+const maxLineBytes = 64 << 10
 
 // Read reads a whole trace; what is wrong with it is an *Error with the line's number.
 func Read(name string, from io.Reader) ([]Session, error) {
 	lines := bufio.NewScanner(from)
-	lines.Buffer(make([]byte, 0, 4<<10), mostLine)
+	lines.Buffer(make([]byte, 0, 4<<10), maxLineBytes)
 	var sessions []Session
 	n := 0
 	for lines.Scan() {
@@ -66,7 +66,7 @@
 		text := bytes.TrimSpace(lines.Bytes())
 		if n == 1 {
 			var h header
-			switch err := strictly(text, &h); {
+			switch err := decodeStrict(text, &h); {
 			case err != nil:
 				return nil, wrong("no header of a trace: %v", err)
 			case h.Trace < 1 || h.Trace > Version:
@@ -80,14 +80,14 @@
 			continue
 		}
 		var s Session
-		if err := strictly(text, &s); err != nil {
+		if err := decodeStrict(text, &s); err != nil {
 			return nil, wrong("%v", err)
 		}
 		if err := s.check(); err != nil {
 			return nil, wrong("%v", err)
 		}
-		if len(sessions) > 0 && s.At < sessions[len(sessions)-1].At {
-			return nil, wrong("arrives at %v ms, before the line above", s.At)
+		if len(sessions) > 0 && s.AtMs < sessions[len(sessions)-1].AtMs {
+			return nil, wrong("arrives at %v ms, before the line above", s.AtMs)
 		}
 		sessions = append(sessions, s)
 	}
@@ -100,7 +100,7 @@
 	return sessions, nil
 }
 
-func strictly(text []byte, into any) error {
+func decodeStrict(text []byte, into any) error {
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
@@ -116,12 +116,12 @@
 	for _, v := range []struct {
 		name  string
 		value float64
-	}{{"at", s.At}, {"wait", s.Wait}, {"load", s.Load}, {"life", s.Life}} {
+	}{{"at", s.AtMs}, {"wait", s.DialTimeoutMs}, {"load", s.Load}, {"life", s.LifetimeMs}} {
 		if v.value < 0 || v.value > 1e12 || math.IsNaN(v.value) {
 			return fmt.Errorf("%s is %v", v.name, v.value)
 		}
 	}
-	for _, v := range []struct{ name, text string }{{"listener", s.Listener}, {"title", s.Title}, {"zone", s.Zone},
+	for _, v := range []struct{ name, text string }{{"listener", s.Listener}, {"title", s.Tenant}, {"zone", s.Zone},
 		{"key", s.Key}, {"group", s.Group}} {
 		if bytes.ContainsFunc([]byte(v.text), func(r rune) bool { return r <= ' ' || r > '~' || r == ',' || r == '=' }) {
 			return fmt.Errorf("%s %q can't stand in a first line", v.name, v.text)
@@ -152,8 +152,8 @@
 func Cut(sessions []Session, from, to time.Duration) []Session {
 	var kept []Session
 	for _, s := range sessions {
-		if at := s.Arrives(); at >= from && at < to {
-			s.At -= float64(from) / float64(time.Millisecond)
+		if at := s.ArrivesAt(); at >= from && at < to {
+			s.AtMs -= float64(from) / float64(time.Millisecond)
 			kept = append(kept, s)
 		}
 	}
@@ -174,12 +174,12 @@
 			c := s
 			if copied > 0 {
 				c.Key = rekey(s.Key, copied)
-				c.At += rng.Float64() * float64(spread) / float64(time.Millisecond)
+				c.AtMs += rng.Float64() * float64(spread) / float64(time.Millisecond)
 			}
 			scaled = append(scaled, c)
 		}
 	}
-	sort(scaled)
+	sortByArrival(scaled)
 	return scaled
 }
 
@@ -194,7 +194,7 @@
 func Speed(sessions []Session, times float64) []Session {
 	faster := slices.Clone(sessions)
 	for i := range faster {
-		faster[i].At /= times
+		faster[i].AtMs /= times
 	}
 	return faster
 }
@@ -202,16 +202,16 @@
 // Merge lays traces over one another.
 func Merge(traces ...[]Session) []Session {
 	all := slices.Concat(traces...)
-	sort(all)
+	sortByArrival(all)
 	return all
 }
 
-func sort(sessions []Session) {
+func sortByArrival(sessions []Session) {
 	slices.SortStableFunc(sessions, func(a, b Session) int {
 		switch {
-		case a.At < b.At:
+		case a.AtMs < b.AtMs:
 			return -1
-		case a.At > b.At:
+		case a.AtMs > b.AtMs:
 			return 1
 		}
 		return 0
@@ -219,7 +219,7 @@
 }
 
 // logged is what the proxy's log says of a session's client side.
-type logged struct {
+type logLine struct {
 	Time     time.Time `json:"time"`
 	Side     string    `json:"side"`
 	Reason   string    `json:"reason"`
@@ -236,34 +236,34 @@
 
 // FromLog makes a trace of a proxy's log. Lines that are no session's are passed over and counted; a line that is no
 // JSON is an *Error, but for a last one that is cut off. Began is when the first session came.
-func FromLog(name string, from io.Reader) (sessions []Session, began time.Time, passed int, err error) {
+func FromLog(name string, from io.Reader) (sessions []Session, start time.Time, skipped int, err error) {
 	lines := bufio.NewReader(from)
 	var starts []time.Time
 	for n := 1; ; n++ {
 		text, readErr := lines.ReadBytes('\n')
 		if readErr != nil && readErr != io.EOF {
-			return nil, began, passed, readErr
+			return nil, start, skipped, readErr
 		}
 		isLast := readErr == io.EOF
 		if len(bytes.TrimSpace(text)) > 0 {
-			var l logged
+			var l logLine
 			if err := json.Unmarshal(text, &l); err != nil {
 				if isLast { // the process was killed as it wrote
-					passed++
+					skipped++
 					break
 				}
-				return nil, began, passed, &Error{name, n, err.Error()}
+				return nil, start, skipped, &Error{name, n, err.Error()}
 			}
 			if l.Side != "client" || l.Listener == "" || l.Key == "" {
-				passed++
+				skipped++
 			} else {
-				s := Session{Listener: l.Listener, Title: l.Title, Key: l.Key, Group: l.Group, Wait: l.WaitMs,
+				s := Session{Listener: l.Listener, Tenant: l.Title, Key: l.Key, Group: l.Group, DialTimeoutMs: l.WaitMs,
 					Answer: l.Reason, Returned: l.Returned}
 				if l.UpMs > 0 {
-					s.Life = max(l.Ms-l.UpMs, 1)
+					s.LifetimeMs = max(l.Ms-l.UpMs, 1)
 				}
 				if err := s.check(); err != nil {
-					return nil, began, passed, &Error{name, n, err.Error()}
+					return nil, start, skipped, &Error{name, n, err.Error()}
 				}
 				sessions = append(sessions, s)
 				starts = append(starts, l.Time.Add(-time.Duration(l.Ms*float64(time.Millisecond))))
@@ -274,20 +274,20 @@
 		}
 	}
 	if len(starts) > 0 {
-		began = slices.MinFunc(starts, time.Time.Compare)
+		start = slices.MinFunc(starts, time.Time.Compare)
 		for i := range sessions {
-			sessions[i].At = float64(starts[i].Sub(began)) / float64(time.Millisecond)
+			sessions[i].AtMs = float64(starts[i].Sub(start)) / float64(time.Millisecond)
 		}
-		sort(sessions)
+		sortByArrival(sessions)
 	}
-	return sessions, began, passed, nil
+	return sessions, start, skipped, nil
 }
 
 // Shift has all arrive so much later.
 func Shift(sessions []Session, by time.Duration) []Session {
 	later := slices.Clone(sessions)
 	for i := range later {
-		later[i].At += float64(by) / float64(time.Millisecond)
+		later[i].AtMs += float64(by) / float64(time.Millisecond)
 	}
 	return later
 }
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -17,8 +17,8 @@
 	at := 0.0
 	for range rapid.IntRange(0, 30).Draw(t, "n") {
 		at += rapid.Float64Range(0, 500).Draw(t, "gap")
-		sessions = append(sessions, Session{At: at, Listener: rapid.SampledFrom([]string{"page", "studio"}).Draw(t, "listener"),
-			Key: rapid.StringMatching(`[0-9a-f]{1,16}`).Draw(t, "key"), Life: rapid.Float64Range(0, 1e5).Draw(t, "life"),
+		sessions = append(sessions, Session{AtMs: at, Listener: rapid.SampledFrom([]string{"page", "studio"}).Draw(t, "listener"),
+			Key: rapid.StringMatching(`[0-9a-f]{1,16}`).Draw(t, "key"), LifetimeMs: rapid.Float64Range(0, 1e5).Draw(t, "life"),
 			Returned: rapid.Bool().Draw(t, "returned")})
 	}
 	return sessions
@@ -42,12 +42,12 @@
 			t.Fatalf("%d and %d of %d", len(head), len(tail), len(was))
 		}
 		for _, s := range Merge(head, tail) {
-			if s.At < 0 {
+			if s.AtMs < 0 {
 				t.Fatal(s)
 			}
 		}
 		for i, s := range Speed(was, 10) {
-			if s.At != was[i].At/10 || s.Life != was[i].Life {
+			if s.AtMs != was[i].AtMs/10 || s.LifetimeMs != was[i].LifetimeMs {
 				t.Fatal(s, was[i])
 			}
 		}
@@ -57,7 +57,7 @@
 			t.Fatalf("%d for %d times %d", len(scaled), n, len(was))
 		}
 		for i := 1; i < len(scaled); i++ {
-			if scaled[i].At < scaled[i-1].At {
+			if scaled[i].AtMs < scaled[i-1].AtMs {
 				t.Fatal("out of order")
 			}
 		}
@@ -76,8 +76,8 @@
 		head + `{"at":1,"listener":"pa ge","key":"a"}`:                                                2,
 		head + `{"at":1,"listener":"page"}`:                                                           2,
 		head + `{"at":1,"listener":"page","key":"a"} {}`:                                              2,
-		head + `{"at":1`:                       2,
-		head + strings.Repeat("x", 2*mostLine): 2,
+		head + `{"at":1`: 2,
+		head + strings.Repeat("x", 2*maxLineBytes): 2,
 	} {
 		_, err := Read("t", strings.NewReader(text))
 		var wrong *Error
@@ -94,8 +94,8 @@
 {"level":"info","side":"client","reason":"idle","ms":2,"time":"2026-12-01T20:00:00.502Z"}
 {"level":"info","side":"cl`
 	got, began, passed, err := FromLog("log", strings.NewReader(log))
-	want := []Session{{At: 0, Listener: "page", Key: "7e", Answer: "refused"},
-		{At: 250, Listener: "page", Title: "t", Key: "7f", Group: "5c", Wait: 800, Life: 1400, Answer: "ended"}}
+	want := []Session{{AtMs: 0, Listener: "page", Key: "7e", Answer: "refused"},
+		{AtMs: 250, Listener: "page", Tenant: "t", Key: "7f", Group: "5c", DialTimeoutMs: 800, LifetimeMs: 1400, Answer: "ended"}}
 	if err != nil || passed != 3 || began.Format("05.000") != "00.500" || !reflect.DeepEqual(got, want) {
 		t.Fatal(err, passed, got)
 	}
