--- a/internal/standin/node/model.go
+++ b/internal/standin/node/model.go
@@ -1,5 +1,6 @@
-// Package node is a stand-in push node: a model of what its machine can do, and a server that speaks the platform's
-// lines and behaves as the model and the faults say.
+// Package node simulates a push node: a model of what its machine can do, and a server that speaks the platform's lines
+// and behaves as the model and the injected faults say. It reports to the judge what arrives and what it ends; it does
+// not decide which rules were broken.
 package node
 
 import (
@@ -8,50 +9,61 @@
 	"time"
 )
 
-// Machine is what a node can do.
+// Machine is what a node can do. Work is measured in seconds of a reference core.
 type Machine struct {
 	Cores            float64
-	Speed            float64       // of a core, against the yardstick's 1
-	HandshakeWork    float64       // work of a new session, in core seconds of the yardstick
-	GroupCost        float64       // of each group that the node holds any session of, in Mean
-	MeanLoad         float64       // load of a usual session, in cores
+	Speed            float64       // of a core, relative to the reference core
+	HandshakeWork    float64       // work of a new session, in core seconds
+	GroupCost        float64       // of each group that the node holds any session of, in MeanLoad
+	MeanLoad         float64       // load of an average session, in cores
 	ColdFrom         float64       // share of its capacity at the start
 	ColdSpan         time.Duration // until it is warm
-	OverloadMultiple float64       // it falls over when asked for more than this times what it can do
+	OverloadMultiple float64       // it fails when its demand exceeds this times its capacity
 	OverloadWindow   time.Duration // for so long while it is cold
-	MaxSessions      int           // sessions that it holds
+	MaxSessions      int
 }
 
-// Load is what one session asks of its node.
+// Load is what one session demands of its node.
 type Load struct {
 	Cores float64
 	Group string
 }
 
-// Model is a node's work: what is asked, what can be done, and what has piled up. It has no clock and does no I/O;
-// times are spans since the run's start and never go back.
+const (
+	// maxAdvance bounds how far the model looks at once, so that a ramp is followed.
+	maxAdvance = 100 * time.Millisecond
+	// maxDelay bounds what a node that is far behind lets a message wait.
+	maxDelay = 5 * time.Second
+	// maxUtilization bounds the utilization in the queueing formula, which has no value at 1.
+	maxUtilization = 0.95
+	// messageWork is a message's own work, in core seconds.
+	messageWork = 0.0005
+)
+
+// Model is a node's work: demand, capacity and backlog. It has no clock and does no I/O; times are durations since the
+// run's start and never go back.
 type Model struct {
-	machine   Machine
-	started   time.Duration
-	warm      bool // from the start
-	slow      float64
-	now       time.Duration
-	asked     float64 // cores
-	groups    map[string]int
-	held      int
-	backlog   float64 // core seconds
-	recent    float64 // cores: work of handshakes, and loads that were turned away, over about the last second
-	overSince time.Duration
-	over      bool
-	fallen    string
+	machine       Machine
+	started       time.Duration
+	warm          bool // from the start
+	slowdown      float64
+	now           time.Duration
+	sessionDemand float64 // cores
+	groups        map[string]int
+	sessions      int
+	backlog       float64 // core seconds
+	recentDemand  float64 // cores: work of handshakes, and loads that were refused, over about the last second
+	overloaded    bool
+	overloadStart time.Duration
+	failureReason string
 }
 
 // NewModel makes a node that starts now; a warm one has run for long.
 func NewModel(m Machine, now time.Duration, warm bool) *Model {
-	return &Model{machine: m, started: now, warm: warm, slow: 1, now: now, groups: map[string]int{}}
+	return &Model{machine: m, started: now, warm: warm, slowdown: 1, now: now, groups: map[string]int{}}
 }
 
-// Warmth is the share of its capacity that the node has.
+// Warmth is the share of its full capacity that the node has.
 func (m *Model) Warmth() float64 {
 	if age := m.now - m.started; !m.warm && age < m.machine.ColdSpan {
 		return m.machine.ColdFrom + (1-m.machine.ColdFrom)*float64(age)/float64(m.machine.ColdSpan)
@@ -59,91 +71,91 @@
 	return 1
 }
 
-// Capacity is what it can do at this moment, in cores of the yardstick.
-func (m *Model) Capacity() float64 { return m.machine.Cores * m.machine.Speed * m.Warmth() / m.slow }
+// Capacity is what it can do at this moment, in reference cores.
+func (m *Model) Capacity() float64 {
+	return m.machine.Cores * m.machine.Speed * m.Warmth() / m.slowdown
+}
 
-// Asked is what its sessions and groups ask for, in cores.
+// Demand is what its sessions and groups ask for, in cores.
 func (m *Model) Demand() float64 {
-	return m.asked + float64(len(m.groups))*m.machine.GroupCost*m.machine.MeanLoad
+	return m.sessionDemand + float64(len(m.groups))*m.machine.GroupCost*m.machine.MeanLoad
 }
 
-// Held is how many sessions it has.
-func (m *Model) Sessions() int { return m.held }
+// Sessions is how many sessions it holds.
+func (m *Model) Sessions() int { return m.sessions }
 
-// Slow makes it slower by a factor; 1 is its usual speed.
-func (m *Model) SetSlowdown(factor float64) { m.slow = factor }
-
-// step bounds how far the model looks at once, so that a ramp is followed.
-const step = 100 * time.Millisecond
+// SetSlowdown makes it slower by a factor; 1 is its usual speed.
+func (m *Model) SetSlowdown(factor float64) { m.slowdown = factor }
 
 // Advance brings the model to a moment.
 func (m *Model) Advance(now time.Duration) {
 	for m.now < now {
-		dt := min(now-m.now, step)
-		m.now += dt
-		s := dt.Seconds()
-		m.recent *= math.Exp(-s)
-		m.backlog = max(m.backlog+(m.Demand()-m.Capacity())*s, 0)
-		can := m.Capacity() * m.slow // a slow neighbour is no part of the rule
-		isOver := m.Warmth() < 1 && m.Demand()+m.recent > m.machine.OverloadMultiple*can
-		if isOver && !m.over {
-			m.overSince = m.now
-		}
-		m.over = isOver
-		if isOver && m.fallen == "" && m.now-m.overSince >= m.machine.OverloadWindow {
-			m.fallen = fmt.Sprintf("asked for %.2f cores, over %.1f times the %.2f it could do, for %v",
-				m.Demand()+m.recent, m.machine.OverloadMultiple, can, m.machine.OverloadWindow)
-		}
+		step := min(now-m.now, maxAdvance)
+		m.now += step
+		seconds := step.Seconds()
+		m.recentDemand *= math.Exp(-seconds)
+		m.backlog = max(m.backlog+(m.Demand()-m.Capacity())*seconds, 0)
+		m.checkOverload()
+	}
+}
+
+// checkOverload applies the cold rule.
+func (m *Model) checkOverload() {
+	capacity := m.Capacity() * m.slowdown // a slow neighbour does not count
+	demand := m.Demand() + m.recentDemand
+	overloaded := m.Warmth() < 1 && demand > m.machine.OverloadMultiple*capacity
+	if overloaded && !m.overloaded {
+		m.overloadStart = m.now
+	}
+	m.overloaded = overloaded
+	if overloaded && m.failureReason == "" && m.now-m.overloadStart >= m.machine.OverloadWindow {
+		m.failureReason = fmt.Sprintf("asked for %.2f cores, over %.1f times the %.2f it could do, for %v",
+			demand, m.machine.OverloadMultiple, capacity, m.machine.OverloadWindow)
 	}
 }
 
-// Fallen is why the node has fallen over by now, "" where it has not.
-func (m *Model) FailureReason() string { return m.fallen }
+// FailureReason is why the node has failed by overload, "" where it has not.
+func (m *Model) FailureReason() string { return m.failureReason }
 
-// Begin takes a session's handshake: its work piles up before it is answered.
+// BeginHandshake takes a session's handshake: its work joins the backlog before it is answered.
 func (m *Model) BeginHandshake() {
 	m.backlog += m.machine.HandshakeWork
-	m.recent += m.machine.HandshakeWork
+	m.recentDemand += m.machine.HandshakeWork
 }
 
-// Refuse takes a session that is turned away: the cold rule counts what is sent, also what can't be taken.
-func (m *Model) Refuse(l Load) { m.recent += l.Cores }
+// Refuse counts a session that is refused: the cold rule counts what is sent, also what can't be accepted.
+func (m *Model) Refuse(l Load) { m.recentDemand += l.Cores }
 
-// Full tells whether it holds all that it can.
-func (m *Model) Full() bool { return m.held >= m.machine.MaxSessions }
+// Full reports whether it holds as many sessions as it can.
+func (m *Model) Full() bool { return m.sessions >= m.machine.MaxSessions }
 
-// Add takes a session that stands.
+// Add takes an established session.
 func (m *Model) Add(l Load) {
-	m.held++
-	m.asked += l.Cores
+	m.sessions++
+	m.sessionDemand += l.Cores
 	if l.Group != "" {
 		m.groups[l.Group]++
 	}
 }
 
-// Remove gives it up.
+// Remove releases a session.
 func (m *Model) Remove(l Load) {
-	m.held--
-	m.asked = max(m.asked-l.Cores, 0)
+	m.sessions--
+	m.sessionDemand = max(m.sessionDemand-l.Cores, 0)
 	if m.groups[l.Group]--; m.groups[l.Group] <= 0 {
 		delete(m.groups, l.Group)
 	}
 }
 
 // Change gives a session another load.
-func (m *Model) Change(from, to float64) { m.asked = max(m.asked-from+to, 0) }
+func (m *Model) Change(from, to float64) { m.sessionDemand = max(m.sessionDemand-from+to, 0) }
 
-// mostDelay bounds what a node that is far behind lets a message wait.
-const maxDelay = 5 * time.Second
-
-// Delay is how long a message that comes now waits: for what has piled up, and as in a queue that is served at
-// random times, growing as load nears what can be done.
+// Delay is how long a message that arrives now waits: for the backlog, and as in a queue with random service times,
+// growing as demand nears capacity.
 func (m *Model) Delay() time.Duration {
-	can := m.Capacity()
-	use := min(m.Demand()/can, 0.95)
-	wait := m.backlog/can + messageWork/(m.machine.Speed/m.slow)*use/(1-use)
-	return min(time.Duration(wait*float64(time.Second)), maxDelay)
+	capacity := m.Capacity()
+	utilization := min(m.Demand()/capacity, maxUtilization)
+	queueing := messageWork / (m.machine.Speed / m.slowdown) * utilization / (1 - utilization)
+	seconds := m.backlog/capacity + queueing
+	return min(time.Duration(seconds*float64(time.Second)), maxDelay)
 }
-
-// messageWork is a message's own work, in core seconds.
-const messageWork = 0.0005
