--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -64,7 +64,7 @@
 	return l
 }
 
-// Known is the list as a proxy's configuration has it.
+// Snapshot is the list as a proxy's configuration has it.
 func (l *List) Snapshot() json.RawMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/list/slopes_test.go
+++ b/internal/standin/list/slopes_test.go
@@ -19,7 +19,7 @@
 			Locality: fmt.Sprintf("zone-%d", i%10), Flavor: "m2", Cell: i % 100, Phase: "ready", Size: 16, UpSinceMs: 1796169145525}
 	}
 	l := New(func() time.Duration { return 0 }, judge.New(0, time.Second, time.Hour, false, nil), 0, members)
-	l.version = 2
+	l.revision = 2
 	l.members[0].revision = 2
 	return l
 }
