A failed connect to the proxy's own listener no longer ends the process

Seen: `go test ./internal/proxy` ended with exit code 1 and no failing test named in 3 of 14 runs, in TestStartsAtAll. The loop's first connection, which the proxy makes to its own listener, may be accepted and closed again before the connecting side has looked (there the hello time is 1 us); the connect then fails with a broken pipe, and OnBoot's goroutine called os.Exit(1), also for a proxy that served.

Cause: Proxy.OnBoot took any error of that connect for a listener that can't be reached. Ruled out: the listener itself, as the loop ran and served by then.

Change: reachLoop tries up to 40 times, 50 ms apart, and stops without an error once the loop is known to run (ready is closed). An error remains only if the listener can't be reached and no loop runs; it goes out of Run, which stops the engine. The connect is a field that tests may set, as Connector.Dial is.

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -145,9 +144,5 @@
 		close(p.left)
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		p.engine.Stop(ctx)
-	}()
+	go p.stopEngine()
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"math/rand"
 	"net"
-	"os"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -37,6 +36,12 @@
 	sweeps      = 10 // in a note's span
 )
 
+// The proxy connects to its own listener at its start. A listener that can't be reached for so long is none.
+const (
+	ownConnectAttempts = 40
+	ownConnectPause    = 50 * time.Millisecond // after each that failed
+)
+
 // Proxy is one proxy.
 type Proxy struct {
 	gnet.BuiltinEventEngine
@@ -72,6 +77,9 @@
 	terms     *terms          // the same
 	text      []byte          // that configuration
 	settings  []byte          // and its settings
+
+	dialOwn     func(network, address string) (net.Conn, error) // net.Dial; a test may put its own here before Run
+	unreachable chan error                                      // why the proxy's own listener can't be reached
 }
 
 // New makes a proxy from the text of its configuration.
@@ -97,7 +105,7 @@
 		known.Complete = true
 	}
 	p := &Proxy{log: log, start: time.Now(), at: at, terms: t, revision: known.Revision,
-		ready: make(chan struct{}), left: make(chan struct{}), reloading: make(chan struct{}, 1), limits: limits, text: text, settings: settings}
+		ready: make(chan struct{}), dialOwn: net.Dial, unreachable: make(chan error, 1), left: make(chan struct{}), reloading: make(chan struct{}, 1), limits: limits, text: text, settings: settings}
 	p.timers = timers.New(p.now, p.wake)
 	p.room = socket.NewRoom(limits.Sockets - keptSockets)
 	p.directory = newDirectory(t.zones, p.start, t.list.DrainsBindAlone, t.models)
@@ -162,11 +170,23 @@
 	select {
 	case err := <-served:
 		return err
+	case err := <-p.unreachable:
+		p.stopEngine()
+		return err
 	case <-p.left:
 		return nil
 	}
 }
 
+// stopEngine ends the event loop and what is open there.
+func (p *Proxy) stopEngine() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := p.engine.Stop(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("the event loop has not stopped in time")
+	}
+}
+
 func (p *Proxy) now() time.Duration { return time.Since(p.start) }
 
 // linger is how long a connection with a last line waits for its peer's end.
@@ -176,18 +196,35 @@
 
 func (p *Proxy) OnBoot(engine gnet.Engine) gnet.Action {
 	p.engine = engine
-	listen := p.at.Listen
-	go func() { // the first connection brings the loop's handle; with no limit, as only this process's time counts here
-		conn, err := net.Dial("tcp", listen)
-		if err != nil {
-			p.log.Error().Err(err).Msg("the proxy can't reach its own listener")
-			os.Exit(1)
+	address := p.at.Listen
+	go func() {
+		if err := p.reachLoop(address); err != nil {
+			p.unreachable <- err
 		}
-		conn.Close()
 	}()
 	return gnet.None
 }
 
+// reachLoop connects to the proxy's own listener, as the first connection brings the event loop's handle. A connect has
+// no time limit: only this process's own time counts here. One that fails is no error if the loop runs by then: the
+// proxy may have accepted that connection and closed it before the connecting side looked at it.
+func (p *Proxy) reachLoop(address string) error {
+	var err error
+	for range ownConnectAttempts {
+		var conn net.Conn
+		if conn, err = p.dialOwn("tcp", address); err == nil {
+			conn.Close()
+			return nil
+		}
+		select {
+		case <-p.ready:
+			return nil
+		case <-time.After(ownConnectPause):
+		}
+	}
+	return fmt.Errorf("the proxy can't reach its own listener: %w", err)
+}
+
 func (p *Proxy) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
 	if p.loop == nil {
 		p.loop = conn.EventLoop()
