After any failed call, the next one to discovery comes within 3 s

Need: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call.

The last is also what failed in TestOverbooked/pushed in a run of all of internal/proxy at load 22 (its 2.5 s lay 0.5 s from it).

Cause: terms.read: AskAgainIn is half of the module's longest pause and was bound by 3 s, where asked for only; the time for an answer and for a connect had no bound; the stand-in for mustAskIn is halved by the module's own guard (Balancer.ask). Ruled out: choice.go, which pauses as it is told to. It is unchanged.

Change: pauses are at most Told/2, connects to discovery at most Told/4, answers Told*5/6, after which the next call follows at once (Afresh). The stand-in for mustAskIn is twice the answer's time.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -33,7 +33,8 @@
 	ErrUnopened = errors.New("the watch in place of a silent one did not begin in time")
 )
 
-var errLate = errors.New("the watch did not begin in time")
+// ErrUnanswered is of any other call that had no answer for as long as it may wait.
+var ErrUnanswered = errors.New("the watch did not begin in time")
 
 // Server is one entry of the list.
 type Server struct {
@@ -115,7 +116,7 @@
 }
 
 // Watch starts a watch for what changed after a revision, in place of the one before.
-func (w *Watcher) Watch(after uint64) { w.start(after, w.answer, errLate) }
+func (w *Watcher) Watch(after uint64) { w.start(after, w.answer, ErrUnanswered) }
 
 // Again does so for one that has fallen silent, and fails with ErrUnopened early enough for one more to begin before
 // what is missed counts as told, however long a watch may take otherwise.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,7 +115,7 @@
 		t.connect, t.still, exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay))
 	p.clients = clients.New(p.table, p.timers, p.room, p.now, t.hello, p.directory.holder, t.listenerIDs,
 		t.tenantIDs, t.groups, log)
-	p.watcher = discovery.New(at.Discovery, t.connect*2, t.answer, p.execute, p.listed, p.watchFailed)
+	p.watcher = discovery.New(at.Discovery, t.ask, t.answer, p.execute, p.listed, p.watchFailed)
 	p.prepare = func() (err error) {
 		p.limitMemory(p.limits)
 		p.peers, err = p.hear(at, t)
@@ -347,6 +347,8 @@
 		p.watcher.Again(p.revision)
 	case errors.Is(err, discovery.ErrUnopened):
 		p.watcher.Watch(p.revision)
+	case errors.Is(err, discovery.ErrUnanswered): // it has waited long enough
+		p.balancer.Afresh(p.now())
 	default:
 		p.balancer.List(p.now(), choice.ListFailed, nil)
 	}
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -72,7 +72,7 @@
 	p.table.Change(t.connect, t.still, t.mark, t.tellsLoad, t.tellsDelay)
 	p.clients.Change(t.hello, t.listenerIDs, t.tenantIDs, t.groups)
 	p.directory.change(t.zones, t.list.DrainsBindAlone, t.models)
-	p.watcher.Change(t.connect*2, t.answer)
+	p.watcher.Change(t.ask, t.answer)
 	if !t.words.Allowed && p.peers != nil {
 		p.peers.Close()
 		p.peers = nil
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -8,6 +8,15 @@
 	"chalkferry/internal/start"
 )
 
+// What discovery has counts as known so long (discovery.Told) after it could be reached, however a call before has
+// ended and however long the settings let a proxy not ask. A call may have begun just before that moment, so each way for
+// one to fail, and the pause after it, leave time within it for the next call.
+const (
+	longestAsk    = discovery.Told / 4     // for a connection to be established
+	longestPause  = discovery.Told / 2     // after a call that failed
+	longestAnswer = discovery.Told * 5 / 6 // for a call to be answered; the next one follows with no pause
+)
+
 // terms are what a configuration says of the platform. All of them may change while the proxy runs.
 type terms struct {
 	listeners []choice.Listener
@@ -27,6 +36,7 @@
 	models         bool // servers of one model are learnt of together
 	pushed         bool // what discovery has to tell counts as told, watched or not
 
+	ask      time.Duration // for a connection to discovery to be established
 	answer   time.Duration // for a watch of the list to begin
 	patience time.Duration // the longest dial timeout
 	hello    time.Duration // for a connection to ask for a session
@@ -64,12 +74,14 @@
 	}
 	// A real list must be watched, also where the bench hands it out.
 	t.pushed, t.list.MustWatch = !t.list.MustWatch, true
-	t.answer = t.list.MustAskIn / 2
 	if t.list.MustAskIn == 0 { // no asking is asked for; calls may wait their turn all the same
-		t.list.MustAskIn, t.answer = max(4*t.patience, discovery.Told), discovery.Told
+		t.list.MustAskIn = max(4*t.patience, 2*longestAnswer)
 	}
-	if t.list.AskAgainIn == 0 { // what a watch misses counts as told by then, however long the settings let one not ask
-		t.list.AskAgainIn = min(t.list.MustAskIn/4, discovery.Told/2)
+	t.answer = min(t.list.MustAskIn/2, longestAnswer) // the module asks anew after that half, too
+	if t.list.AskAgainIn == 0 {
+		t.list.AskAgainIn = t.list.MustAskIn / 4
 	}
+	t.list.AskAgainIn = min(t.list.AskAgainIn, longestPause/2) // the module's longest pause is twice that
+	t.ask = min(2*t.connect, longestAsk)
 	return t, nil
 }
