No connect begins for a client that has left, however long the loop stood still

Cause: Exchange.connect dials without asking whether the client is there; the loop knows of a close only when it reads it.

Change: connect asks the client's machine first (Client.Gone), and has such a session ended once the event is through. The module learns how the attempt before has ended, as until now. One more recvfrom for each attempt.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -281,6 +281,9 @@
 	c.ended(how)
 }
 
+// Gone tells whether the client no longer waits for its answer, as its machine knows it.
+func (c *Client) Gone() bool { return c.state != waits || c.conn.Peer() != socket.Waits }
+
 // Waits tells whether the client still waits for its answer, as its machine knows it. What the loop would find when
 // it comes to read is done at once.
 func (c *Client) Waits() bool {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -23,6 +23,8 @@
 	// Waits tells whether the client still waits for its answer. One that has left, or speaks out of turn, is ended
 	// by it, though the event loop has not read that yet.
 	Waits() bool
+	// Gone tells the contrary of Waits, and changes nothing.
+	Gone() bool
 }
 
 // Server is the side of one dial.
@@ -233,7 +235,14 @@
 	}
 }
 
+// connect begins an attempt, but for a client that has left, as its machine knows it: the event loop may have stood
+// still. The session of such a client is ended once the event at hand is through.
 func (ex *Exchange) connect(to choice.ServerID, limit time.Duration) {
+	if ex.client.Gone() {
+		ex.server = nil
+		ex.table.later(func() { ex.ClientWaits() })
+		return
+	}
 	ex.server = ex.table.dialer.Dial(to, limit, ex)
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -80,6 +80,7 @@
 func (c *client) Up() { c.up = true }
 
 func (c *client) Waits() bool { return !c.over }
+func (c *client) Gone() bool  { return c.over }
 
 func (c *client) Answer(last []byte, reason string) {
 	c.Write(last)
