A cold server's allowance holds for the sum of twenty to thirty processes

Need: a cold server bears the sum of all processes; beyond its N requests only 2 x root of N + 2 are chance, with twenty or thirty processes too. TestColdFleet has this for 300 only.

Change: a test, TestColdThrong: 20 to 30 instances that share nothing, 4 to 12 servers, a new small server, a new large one and one that comes back cold, under bursts. No window of any may get more than N in whole sessions, which is stricter than the term. The module keeps that, so choice.go is unchanged.

--- /dev/null
+++ b/choice/cold_test.go
@@ -0,0 +1,105 @@
+package choice
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// coldSend is one dial to a cold server.
+type coldSend struct {
+	at   time.Duration
+	load float64
+}
+
+// TestColdThrong: twenty to thirty processes that share nothing, with a few servers, under a burst: a new server, small or
+// large, and one that comes back cold get from all of them together no more than the settings allow, N, in any window, in
+// whole sessions. Beyond that 2 x root of N + 2 sessions of mean load would be left to chance; the module needs none of it.
+// They are put to use all the same.
+func TestColdThrong(t *testing.T) {
+	const (
+		seeds   = 12
+		start   = 50 * sec
+		tick    = 100 * ms
+		fresh   = ServerID(101)
+		large   = ServerID(102)
+		back    = ServerID(1)
+		perNode = 6 // sessions held at each process before
+	)
+	listeners, loads := [2]ListenerID{0, 1}, [2]float64{1, 2}
+	windows, used := 0, 0
+	for seed := range int64(seeds) {
+		chance := rand.New(rand.NewSource(seed))
+		processes, servers := 20+chance.Intn(11), 4+chance.Intn(9)
+		sizes := map[ServerID]float64{fresh: 0.5, large: 4, back: 1}
+		list := make([]Entry, servers)
+		for i := range list {
+			list[i] = Entry{ID: ServerID(i + 1), Size: 1, Standing: Ready}
+		}
+		cold := func(id ServerID) Entry {
+			return Entry{ID: id, Size: sizes[id], Standing: Ready, Started: true, Since: start}
+		}
+		rule := someCold
+		rule.Proxies = processes
+		rigs, held := make([]*rig, processes), 0.0
+		for me := range rigs {
+			rule.Me = me
+			r := newRig(rule, rand.New(rand.NewSource(seed<<16+int64(me))))
+			r.now = start
+			r.tell(ListFull, list)
+			for range perNode {
+				kind := chance.Intn(len(listeners))
+				s := r.arrive(listeners[kind], Key(chance.Int63()), 0, 0)
+				r.settle(s, Accepted)
+				r.b.LoadNoted(start, s.id, 0, loads[kind])
+				held += loads[kind]
+			}
+			r.b.round()
+			r.tell(ListDelta, []Entry{cold(fresh), cold(large), cold(back)})
+			rigs[me] = r
+		}
+		mean := held / float64(processes*perNode)
+		sends := map[ServerID][]coldSend{}
+		for step := range int(rule.Span / tick) {
+			now := start + time.Duration(step)*tick
+			burst := 1 + 4*(step/20%2) // sessions at each process, in turns of two seconds
+			for _, r := range rigs {
+				r.now, r.b.now = now, now
+				if step%20 == 0 {
+					r.b.round()
+				}
+				for range chance.Intn(2 * burst) {
+					kind := chance.Intn(len(listeners))
+					s := r.arrive(listeners[kind], Key(1+chance.Int63n(50)), 0, 0)
+					for s.out != 0 { // what a server turns away pushes too
+						if _, is := sizes[s.out]; is {
+							sends[s.out] = append(sends[s.out], coldSend{now, loads[kind]})
+						}
+						r.settle(s, Full)
+					}
+				}
+			}
+			for id, size := range sizes {
+				able := held / float64(servers) * size / assumedLoad
+				allowed := rule.Multiple * rigs[0].b.warmth(rigs[0].b.byID[id]) * able * rule.Window.Seconds() / rule.Span.Seconds() / mean
+				got := 0.0
+				for _, s := range sends[id] {
+					if s.at > now-rule.Window {
+						got += s.load / mean
+					}
+				}
+				if windows++; got > allowed+loads[1]/mean {
+					t.Fatalf("seed %d, %d processes, %d servers: server %d got %.1f in the window that ends %v after its start, N is %.1f, "+
+						"and %.1f at which it falls", seed, processes, servers, id, got, now-start, allowed, allowed+2*math.Sqrt(allowed)+2)
+				}
+			}
+		}
+		for id := range sizes {
+			used += min(len(sends[id]), 1)
+		}
+	}
+	if windows < 1000 || used < 2*seeds {
+		t.Errorf("%d windows, %d of %d cold servers are used", windows, used, 3*seeds)
+	}
+}
