--- /dev/null
+++ b/internal/rehearse/badclients.go
@@ -0,0 +1,104 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// badClientTimeout is how long a bad client may be left with neither an error nor a close.
+	badClientTimeout = 3 * time.Second
+	// minBadClientSpread is the least time over which bad clients arrive.
+	minBadClientSpread = time.Second
+	badClientDialTime  = time.Second
+)
+
+// badClients counts how the proxies dealt with clients that send invalid input, or nothing.
+type badClients struct {
+	sent, answered, closed, unanswered, failed atomic.Int64
+}
+
+// invalidInput draws what a bad client sends.
+func invalidInput(rng *rand.Rand, listener string) []byte {
+	choices := [][]byte{
+		[]byte("HELLO\r\n"),
+		[]byte("OPEN\r\n"),
+		[]byte("OPEN 1 2 c=" + listener + ",d=-5\r\n"),
+		[]byte("OPEN 1 2 c=" + listener + ",d=99999999999999999999\r\n"),
+		[]byte("OPEN 1 2 c=" + listener + ",d=soon\r\n"),
+		[]byte("OPEN 1 2 c=nothing,d=500\r\n"),
+		[]byte("OPEN  2 c=" + listener + ",d=500\r\n"),
+		[]byte("OPEN 1 2 c=" + listener + ",c=" + listener + ",d=500\r\n"),
+		[]byte("OPEN 1 2 c=" + listener),
+		bytes.Repeat([]byte("A"), 1<<16),
+		bytes.Repeat([]byte("PING\r\n"), 300),
+		{0, 1, 2, 3, 0xff, 0xfe, '\r', '\n'},
+		[]byte("OPEN 1 2 c=" + listener + ",d=500\r\nM 1\r\nM 2\r\n"),
+	}
+	return choices[rng.Intn(len(choices))]
+}
+
+// run sends bad clients over the fault's duration.
+func (b *badClients) run(ctx context.Context, r *rehearsal, f Fault) {
+	rng := rand.New(rand.NewSource(r.scenario.Seed + int64(f.At)))
+	spread := max(f.Duration.D(), minBadClientSpread)
+	offsets := make([]time.Duration, f.Count)
+	for i := range offsets {
+		offsets[i] = time.Duration(rng.Float64() * float64(spread))
+	}
+	slices.Sort(offsets)
+	began := r.now()
+	for i, offset := range offsets {
+		if !r.sleep(ctx, began+offset-r.now()) {
+			return
+		}
+		address := r.processes[i%len(r.processes)].address
+		var input []byte
+		if f.Kind == faultBadClients {
+			input = invalidInput(rng, r.scenario.Listeners[0].Name)
+		}
+		r.faultsRunning.Go(func() { b.runOne(ctx, address, input) })
+	}
+}
+
+// runOne is one bad client: it sends its input and reads until it is answered or closed on.
+func (b *badClients) runOne(ctx context.Context, address string, input []byte) {
+	conn, err := net.DialTimeout("tcp", address, badClientDialTime)
+	if err != nil {
+		b.failed.Add(1)
+		return
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
+	defer stop()
+	b.sent.Add(1)
+	conn.SetDeadline(time.Now().Add(badClientTimeout))
+	conn.Write(input) // it may be closed on already
+	received := make([]byte, 64)
+	for {
+		n, err := conn.Read(received)
+		switch {
+		case bytes.Contains(received[:n], []byte("ERR")) || bytes.Contains(received[:n], []byte("BUSY")):
+			b.answered.Add(1)
+			return
+		case err == nil:
+			continue
+		case !isTimeout(err):
+			b.closed.Add(1)
+		case ctx.Err() == nil:
+			b.unanswered.Add(1)
+		}
+		return
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/rehearse/capacity.go
+++ b/internal/rehearse/capacity.go
@@ -8,7 +8,7 @@
 	"chalkferry/internal/load"
 )
 
-// Step is one rate of a climb.
+// CapacityStep is one rate of a search for the capacity.
 type CapacityStep struct {
 	Rate     float64      `json:"rate"` // sessions a second
 	Connects load.Summary `json:"connect_ms"`
@@ -19,26 +19,28 @@
 	Failed   []string     `json:"failed"`
 }
 
-// Climb is how far a rate could be raised.
+// CapacitySearch is how far a rate could be raised.
 type CapacitySearch struct {
 	Scenario string         `json:"scenario"`
 	Steps    []CapacityStep `json:"steps"`
 	Carried  float64        `json:"carried"` // the highest rate whose p99 was not twice that of the first step
-	Why      string         `json:"why"`     // the climb ended
+	Why      string         `json:"why"`     // the search ended
 }
 
-// beyond is how many times the first step's p99 ends a climb.
-const capacityP99Multiple = 2
+const (
+	// capacityP99Multiple is how many times the first step's p99 counts as over capacity.
+	capacityP99Multiple = 2
+	// maxStepsOver is how many steps in a row over capacity end the search.
+	maxStepsOver = 2
+)
 
-// Climbs raises a scenario's rate by a factor from step to step, each a run of its own, until the p99 of the
-// handshake has doubled twice in a row, the generator is late, or a rule is broken.
-func FindCapacity(ctx context.Context, s *Scenario, o Options, from, factor float64, most int, told io.Writer) (*CapacitySearch, error) {
+// FindCapacity raises a scenario's rate by a factor from step to step, each a run of its own, until the p99 of the
+// handshake has doubled twice in a row, the generator is late, or a rule is broken. Each step is printed.
+func FindCapacity(ctx context.Context, s *Scenario, o Options, from, factor float64, maxSteps int, out io.Writer) (*CapacitySearch, error) {
 	c := &CapacitySearch{Scenario: s.Name, Why: "all steps were taken"}
-	first, over := 0.0, 0
-	for n, rate := 0, from; n < most; n, rate = n+1, rate*factor {
-		again := *s
-		again.SetRate(rate)
-		r, err := Run(ctx, &again, o)
+	rate, stepsOver := from, 0
+	for range maxSteps {
+		report, err := runAtRate(ctx, s, o, rate)
 		if err != nil {
 			return nil, err
 		}
@@ -46,32 +48,53 @@
 			c.Why = "interrupted"
 			return c, nil
 		}
-		cpu := 0.0
-		for _, p := range r.Proxies {
-			cpu += p.CPUSeconds
-		}
-		step := CapacityStep{rate, r.Connects, r.Messages, cpu / (s.Length + s.Settle).D().Seconds(), r.Clients.Refused, r.Late, r.Failed}
-		c.Steps = append(c.Steps, step)
-		fmt.Fprintf(told, "%8.0f a second: handshake p50 %7.2f p99 %8.2f ms, message p50 %6.2f p99 %7.2f ms, CPU %.2f, %d refused, lateness p99 %.2f ms\n",
-			rate, r.Connects.P50, r.Connects.P99, r.Messages.P50, r.Messages.P99, step.CPU, r.Clients.Refused, r.Lateness.P99)
-		if n == 0 {
-			first = r.Connects.P99
-		}
+		c.Steps = append(c.Steps, capacityStep(s, rate, report))
+		printStep(out, c.Steps[len(c.Steps)-1], report)
+		firstP99 := c.Steps[0].Connects.P99
 		switch {
-		case r.Late:
+		case report.Late:
 			c.Why = "the generator was late"
 			return c, nil
-		case len(r.Failed) > 0:
-			c.Why = r.Failed[0]
+		case len(report.Failed) > 0:
+			c.Why = report.Failed[0]
 			return c, nil
-		case r.Connects.P99 <= capacityP99Multiple*first:
-			c.Carried, over = rate, 0
-			continue
+		case report.Connects.P99 <= capacityP99Multiple*firstP99:
+			c.Carried, stepsOver = rate, 0
+		default:
+			stepsOver++
 		}
-		if over++; over == 2 {
-			c.Why = fmt.Sprintf("the p99 of the handshake passed %d times the first step's %.2f ms", capacityP99Multiple, first)
+		if stepsOver == maxStepsOver {
+			c.Why = fmt.Sprintf("the p99 of the handshake passed %d times the first step's %.2f ms", capacityP99Multiple, firstP99)
 			return c, nil
 		}
+		rate *= factor
 	}
 	return c, nil
 }
+
+func runAtRate(ctx context.Context, s *Scenario, o Options, rate float64) (*Report, error) {
+	run := *s
+	run.SetRate(rate)
+	return Run(ctx, &run, o)
+}
+
+func capacityStep(s *Scenario, rate float64, r *Report) CapacityStep {
+	length := (s.Length + s.Settle).D()
+	return CapacityStep{
+		Rate:     rate,
+		Connects: r.Connects,
+		Messages: r.Messages,
+		CPU:      r.cpuSeconds() / length.Seconds(),
+		Refused:  r.Clients.Refused,
+		Late:     r.Late,
+		Failed:   r.Failed,
+	}
+}
+
+func printStep(out io.Writer, step CapacityStep, r *Report) {
+	fmt.Fprintf(out, "%8.0f a second: handshake p50 %7.2f p99 %8.2f ms, message p50 %6.2f p99 %7.2f ms, CPU %.2f, %d refused, lateness p99 %.2f ms\n",
+		step.Rate, r.Connects.P50, r.Connects.P99, r.Messages.P50, r.Messages.P99, step.CPU, r.Clients.Refused, r.Lateness.P99)
+}
+
+// WriteJSON keeps the search in a file.
+func (c *CapacitySearch) WriteJSON(file string) error { return writeJSON(file, c) }
--- /dev/null
+++ b/internal/rehearse/check.go
@@ -0,0 +1,279 @@
+package rehearse
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+
+	"chalkferry/internal/standin/judge"
+	"chalkferry/internal/strict"
+)
+
+// Limits of what a scenario may ask for.
+const (
+	maxNodes       = 1000
+	maxProxies     = 64
+	minMemoryMB    = 16
+	minSockets     = 64
+	maxRate        = 1e5 // sessions a second
+	minWindow      = strict.Span(10 * time.Millisecond)
+	minDialTimeout = strict.Span(50 * time.Millisecond)
+)
+
+// requirement is what the value of a key must be.
+type requirement struct {
+	key      string
+	violated bool
+	text     string
+}
+
+// firstViolation is an error at the first key whose requirement is violated, nil for none. The prefix is that of the
+// table which the keys belong to, "" for the top.
+func firstViolation(f *strict.File, prefix string, requirements []requirement) error {
+	for _, r := range requirements {
+		if r.violated {
+			return f.Wrong(prefix+r.key, "%s", r.text)
+		}
+	}
+	return nil
+}
+
+// check compares a scenario with what can be run, and fills in defaults that depend on other keys.
+func (s *Scenario) check(f *strict.File) error {
+	if err := firstViolation(f, "", s.requirements()); err != nil {
+		return err
+	}
+	if err := s.checkListeners(f); err != nil {
+		return err
+	}
+	if err := s.checkArrivals(f); err != nil {
+		return err
+	}
+	return s.checkFaults(f)
+}
+
+// requirements are those of all tables that stand once.
+func (s *Scenario) requirements() []requirement {
+	return slices.Concat(
+		[]requirement{
+			{"length", s.Length <= 0, "must be above 0"},
+			{"settle", s.Settle < 0, "must not be negative"},
+			{"late_bound", s.LateBound <= 0, "must be above 0"},
+			{"window", s.Window < minWindow, "must be 10ms or more"},
+		},
+		s.Platform.requirements(),
+		s.Proxies.requirements(),
+		s.Clients.requirements(),
+		[]requirement{
+			{"trace.speed", s.Trace.Speed < 1 || s.Trace.Speed > 100, "must be 1 to 100"},
+			{"trace.scale", s.Trace.Scale <= 0 || s.Trace.Scale > 1000, "must be above 0, 1000 at most"},
+			{"expect.accepted_least", !isShare(s.Expect.MinAccepted), "must be 0 to 1"},
+			{"listener", len(s.Listeners) == 0, "there is none"},
+			{"arrivals", len(s.Arrivals) == 0 && s.Trace.File == "", "there are none, and no trace"},
+		},
+	)
+}
+
+func (p *Platform) requirements() []requirement {
+	return []requirement{
+		{"platform.nodes", p.Nodes < 1 || p.Nodes > maxNodes, "must be 1 to 1000"},
+		{"platform.spare", p.Spare < 0 || p.Nodes+p.Spare > maxNodes, "must be 0 or more, 1000 with the nodes"},
+		{"platform.zones", len(p.Zones) == 0, "must name one"},
+		{"platform.cores", len(p.Cores) == 0 || slices.Min(p.Cores) <= 0, "must be above 0"},
+		{"platform.speed", len(p.Speed) != 2 || p.Speed[0] <= 0 || p.Speed[1] < p.Speed[0], "must be the least and the most"},
+		{"platform.sessions_per_core", p.SessionsPerCore <= 0, "must be above 0"},
+		{"platform.most_sessions", p.MaxSessions < 1, "must be 1 or more"},
+		{"platform.group_cost", p.GroupCost < 0, "must not be negative"},
+		{"platform.handshake_work", p.HandshakeWork < 0, "must not be negative"},
+		{"platform.cold_from", p.ColdFrom <= 0 || p.ColdFrom > 1, "must be above 0, 1 at most"},
+		{"platform.cold_span", p.ColdSpan <= 0, "must be above 0"},
+		{"platform.fall_multiple", p.FallMultiple <= 1, "must be above 1"},
+		{"platform.fall_window", p.FallWindow <= 0, "must be above 0"},
+		{"platform.drain_grace", p.DrainGrace < 0, "must not be negative"},
+		{"platform.must_ask", p.MustAsk <= 0, "must be above 0"},
+		{"platform.list_late", p.ListLate < 0, "must not be negative"},
+	}
+}
+
+func (p *Proxies) requirements() []requirement {
+	return []requirement{
+		{"proxies.count", p.Count < 1 || p.Count > maxProxies, "must be 1 to 64"},
+		{"proxies.memory_mb", p.MemoryMB < minMemoryMB, "must be 16 or more"},
+		{"proxies.sockets", p.Sockets < minSockets, "must be 64 or more"},
+		{"proxies.notice", p.DetectionDelay < 0, "must not be negative"},
+		{"proxies.dials", p.MaxDials < 1, "must be 1 or more"},
+	}
+}
+
+func (c *Clients) requirements() []requirement {
+	return []requirement{
+		{"clients.retries", c.Retries < 0, "must not be negative"},
+		{"clients.backoff", c.Backoff < 0, "must not be negative"},
+		{"clients.rejoin", len(c.Rejoin) != 2 || c.Rejoin[0] < 0 || c.Rejoin[1] < c.Rejoin[0], "must be the least and the most"},
+		{"clients.message_every", c.MessageEvery < 0, "must not be negative"},
+		{"clients.groups", c.Groups < 0, "must not be negative"},
+		{"clients.zone_skew", !isShare(c.ZoneSkew), "must be 0 to 1"},
+		{"clients.load_spread", c.LoadSpread < 0 || c.LoadSpread > 3, "must be 0 to 3"},
+	}
+}
+
+func isShare(v float64) bool { return !(v < 0 || v > 1) }
+
+func (s *Scenario) checkListeners(f *strict.File) error {
+	shares := 0.0
+	for i := range s.Listeners {
+		l := &s.Listeners[i]
+		l.fillDefaults()
+		if err := firstViolation(f, fmt.Sprintf("listener[%d].", i), l.requirements(s.Listeners[:i])); err != nil {
+			return err
+		}
+		shares += l.Share
+	}
+	if shares <= 0 {
+		return f.Wrong("listener", "no listener has a share")
+	}
+	return nil
+}
+
+func (l *Listener) fillDefaults() {
+	if l.Effect == "" {
+		l.Effect = string(judge.Repeatable)
+	}
+	if l.Load == 0 {
+		l.Load = 1
+	}
+	if l.Utility == 0 {
+		l.Utility = 1
+	}
+}
+
+func (l *Listener) requirements(earlier []Listener) []requirement {
+	sameName := func(other Listener) bool { return other.Name == l.Name }
+	effects := []string{string(judge.Repeatable), string(judge.Referenced), string(judge.OnceOnly)}
+	needsWindow := l.Effect == string(judge.Referenced)
+	return []requirement{
+		{"name", l.Name == "" || strings.ContainsAny(l.Name, " ,=\r\n"), "must be a word without , and ="},
+		{"name", slices.ContainsFunc(earlier, sameName), "stands twice"},
+		{"share", l.Share < 0, "must not be negative"},
+		{"load", l.Load < 0, "must not be negative"},
+		{"life", l.Lifetime <= 0, "must be above 0"},
+		{"dial_timeout", l.DialTimeout < minDialTimeout, "must be 50ms or more"},
+		{"handshake_target", l.HandshakeTarget <= 0 || l.HandshakeTarget > l.DialTimeout, "must be above 0 and at most the dial timeout"},
+		{"message_target", l.MessageTarget < 0, "must not be negative"},
+		{"utility", l.Utility < 0, "must not be negative"},
+		{"effect", !slices.Contains(effects, l.Effect), "must be repeatable, referenced or once-only"},
+		{"group", !slices.Contains([]string{"", "all", "zone", "cell"}, l.Group), "must be all, zone or cell"},
+		{"repeat_window", l.RepeatWindow < 0 || needsWindow && l.RepeatWindow == 0, "is needed by a referenced listener, and not negative"},
+	}
+}
+
+// listenerIndex is -1 for a listener that the scenario does not have.
+func (s *Scenario) listenerIndex(name string) int {
+	return slices.IndexFunc(s.Listeners, func(l Listener) bool { return l.Name == name })
+}
+
+func (s *Scenario) checkArrivals(f *strict.File) error {
+	for i := range s.Arrivals {
+		a := &s.Arrivals[i]
+		s.fillArrivalDefaults(a)
+		if err := firstViolation(f, fmt.Sprintf("arrivals[%d].", i), s.arrivalRequirements(a)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// defaultSteps is the number of steps of arrivals that do not say.
+const defaultSteps = 4
+
+func (s *Scenario) fillArrivalDefaults(a *Arrivals) {
+	if a.To == 0 {
+		a.To = s.Length
+	}
+	if a.ToRate == 0 {
+		a.ToRate = a.Rate
+	}
+	if a.Steps == 0 {
+		a.Steps = defaultSteps
+	}
+}
+
+func (s *Scenario) arrivalRequirements(a *Arrivals) []requirement {
+	shapes := []string{shapePoisson, shapeSteady, shapeSteps, shapeBurst, shapeMunicipalities}
+	isBurst := a.Shape == shapeBurst || a.Shape == shapeMunicipalities
+	return []requirement{
+		{"shape", !slices.Contains(shapes, a.Shape), "must be poisson, steady, steps, burst or municipalities"},
+		{"from", a.From < 0 || a.From >= s.Length, "must lie within the length"},
+		{"to", a.To <= a.From || a.To > s.Length, "must lie behind from and within the length"},
+		{"rate", a.Rate < 0 || !isBurst && a.Rate == 0 || a.Rate > maxRate, "must be above 0, 100000 at most"},
+		{"to_rate", a.ToRate < 0 || a.ToRate > maxRate, "must be 0 to 100000"},
+		{"steps", a.Steps < 1, "must be 1 or more"},
+		{"count", a.Count < 0 || isBurst && a.Count == 0, "must be above 0"},
+		{"half", a.Half < 0 || isBurst && a.Half == 0, "must be above 0"},
+		{"places", a.Places < 0 || a.Shape == shapeMunicipalities && a.Places == 0, "must be above 0"},
+		{"listener", a.Listener != "" && s.listenerIndex(a.Listener) < 0, "there is no such listener"},
+	}
+}
+
+func (s *Scenario) checkFaults(f *strict.File) error {
+	for i := range s.Faults {
+		fault := &s.Faults[i]
+		table := fmt.Sprintf("fault[%d].", i)
+		traits, known := faultKinds[fault.Kind]
+		if !known {
+			return f.Wrong(table+"kind", "%q is none of %s", fault.Kind, faultKindNames())
+		}
+		if err := firstViolation(f, table, s.faultRequirements(fault, traits)); err != nil {
+			return err
+		}
+		if fault.Share > 0 && traits.nodes && len(fault.Nodes) == 0 {
+			fault.Nodes = s.drawNodes(fault.Share, int64(i))
+		}
+	}
+	return nil
+}
+
+func faultKindNames() string {
+	var names []string
+	for _, kind := range slices.Sorted(maps.Keys(faultKinds)) {
+		names = append(names, string(kind))
+	}
+	return strings.Join(names, ", ")
+}
+
+func (s *Scenario) faultRequirements(c *Fault, traits faultTraits) []requirement {
+	outside := func(ids []int, end int) bool {
+		return slices.ContainsFunc(ids, func(id int) bool { return id < 0 || id >= end })
+	}
+	kind := string(c.Kind)
+	nodes, proxies := s.Platform.Nodes+s.Platform.Spare, s.Proxies.Count
+	noNodes := len(c.Nodes) == 0 && (c.Share == 0 || c.Kind == faultHalfOpen)
+	tooManyAdded := c.Kind == faultAdd && c.Count > s.Platform.Spare
+	return []requirement{
+		{"at", c.At < 0 || c.At >= s.Length, fmt.Sprintf("must lie within the length of %v", s.Length)},
+		{"for", c.Duration < 0 || c.At+c.Duration > s.Length+s.Settle, "the fault must end with the run"},
+		{"for", c.Duration > 0 && !traits.lasts, "a " + kind + " has no end"},
+		{"nodes", outside(c.Nodes, nodes), fmt.Sprintf("there are nodes 0 to %d", nodes-1)},
+		{"nodes", len(c.Nodes) > 0 && !traits.nodes, "a " + kind + " acts on no node"},
+		{"nodes", traits.nodes && noNodes, "must be named, or a share be given"},
+		{"proxies", outside(c.Proxies, proxies), fmt.Sprintf("there are proxies 0 to %d", proxies-1)},
+		{"proxies", len(c.Proxies) > 0 && !traits.proxies, "a " + kind + " acts on no proxy"},
+		{"proxies", traits.proxies && len(c.Proxies) == 0, "must be named"},
+		{"share", !isShare(c.Share) || traits.needs == "share" && c.Share == 0, "must be above 0, 1 at most"},
+		{"factor", c.Factor < 0 || traits.needs == "factor" && c.Factor == 0, "must be above 0"},
+		{"by", c.ListDelay < 0 || traits.needs == "by" && c.ListDelay == 0, "must be above 0"},
+		{"count", c.Count < 0 || traits.needs == "count" && c.Count == 0 || tooManyAdded,
+			"must be above 0, and there must be as many spare nodes to add"},
+	}
+}
+
+// drawNodes picks a share of the nodes, the same for the same scenario and seed.
+func (s *Scenario) drawNodes(share float64, salt int64) []int {
+	rng := rand.New(rand.NewSource(s.Seed + salt))
+	n := max(1, int(math.Round(share*float64(s.Platform.Nodes))))
+	return rng.Perm(s.Platform.Nodes)[:n]
+}
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -1,32 +1,26 @@
 package rehearse
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"math/rand"
-	"net"
-	"slices"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"chalkferry/internal/standin/judge"
+	"chalkferry/internal/standin/list"
 )
 
-// timeline brings about the faults, each in its own time; several may overlap, also on one node.
-func (n *rehearsal) startFaults(ctx context.Context) {
-	for _, f := range n.scenario.Faults {
-		n.faultsRunning.Go(func() {
-			if n.sleep(ctx, f.At.D()-n.now()) {
-				n.inject(ctx, f)
+// startFaults injects the faults, each at its own time; several may overlap, also on one node.
+func (r *rehearsal) startFaults(ctx context.Context) {
+	for _, f := range r.scenario.Faults {
+		r.faultsRunning.Go(func() {
+			if r.sleep(ctx, f.At.D()-r.now()) {
+				r.inject(ctx, f)
 			}
 		})
 	}
 }
 
-// sleep waits; it tells whether the time passed before the night's end.
-func (n *rehearsal) sleep(ctx context.Context, d time.Duration) bool {
+// sleep waits; it reports whether the time passed before the run's end.
+func (r *rehearsal) sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(max(d, 0)):
 		return true
@@ -35,286 +29,146 @@
 	}
 }
 
-// bring brings one fault about, and ends it after its time.
-func (n *rehearsal) inject(ctx context.Context, f Fault) {
+// inject injects one fault, and ends it after its duration.
+func (r *rehearsal) inject(ctx context.Context, f Fault) {
 	var undo []func()
-	end := func(call func()) { undo = append(undo, call) }
-	for _, i := range f.Nodes {
-		each, id := n.nodes[i], judge.NodeID(i)
-		switch f.Kind {
-		case "hang":
-			each.Hang()
-			end(each.Recover)
-		case "slow":
-			each.SetSlowdown(f.Factor)
-			end(func() { each.SetSlowdown(1) })
-		case "stall":
-			each.Stall(f.For.D())
-		case "kill":
-			each.Kill()
-			n.list.Update(id, "gone", "", time.Time{})
-			end(func() { n.listAgain(i, each.Start(false)) })
-		case "restart":
-			each.Kill()
-			n.listAgain(i, each.Start(false))
-		case "vanish":
-			if err := each.Vanish(); err != nil {
-				n.addTrouble("node %d can't vanish: %v", i, err)
-			}
-			end(func() { n.listAgain(i, each.Return()) })
-		case "half-open":
-			each.HalfOpen(f.Share)
-		case "drain":
-			n.list.Update(id, "draining", "", time.Time{})
-			n.faultsRunning.Go(func() {
-				each.Drain(ctx, f.For.D(), f.AtOnce)
-				if ctx.Err() == nil {
-					each.Kill()
-					n.list.Update(id, "gone", "", time.Time{})
-				}
-			})
+	add := func(call func()) {
+		if call != nil {
+			undo = append(undo, call)
 		}
 	}
-	for _, i := range f.Proxies {
-		switch f.Kind {
-		case "proxy-kill":
-			n.judge.ProxyDied(judge.ProxyID(i))
-			n.processes[i].kill()
-			if f.For > 0 {
-				end(func() { n.restartProxy(i) })
-			}
-		case "proxy-leave":
-			n.stopProxy(ctx, i)
-			if f.For > 0 {
-				end(func() { n.restartProxy(i) })
-			}
-		case "proxy-reload":
-			n.reloadProxy(i, false)
-		}
+	for _, i := range f.Nodes {
+		add(r.injectAtNode(ctx, f, i))
 	}
-	switch f.Kind {
-	case "add":
-		n.addNodes(f.Count)
-	case "list-late":
-		n.list.SetDelay(f.By.D())
-		end(func() { n.list.SetDelay(n.scenario.Platform.ListLate.D()) })
-	case "list-down":
-		n.list.SetDown(true)
-		end(func() { n.list.SetDown(false) })
-	case "list-cut":
-		n.list.SetReset(true)
-		end(func() { n.list.SetReset(false) })
-	case "list-stale":
-		n.list.SetStale(true)
-		end(func() { n.list.SetStale(false) })
-	case "list-moved":
-		for i := range n.processes {
-			n.reloadProxy(i, true)
-		}
-	case "clients-drop":
-		n.clients.Drop(f.Share)
-	case "bad-clients", "silent-clients":
-		n.badClients.run(ctx, n, f)
-	case "rolling-restart":
-		for i := range n.processes {
-			n.stopProxy(ctx, i)
-			if ctx.Err() != nil {
-				return
-			}
-			n.restartProxy(i)
-			if !n.sleep(ctx, 2*n.front.DetectionDelay()) {
-				return
-			}
-		}
+	for _, i := range f.Proxies {
+		add(r.injectAtProxy(ctx, f, i))
 	}
-	if len(undo) > 0 && f.For > 0 && n.sleep(ctx, f.At.D()+f.For.D()-n.now()) {
+	add(r.injectAtPlatform(ctx, f))
+	if len(undo) > 0 && f.Duration > 0 && r.sleep(ctx, f.At.D()+f.Duration.D()-r.now()) {
 		for _, call := range undo {
 			call()
 		}
 	}
 }
 
-// back lists a node that has started again, at whatever address it has.
-func (n *rehearsal) listAgain(i int, err error) {
-	if err != nil {
-		n.addTrouble("node %d does not start again: %v", i, err)
-		return
-	}
-	each := n.nodes[i]
-	n.list.Update(judge.NodeID(i), "ready", each.Address, time.Unix(0, n.start.Load()).Add(each.StartedAt()))
-}
-
-// add switches spare nodes on, cold.
-func (n *rehearsal) addNodes(count int) {
-	n.mu.Lock()
-	from := n.scenario.Platform.Nodes + n.spareNodesAdded
-	n.spareNodesAdded += count
-	n.mu.Unlock()
-	for i := from; i < min(from+count, len(n.nodes)); i++ {
-		n.listAgain(i, n.nodes[i].Start(false))
-	}
-}
-
-// leave ends a proxy as the platform does at a planned restart: SIGTERM while connections still come for a moment,
-// and SIGKILL no sooner than the longest dial timeout and 0.7 s after.
-func (n *rehearsal) stopProxy(ctx context.Context, i int) {
-	p := n.processes[i]
-	n.judge.ProxyLeaving(judge.ProxyID(i))
-	p.signal(syscall.SIGTERM, true)
-	n.sleep(ctx, 300*time.Millisecond)
-	n.front.SetLeaving(judge.ProxyID(i), true)
-	var patience time.Duration
-	for _, l := range n.scenario.Listeners {
-		patience = max(patience, l.DialTimeout.D())
-	}
-	within, cancel := context.WithTimeout(ctx, min(patience, 3*time.Second)+700*time.Millisecond)
-	defer cancel()
-	p.waitExit(within)
-	if ctx.Err() != nil { // the night is over; it may go on leaving
-		return
-	}
-	if n.scenario.Proxies.Passes { // what it holds goes on by another
-		n.judge.ProxyDied(judge.ProxyID(i))
-		p.kill()
-		return
-	}
-	p.kill()
-	n.sleep(ctx, 2*leeway) // what it held is lost, so it is not dead to the judge before that was seen
-	n.judge.Check(n.now())
-	n.judge.ProxyDied(judge.ProxyID(i))
-}
-
-// restart starts a proxy again with the list as it is now.
-func (n *rehearsal) restartProxy(i int) {
-	p := n.processes[i]
-	p.kill()
-	p.config["known"] = n.list.Snapshot()
-	n.judge.ProxyStarted(n.now(), judge.ProxyID(i))
-	n.front.SetLeaving(judge.ProxyID(i), false)
-	if err := p.start(); err != nil {
-		n.addTrouble("proxy %d does not start again: %v", i, err)
-	}
-}
-
-// reload replaces a proxy's configuration and sends it SIGHUP; moved gives discovery another address.
-func (n *rehearsal) reloadProxy(i int, moved bool) {
-	p := n.processes[i]
-	if moved {
-		door, err := n.list.OpenEndpoint(p.id, "127.0.0.1:0")
-		if err != nil {
-			n.addTrouble("discovery can't move for proxy %d: %v", i, err)
-			return
+// injectAtNode injects a fault at one node. It returns what ends it, nil for nothing.
+func (r *rehearsal) injectAtNode(ctx context.Context, f Fault, i int) (undo func()) {
+	target, id := r.nodes[i], judge.NodeID(i)
+	switch f.Kind {
+	case faultHang:
+		target.Hang()
+		return target.Recover
+	case faultSlow:
+		target.SetSlowdown(f.Factor)
+		return func() { target.SetSlowdown(1) }
+	case faultStall:
+		target.Stall(f.Duration.D())
+	case faultKill:
+		target.Kill()
+		r.list.Update(id, list.Gone, "", time.Time{})
+		return func() { r.relist(i, target.Start(false)) }
+	case faultRestart:
+		target.Kill()
+		r.relist(i, target.Start(false))
+	case faultVanish:
+		if err := target.Vanish(); err != nil {
+			r.addTrouble("node %d can't vanish: %v", i, err)
 		}
-		was := p.endpoint
-		p.endpoint = door
-		p.config["discovery"] = door.Address
-		defer was.Close(1500 * time.Millisecond)
-	}
-	p.config["known"] = n.list.Snapshot()
-	if _, err := p.writeConfig(); err != nil {
-		n.addTrouble("proxy %d's configuration: %v", i, err)
-		return
+		return func() { r.relist(i, target.Return()) }
+	case faultHalfOpen:
+		target.HalfOpen(f.Share)
+	case faultDrain:
+		r.list.Update(id, list.Draining, "", time.Time{})
+		r.faultsRunning.Go(func() {
+			target.Drain(ctx, f.Duration.D(), f.AtOnce)
+			if ctx.Err() == nil {
+				target.Kill()
+				r.list.Update(id, list.Gone, "", time.Time{})
+			}
+		})
 	}
-	p.signal(syscall.SIGHUP, false)
+	return nil
 }
 
-// badClients counts what clients in bad faith were given.
-type badClients struct {
-	sent, answered, closed, unanswered, failed atomic.Int64
+// injectAtProxy injects a fault at one proxy. It returns what ends it, nil for nothing.
+func (r *rehearsal) injectAtProxy(ctx context.Context, f Fault, i int) (undo func()) {
+	restart := func() { r.restartProxy(i) }
+	switch f.Kind {
+	case faultProxyKill:
+		r.judge.ProxyDied(judge.ProxyID(i))
+		r.processes[i].kill()
+		return restart
+	case faultProxyLeave:
+		r.stopProxy(ctx, i)
+		return restart
+	case faultProxyReload:
+		r.reloadProxy(i, false)
+	}
+	return nil
 }
 
-// owed is how long a bad client may be left with neither an error nor a close.
-const badClientTimeout = 3 * time.Second
-
-// nonsense is what bad clients send.
-func invalidInput(rng *rand.Rand, listener string) []byte {
-	choices := [][]byte{
-		[]byte("HELLO\r\n"),
-		[]byte("OPEN\r\n"),
-		[]byte("OPEN 1 2 c=" + listener + ",d=-5\r\n"),
-		[]byte("OPEN 1 2 c=" + listener + ",d=99999999999999999999\r\n"),
-		[]byte("OPEN 1 2 c=" + listener + ",d=soon\r\n"),
-		[]byte("OPEN 1 2 c=nothing,d=500\r\n"),
-		[]byte("OPEN  2 c=" + listener + ",d=500\r\n"),
-		[]byte("OPEN 1 2 c=" + listener + ",c=" + listener + ",d=500\r\n"),
-		[]byte("OPEN 1 2 c=" + listener),
-		bytes.Repeat([]byte("A"), 1<<16),
-		bytes.Repeat([]byte("PING\r\n"), 300),
-		{0, 1, 2, 3, 0xff, 0xfe, '\r', '\n'},
-		[]byte("OPEN 1 2 c=" + listener + ",d=500\r\nM 1\r\nM 2\r\n"),
-	}
-	return choices[rng.Intn(len(choices))]
+// injectAtPlatform injects a fault of discovery, of clients or of all proxies. It returns what ends it, nil for nothing.
+func (r *rehearsal) injectAtPlatform(ctx context.Context, f Fault) (undo func()) {
+	switch f.Kind {
+	case faultAdd:
+		r.addNodes(f.Count)
+	case faultListLate:
+		r.list.SetDelay(f.ListDelay.D())
+		return func() { r.list.SetDelay(r.scenario.Platform.ListLate.D()) }
+	case faultListDown:
+		r.list.SetDown(true)
+		return func() { r.list.SetDown(false) }
+	case faultListCut:
+		r.list.SetReset(true)
+		return func() { r.list.SetReset(false) }
+	case faultListStale:
+		r.list.SetStale(true)
+		return func() { r.list.SetStale(false) }
+	case faultListMoved:
+		for i := range r.processes {
+			r.reloadProxy(i, true)
+		}
+	case faultClientsDrop:
+		r.clients.Drop(f.Share)
+	case faultBadClients, faultSilentClients:
+		r.badClients.run(ctx, r, f)
+	case faultRollingRestart:
+		r.rollingRestart(ctx)
+	}
+	return nil
 }
 
-// run sends a number of bad clients over the fault's time: such that send nonsense, or such that say nothing.
-func (b *badClients) run(ctx context.Context, n *rehearsal, f Fault) {
-	rng := rand.New(rand.NewSource(n.scenario.Seed + int64(f.At)))
-	over := max(f.For.D(), time.Second)
-	gaps := make([]time.Duration, f.Count)
-	for i := range gaps {
-		gaps[i] = time.Duration(rng.Float64() * float64(over))
-	}
-	slices.Sort(gaps)
-	began := n.now()
-	for i, gap := range gaps {
-		if !n.sleep(ctx, began+gap-n.now()) {
+// rollingRestart restarts all proxies in turn.
+func (r *rehearsal) rollingRestart(ctx context.Context) {
+	for i := range r.processes {
+		r.stopProxy(ctx, i)
+		if ctx.Err() != nil {
 			return
 		}
-		address := n.processes[i%len(n.processes)].address
-		if f.Kind == "silent-clients" {
-			n.faultsRunning.Go(func() { b.runOne(ctx, address, nil) })
-		} else {
-			text := invalidInput(rng, n.scenario.Listeners[0].Name)
-			n.faultsRunning.Go(func() { b.runOne(ctx, address, text) })
+		r.restartProxy(i)
+		if !r.sleep(ctx, 2*r.front.DetectionDelay()) {
+			return
 		}
 	}
 }
 
-// one is a bad client; it reads what it is sent.
-func (b *badClients) runOne(ctx context.Context, address string, text []byte) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+// relist lists a node that has started again, at whatever address it has.
+func (r *rehearsal) relist(i int, err error) {
 	if err != nil {
-		b.failed.Add(1)
-		return
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
-	defer stop()
-	b.sent.Add(1)
-	conn.SetDeadline(time.Now().Add(badClientTimeout))
-	conn.Write(text) // it may be closed on already
-	got := make([]byte, 64)
-	for heard := 0; ; {
-		k, err := conn.Read(got)
-		heard += k
-		if bytes.Contains(got[:k], []byte("ERR")) || bytes.Contains(got[:k], []byte("BUSY")) {
-			b.answered.Add(1)
-			return
-		}
-		if err == nil {
-			continue
-		}
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-			if ctx.Err() == nil {
-				b.unanswered.Add(1)
-			}
-		} else {
-			b.closed.Add(1)
-		}
+		r.addTrouble("node %d does not start again: %v", i, err)
 		return
 	}
+	n := r.nodes[i]
+	r.list.Update(judge.NodeID(i), list.Ready, n.Address, time.Unix(0, r.startedAt.Load()).Add(n.StartedAt()))
 }
 
-func (f Fault) String() string {
-	text := fmt.Sprintf("%v: %s", f.At, f.Kind)
-	if len(f.Nodes) > 0 {
-		text += fmt.Sprintf(" of nodes %v", f.Nodes)
-	}
-	if len(f.Proxies) > 0 {
-		text += fmt.Sprintf(" of proxies %v", f.Proxies)
-	}
-	if f.For > 0 {
-		text += fmt.Sprintf(" for %v", f.For)
+// addNodes starts spare nodes, cold.
+func (r *rehearsal) addNodes(count int) {
+	r.mu.Lock()
+	from := r.scenario.Platform.Nodes + r.addedNodes
+	r.addedNodes += count
+	r.mu.Unlock()
+	for i := from; i < min(from+count, len(r.nodes)); i++ {
+		r.relist(i, r.nodes[i].Start(false))
 	}
-	return text
 }
--- a/internal/rehearse/html.go
+++ b/internal/rehearse/html.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"html/template"
 	"os"
+	"slices"
 
 	"github.com/wcharczuk/go-chart/v2"
 	"github.com/wcharczuk/go-chart/v2/drawing"
@@ -48,73 +49,97 @@
 </body></html>
 `))
 
+// plot is one chart of the page, "" where there is nothing to draw.
 type plot struct {
 	Title string
 	SVG   template.HTML
 }
 
+// chartSpec is a chart before it is drawn.
+type chartSpec struct {
+	title  string
+	axis   string // of the values
+	series []chart.Series
+}
+
 func (r *Report) plots() ([]plot, error) {
-	by := func(windows []load.Window, of func(load.Summary) float64) (x, y []float64) {
-		for _, w := range windows {
-			x, y = append(x, w.FromMs/1000), append(y, of(w.Summary))
+	var plots []plot
+	for _, spec := range r.charts() {
+		svg, err := renderSVG(spec.axis, spec.series)
+		if err != nil {
+			return nil, err
+		}
+		if svg != "" {
+			plots = append(plots, plot{spec.title, svg})
 		}
-		return x, y
 	}
-	p50 := func(f load.Summary) float64 { return f.P50 }
-	p99 := func(f load.Summary) float64 { return f.P99 }
-	var times, open, most, least, load []float64
-	fds := make([][]float64, len(r.Proxies))
+	return plots, nil
+}
+
+func (r *Report) charts() []chartSpec {
+	charts := []chartSpec{
+		{"Handshakes, by the second in which they were to begin", "ms", quantileLines(r.ConnectBy)},
+		{"Messages, by the second in which they were to be sent", "ms", quantileLines(r.MessageBy)},
+	}
+	return append(charts, r.sampleCharts()...)
+}
+
+// quantileLines are the curves of p50 and p99 by window.
+func quantileLines(windows []load.Window) []chart.Series {
+	var seconds, p50, p99 []float64
+	for _, w := range windows {
+		seconds = append(seconds, w.FromMs/1000)
+		p50 = append(p50, w.P50)
+		p99 = append(p99, w.P99)
+	}
+	return []chart.Series{line("p50", 0, seconds, p50), line("p99", 1, seconds, p99)}
+}
+
+// sampleCharts are the curves of what was sampled since the run's start.
+func (r *Report) sampleCharts() []chartSpec {
+	var seconds, open, most, least, load []float64
+	descriptors := make([][]float64, len(r.Proxies))
 	for _, s := range r.Samples {
 		if s.AtMs < 0 {
 			continue
 		}
-		times, open, load = append(times, s.AtMs/1000), append(open, float64(s.OpenSessions)), append(load, s.MaxLoad)
-		high, low := 0, -1
-		for _, held := range s.SessionsByNode {
-			high = max(high, held)
-			if low < 0 || held < low {
-				low = held
-			}
-		}
+		seconds = append(seconds, s.AtMs/1000)
+		open = append(open, float64(s.OpenSessions))
+		load = append(load, s.MaxLoad)
+		low, high := s.sessionRange()
 		most, least = append(most, float64(high)), append(least, float64(low))
-		for i := range fds {
-			fds[i] = append(fds[i], float64(s.FDs[i]))
-		}
-	}
-	var plots []plot
-	var failed error
-	draw := func(title, axis string, series ...chart.Series) {
-		svg, err := svgOf(axis, series)
-		if err != nil {
-			failed = err
-		}
-		if svg != "" {
-			plots = append(plots, plot{title, svg})
+		for i := range descriptors {
+			descriptors[i] = append(descriptors[i], float64(s.FDs[i]))
 		}
 	}
-	c50x, c50 := by(r.ConnectBy, p50)
-	_, c99 := by(r.ConnectBy, p99)
-	draw("Handshakes, by the second in which they were to begin", "ms", line("p50", 0, c50x, c50), line("p99", 1, c50x, c99))
-	m50x, m50 := by(r.MessageBy, p50)
-	_, m99 := by(r.MessageBy, p99)
-	draw("Messages, by the second in which they were to be sent", "ms", line("p50", 0, m50x, m50), line("p99", 1, m50x, m99))
-	draw("Open sessions", "sessions", line("all", 0, times, open), line("most at one node", 1, times, most), line("least at one node", 2, times, least))
-	draw("The node asked for most of what it can do", "asked over capacity", line("load", 0, times, load))
 	var proxies []chart.Series
-	for i := range fds {
-		proxies = append(proxies, line(r.Proxies[i].Name, i, times, fds[i]))
+	for i := range descriptors {
+		proxies = append(proxies, line(r.Proxies[i].Name, i, seconds, descriptors[i]))
+	}
+	return []chartSpec{
+		{"Open sessions", "sessions", []chart.Series{line("all", 0, seconds, open), line("most at one node", 1, seconds, most),
+			line("least at one node", 2, seconds, least)}},
+		{"The node asked for most of what it can do", "asked over capacity", []chart.Series{line("load", 0, seconds, load)}},
+		{"Descriptors of the proxies", "descriptors", proxies},
+	}
+}
+
+// sessionRange is the least and the most sessions of any node, -1 and 0 without nodes.
+func (s Sample) sessionRange() (low, high int) {
+	if len(s.SessionsByNode) == 0 {
+		return -1, 0
 	}
-	draw("Descriptors of the proxies", "descriptors", proxies...)
-	return plots, failed
+	return slices.Min(s.SessionsByNode), slices.Max(s.SessionsByNode)
 }
 
+// line is a curve.
 func line(name string, color int, x, y []float64) chart.Series {
 	return chart.ContinuousSeries{Name: name, XValues: x, YValues: y,
 		Style: chart.Style{StrokeColor: chart.GetDefaultColor(color), StrokeWidth: 2}}
 }
 
-// svgOf draws series over the seconds of the run; "" where there is nothing to draw.
-func svgOf(axis string, series []chart.Series) (template.HTML, error) {
+// renderSVG draws series over the seconds of the run; "" where there is nothing to draw.
+func renderSVG(axis string, series []chart.Series) (template.HTML, error) {
 	top := 0.0
 	for _, s := range series {
 		c := s.(chart.ContinuousSeries)
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -21,44 +21,52 @@
 	"chalkferry/internal/standin/list"
 )
 
+// anyCPU is the processor of a process that is not bound to one.
+const anyCPU = -1
+
+const bytesPerMB = 1 << 20
+
+// seedStep separates the seeds of a proxy's starts.
+const seedStep = 0x9e3779b97f4a7c15
+
 type processState int
 
 const (
-	idle    processState = iota // not started, or ended as it was told to
+	stopped processState = iota // not started, or ended when it was asked to
 	running                     // serves
-	ending                      // was told to end
+	ending                      // was asked to end
 	crashed                     // ended by itself, or was killed for its memory
 )
 
 // process is one real proxy, over all its starts.
 type process struct {
-	id      judge.ProxyID
-	binary  string
-	address string
-	folder  string // of its own: configuration, log, temporary files
-	cpu     int    // -1: any
-	memory  int    // megabytes
-	sockets int
-	profile string // a file for a profile of its CPU, "" for none
+	id       judge.ProxyID
+	binary   string
+	address  string
+	folder   string // of its own: configuration, log, temporary files
+	cpu      int    // anyCPU for any
+	memoryMB int
+	sockets  int
+	profile  string // a file for a profile of its CPU, "" for none
 
 	mu               sync.Mutex
 	state            processState
 	cmd              *exec.Cmd
 	exited           chan struct{}
-	config           map[string]any
+	config           proxyConfig
 	endpoint         *list.Endpoint
 	starts           int
-	finishedCPU      time.Duration // of CPU, by those that have ended
+	finishedCPU      time.Duration // used by starts that have ended
 	peakRSS          uint64
 	peakFDs          int
 	fds              int
 	rss              uint64
 	cpuTime          time.Duration
-	crashReasons     []string // crashes
-	samplesAtFDLimit int      // samples at its limit
+	crashReasons     []string
+	samplesAtFDLimit int // samples with as many descriptors as its limit
 }
 
-// write puts the configuration in place of the one before at once.
+// writeConfig replaces the configuration file atomically.
 func (p *process) writeConfig() (string, error) {
 	text, err := json.Marshal(p.config)
 	if err != nil {
@@ -71,14 +79,14 @@
 	return file, os.Rename(file+".new", file)
 }
 
-// start starts the process. It needs no lock; starts of one proxy don't overlap.
+// start starts the process. It takes the lock itself; starts of one proxy don't overlap.
 func (p *process) start() error {
-	p.config["seed"] = fmt.Sprintf("%016x", uint64(p.starts)*0x9e3779b97f4a7c15+uint64(p.id)+1)
+	p.config.Seed = fmt.Sprintf("%016x", uint64(p.starts)*seedStep+uint64(p.id)+1)
 	file, err := p.writeConfig()
 	if err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(p.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -95,17 +103,10 @@
 	if err := startOn(cmd, p.cpu); err != nil {
 		return fmt.Errorf("%s: %w", p.binary, err)
 	}
-	var own unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err == nil && own.Max < uint64(p.sockets) {
-		cmd.Process.Kill()
-		cmd.Wait()
-		return fmt.Errorf("it is to have %d descriptors, and no more than %d can be given here (ulimit -Hn)", p.sockets, own.Max)
-	}
-	limit := unix.Rlimit{Cur: uint64(p.sockets), Max: uint64(p.sockets)}
-	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+	if err := limitDescriptors(cmd.Process.Pid, p.sockets); err != nil {
 		cmd.Process.Kill()
 		cmd.Wait()
-		return fmt.Errorf("limit of descriptors: %w", err)
+		return err
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
@@ -116,9 +117,22 @@
 	return nil
 }
 
-// startOn starts a command that keeps to one processor: a process takes over what its parent's thread is bound to.
+// limitDescriptors sets the limit of descriptors of a process.
+func limitDescriptors(pid, descriptors int) error {
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err == nil && own.Max < uint64(descriptors) {
+		return fmt.Errorf("it is to have %d descriptors, and no more than %d can be given here (ulimit -Hn)", descriptors, own.Max)
+	}
+	limit := unix.Rlimit{Cur: uint64(descriptors), Max: uint64(descriptors)}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		return fmt.Errorf("limit of descriptors: %w", err)
+	}
+	return nil
+}
+
+// startOn starts a command bound to one processor: a process inherits the binding of its parent's thread.
 func startOn(cmd *exec.Cmd, cpu int) error {
-	if cpu < 0 {
+	if cpu == anyCPU {
 		return cmd.Start()
 	}
 	runtime.LockOSThread()
@@ -152,12 +166,12 @@
 		}
 		p.crashReasons = append(p.crashReasons, text)
 	} else if p.state == ending {
-		p.state = idle
+		p.state = stopped
 	}
 	close(exited)
 }
 
-// signal tells the process something; one that does not run is left as it is.
+// signal sends a signal, which ends the process or does not. One that does not run is left as it is.
 func (p *process) signal(sig syscall.Signal, ends bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -176,7 +190,7 @@
 	p.waitExit(context.Background())
 }
 
-// ended waits for the process to end.
+// waitExit waits for the process to end.
 func (p *process) waitExit(ctx context.Context) {
 	p.mu.Lock()
 	exited := p.exited
@@ -190,7 +204,7 @@
 	}
 }
 
-// keepOff binds this process's threads to the processors that no proxy has to itself, so that what is measured of a
+// bindAwayFrom binds this process's threads to the processors that no proxy has to itself, so that what is measured of a
 // proxy is not the generator's. It returns what takes that back.
 func bindAwayFrom(taken []int) (func(), error) {
 	var all, rest unix.CPUSet
@@ -216,7 +230,28 @@
 	return func() { bind(&all) }, nil
 }
 
-// gone tells whether it is dead or leaving.
+// hasCrashed reports whether it ended by itself, or was killed for its memory.
+func (p *process) hasCrashed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state == crashed
+}
+
+func (p *process) logFile() string { return filepath.Join(p.folder, "log") }
+
+// maxLogTail bounds what is quoted of a log, in bytes.
+const maxLogTail = 300
+
+// logTail is the end of the proxy's log.
+func (p *process) logTail() string {
+	text, err := os.ReadFile(p.logFile())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-maxLogTail):])
+}
+
+// isDown reports whether it is dead or leaving.
 func (p *process) isDown() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -255,10 +290,10 @@
 		p.samplesAtFDLimit++
 	}
 	p.cpuTime = time.Duration(stat.CPUTime() * float64(time.Second))
-	over := status.VmRSS > uint64(p.memory)<<20
+	over := status.VmRSS > uint64(p.memoryMB)*bytesPerMB
 	if over && p.state == running {
 		p.state = crashed
-		p.crashReasons = append(p.crashReasons, fmt.Sprintf("killed: it used %d MB of %d", status.VmRSS>>20, p.memory))
+		p.crashReasons = append(p.crashReasons, fmt.Sprintf("killed: it used %d MB of %d", status.VmRSS/bytesPerMB, p.memoryMB))
 	}
 	p.mu.Unlock()
 	if over {
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -1,29 +1,24 @@
 package rehearse
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
-	"path/filepath"
 	"runtime"
-	"sort"
 	"strings"
-	"time"
 
 	"chalkferry/internal/load"
 	"chalkferry/internal/standin/client"
 	"chalkferry/internal/standin/judge"
 )
 
-// Sample is the state of a night at a moment.
+// Sample is the state of a run at a moment.
 type Sample struct {
 	AtMs           float64   `json:"at_ms"`
 	OpenSessions   int       `json:"open"`
-	SessionsByNode []int     `json:"held"`      // sessions, by node
-	MaxLoad        float64   `json:"most_load"` // of the node that is asked for most of what it can do
+	SessionsByNode []int     `json:"held"`      // by node
+	MaxLoad        float64   `json:"most_load"` // of the node with the highest demand over capacity
 	FDs            []int     `json:"fds"`       // by proxy
-	RSSMB          []float64 `json:"rss_mb"`    // the same
+	RSSMB          []float64 `json:"rss_mb"`    // by proxy
 }
 
 // ProxyUse is what one proxy used.
@@ -38,14 +33,14 @@
 	Crashes     []string `json:"crashes,omitempty"`
 }
 
-// Short counts what failed for want of descriptors, by who was short.
+// Shortages count what failed for want of descriptors, by who was short.
 type Shortages struct {
 	Generator int64 `json:"generator"`
 	StandIns  int   `json:"standins"`
-	Proxies   int   `json:"proxies"` // samples at the limit, and sessions that a proxy had no room for
+	Proxies   int   `json:"proxies"` // samples at the limit, and sessions that a proxy refused for want of them
 }
 
-// BadClients are how clients in bad faith were dealt with.
+// BadClients are how clients that sent invalid input, or nothing, were dealt with.
 type BadClients struct {
 	Sent       int64 `json:"sent"`
 	Answered   int64 `json:"answered"` // ERR or BUSY
@@ -85,50 +80,93 @@
 	Faults      []string           `json:"faults"`
 	Samples     []Sample           `json:"samples"`
 	Trouble     []string           `json:"trouble,omitempty"` // of the rehearsal itself
-	Failed      []string           `json:"failed"`            // why the verdict is no, by rules and counts
+	Failed      []string           `json:"failed"`            // reasons of a failed verdict, by rules and counts
 }
 
 var quantiles = []float64{0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99, 100}
 
-func (n *rehearsal) report(scheduled int, interrupted bool) *Report {
-	s := n.scenario
-	r := &Report{Scenario: s.Name, Seed: s.Seed, Cores: runtime.NumCPU(), LengthMs: float64(s.Length.D().Milliseconds()),
-		Interrupted: interrupted, Scheduled: scheduled, Clients: n.clients.Counts(), Trouble: n.troubles, Samples: n.samples,
-		Connects: n.clients.Connects.Summary(), Messages: n.clients.Messages.Summary(),
-		ConnectBy: n.clients.Connects.Windows(), MessageBy: n.clients.Messages.Windows(),
-		Quantiles: quantiles, ConnectAt: n.clients.Connects.AtQuantiles(quantiles), MessageAt: n.clients.Messages.AtQuantiles(quantiles),
-		LateBoundMs: float64(s.LateBound.D()) / float64(time.Millisecond)}
-	c := r.Clients
-	r.Sessions = c.Sessions
-	r.Answers = map[string]int64{"accepted": c.Accepted, "refused": c.Refused, "torn_down": c.Failed, "broken": c.ConnectionLost,
-		"unanswered": c.Unanswered, "no_proxy": c.NoProxy}
-	r.Rules, r.RuleCounts = n.judge.Violations()
-	if r.Rules == nil {
-		r.Rules = []judge.Violation{}
+// report gathers what was seen.
+func (r *rehearsal) report(scheduled int, interrupted bool) *Report {
+	s := r.scenario
+	counts := r.clients.Counts()
+	report := &Report{
+		Scenario:    s.Name,
+		Seed:        s.Seed,
+		Cores:       runtime.NumCPU(),
+		LengthMs:    float64(s.Length.D().Milliseconds()),
+		Interrupted: interrupted,
+		Scheduled:   scheduled,
+		Sessions:    counts.Sessions,
+		Answers: map[string]int64{
+			"accepted":   counts.Accepted,
+			"refused":    counts.Refused,
+			"torn_down":  counts.Failed,
+			"broken":     counts.ConnectionLost,
+			"unanswered": counts.Unanswered,
+			"no_proxy":   counts.NoProxy,
+		},
+		Clients:     counts,
+		OpenAtEnd:   r.openAtEnd,
+		LateBoundMs: toMillis(s.LateBound),
+		Connects:    r.clients.Connects.Summary(),
+		Messages:    r.clients.Messages.Summary(),
+		ConnectBy:   r.clients.Connects.Windows(),
+		MessageBy:   r.clients.Messages.Windows(),
+		Quantiles:   quantiles,
+		ConnectAt:   r.clients.Connects.AtQuantiles(quantiles),
+		MessageAt:   r.clients.Messages.AtQuantiles(quantiles),
+		BadClients:  r.badClients.report(),
+		Samples:     r.samples,
+		Trouble:     r.troubles,
+	}
+	report.Rules, report.RuleCounts = r.judge.Violations()
+	if report.Rules == nil {
+		report.Rules = []judge.Violation{}
+	}
+	report.LateSends, report.Late, report.Lateness = r.clients.Lateness.Result()
+	report.Short.Generator = counts.NoSocket
+	for _, each := range r.nodes {
+		report.Short.StandIns += each.Stats().DescriptorShortages
+	}
+	for i, p := range r.processes {
+		use, samplesAtLimit := p.use(fmt.Sprintf("n%d", i))
+		report.Proxies = append(report.Proxies, use)
+		report.Short.Proxies += samplesAtLimit + countDescriptorRefusals(p.logFile())
 	}
-	r.LateSends, r.Late, r.Lateness = n.clients.Lateness.Result()
-	r.Short.Generator = c.NoSocket
-	for _, each := range n.nodes {
-		r.Short.StandIns += each.Stats().DescriptorShortages
-	}
-	r.OpenAtEnd = n.openAtEnd
-	for i, p := range n.processes {
-		p.mu.Lock()
-		r.Proxies = append(r.Proxies, ProxyUse{Name: fmt.Sprintf("n%d", i), PeakRSSMB: float64(p.peakRSS) / (1 << 20), MemoryMB: p.memory,
-			Descriptors: p.peakFDs, Sockets: p.sockets, CPUSeconds: (p.finishedCPU + p.cpuTime).Seconds(), Starts: p.starts, Crashes: p.crashReasons})
-		r.Short.Proxies += p.samplesAtFDLimit
-		p.mu.Unlock()
-		r.Short.Proxies += countDescriptorRefusals(filepath.Join(p.folder, "log"))
-	}
-	r.BadClients = BadClients{n.badClients.sent.Load(), n.badClients.answered.Load(), n.badClients.closed.Load(), n.badClients.unanswered.Load(), n.badClients.failed.Load()}
 	for _, f := range s.Faults {
-		r.Faults = append(r.Faults, f.String())
+		report.Faults = append(report.Faults, f.String())
+	}
+	report.evaluate(s)
+	return report
+}
+
+// use is what the process used, and in how many samples it was at its limit of descriptors.
+func (p *process) use(name string) (use ProxyUse, samplesAtLimit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return ProxyUse{
+		Name:        name,
+		PeakRSSMB:   float64(p.peakRSS) / bytesPerMB,
+		MemoryMB:    p.memoryMB,
+		Descriptors: p.peakFDs,
+		Sockets:     p.sockets,
+		CPUSeconds:  (p.finishedCPU + p.cpuTime).Seconds(),
+		Starts:      p.starts,
+		Crashes:     p.crashReasons,
+	}, p.samplesAtFDLimit
+}
+
+func (b *badClients) report() BadClients {
+	return BadClients{
+		Sent:       b.sent.Load(),
+		Answered:   b.answered.Load(),
+		Closed:     b.closed.Load(),
+		Unanswered: b.unanswered.Load(),
+		Failed:     b.failed.Load(),
 	}
-	r.evaluate(s)
-	return r
 }
 
-// noRoom counts the sessions that a proxy turned away for want of descriptors, by its log.
+// countDescriptorRefusals counts the sessions that a proxy refused for want of descriptors, by its log.
 func countDescriptorRefusals(file string) int {
 	text, err := os.ReadFile(file)
 	if err != nil { // it never started
@@ -137,100 +175,11 @@
 	return strings.Count(string(text), `"reason":"no-room"`)
 }
 
-// judge gives the verdict: by rules and counts alone, not by times.
-func (r *Report) evaluate(s *Scenario) {
-	r.Failed = []string{}
-	no := func(format string, args ...any) { r.Failed = append(r.Failed, fmt.Sprintf(format, args...)) }
-	var rules []string
-	for rule := range r.RuleCounts {
-		rules = append(rules, string(rule))
-	}
-	sort.Strings(rules)
-	for _, rule := range rules {
-		no("rule broken, %s: %d times", rule, r.RuleCounts[judge.Rule(rule)])
-	}
+// cpuSeconds is what all proxies used.
+func (r *Report) cpuSeconds() float64 {
+	total := 0.0
 	for _, p := range r.Proxies {
-		for _, why := range p.Crashes {
-			no("proxy %s crashed: %s", p.Name, why)
-		}
-		if p.Descriptors > p.Sockets {
-			no("proxy %s held %d descriptors of %d", p.Name, p.Descriptors, p.Sockets)
-		}
-	}
-	if r.BadClients.Unanswered > 0 {
-		no("%d of %d bad clients got neither an error nor a close", r.BadClients.Unanswered, r.BadClients.Sent)
-	}
-	if least := s.Expect.MinAccepted; !r.Interrupted && float64(r.Clients.Served) < least*float64(r.Sessions) {
-		no("%d of %d sessions were accepted, at least a share of %g was wanted", r.Clients.Served, r.Sessions, least)
-	}
-	if s.Expect.NoCutOff && r.Clients.CutOff > 0 {
-		no("%d open sessions were cut off", r.Clients.CutOff)
-	}
-	if r.Short.Generator > 0 {
-		no("the generator ran out of descriptors or ports %d times", r.Short.Generator)
-	}
-	if r.Short.StandIns > 0 {
-		no("the stand-ins ran out of descriptors %d times", r.Short.StandIns)
-	}
-	for _, text := range r.Trouble {
-		no("%s", text)
-	}
-}
-
-// OK tells whether the proxies did what they had to, and the generator what it was to.
-func (r *Report) OK() bool { return len(r.Failed) == 0 && !r.Late }
-
-// Print writes the report for people.
-func (r *Report) Print(to io.Writer) {
-	if r.Late {
-		fmt.Fprintf(to, "LATE: the generator was behind its own schedule: %d of %d sends by more than %g ms (p99 %.1f ms). "+
-			"The times below are its own as well as the proxies'.\n", r.LateSends, r.Lateness.N, r.LateBoundMs, r.Lateness.P99)
-	}
-	if r.Interrupted {
-		fmt.Fprintf(to, "interrupted: what was seen until then\n")
-	}
-	c := r.Clients
-	fmt.Fprintf(to, "%s (seed %d): %d sessions of %d, %d tries: %d accepted, %d refused, %d torn down, %d broken, %d unanswered\n",
-		r.Scenario, r.Seed, r.Sessions, r.Scheduled, c.Attempts, c.Accepted, c.Refused, c.Failed, c.ConnectionLost, c.Unanswered)
-	fmt.Fprintf(to, "%d sessions were accepted at least once; then %d completed, %d moved, %d cut off, %d went on by another proxy, %d open at the end; %d gave up\n",
-		c.Served, c.Completed, c.Migrated, c.CutOff, c.Resumed, r.OpenAtEnd, c.GivenUp)
-	row := func(name string, f load.Summary) {
-		fmt.Fprintf(to, "%-12s n %7d  p50 %8.2f  p90 %8.2f  p99 %8.2f  p99.9 %8.2f  max %8.2f ms\n", name, f.N, f.P50, f.P90, f.P99, f.P999, f.Max)
-	}
-	row("handshake", r.Connects)
-	row("message", r.Messages)
-	row("lateness", r.Lateness)
-	for _, p := range r.Proxies {
-		fmt.Fprintf(to, "proxy %s: %.1f MB of %d, %d descriptors of %d, %.2f s of CPU, %d starts\n", p.Name, p.PeakRSSMB, p.MemoryMB,
-			p.Descriptors, p.Sockets, p.CPUSeconds, p.Starts)
-	}
-	if r.BadClients.Sent > 0 {
-		fmt.Fprintf(to, "bad clients: %d, %d answered, %d closed on, %d left with neither\n", r.BadClients.Sent, r.BadClients.Answered, r.BadClients.Closed, r.BadClients.Unanswered)
-	}
-	for _, f := range r.Faults {
-		fmt.Fprintf(to, "fault %s\n", f)
-	}
-	const most = 10
-	for i, b := range r.Rules {
-		if i == most {
-			fmt.Fprintf(to, "and %d more\n", len(r.Rules)-most)
-			break
-		}
-		fmt.Fprintf(to, "broken at %s\n", b)
-	}
-	if len(r.Failed) == 0 {
-		fmt.Fprintln(to, "all rules kept")
-	}
-	for _, text := range r.Failed {
-		fmt.Fprintf(to, "FAILED: %s\n", text)
-	}
-}
-
-// WriteJSON keeps the report in a file.
-func (r *Report) WriteJSON(file string) error {
-	text, err := json.MarshalIndent(r, "", " ")
-	if err != nil {
-		return err
+		total += p.CPUSeconds
 	}
-	return os.WriteFile(file, append(text, '\n'), 0o644)
+	return total
 }
--- /dev/null
+++ b/internal/rehearse/schedule.go
@@ -0,0 +1,155 @@
+package rehearse
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"os"
+	"time"
+
+	"chalkferry/internal/load"
+	"chalkferry/internal/trace"
+)
+
+const (
+	// firstGroup is the lowest of the names of groups, which are hexadecimal numbers.
+	firstGroup = 0x5c00
+	// reportingShare is the part of a stream's time in which municipalities report, so that their crowds come within it.
+	reportingShare = 0.8
+	// traceScaleSpread is how much later a scaled trace's copies may come.
+	traceScaleSpread = time.Second
+)
+
+// Schedule is all that will arrive, the same for the same scenario and seed.
+func (s *Scenario) Schedule() ([]trace.Session, error) {
+	rng := rand.New(rand.NewSource(s.Seed))
+	if s.Trace.File != "" {
+		return s.traceSchedule(rng)
+	}
+	var all [][]trace.Session
+	for _, a := range s.Arrivals {
+		all = append(all, s.streamSchedule(a, rng)...)
+	}
+	return trace.Merge(all...), nil
+}
+
+// traceSchedule reads the scenario's trace.
+func (s *Scenario) traceSchedule(rng *rand.Rand) ([]trace.Session, error) {
+	file, err := os.Open(s.Trace.File)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	sessions, err := trace.Read(s.Trace.File, file)
+	if err != nil {
+		return nil, err
+	}
+	if s.Trace.Scale != 1 {
+		sessions = trace.Scale(sessions, s.Trace.Scale, traceScaleSpread, rng)
+	}
+	sessions = trace.Cut(trace.Speed(sessions, s.Trace.Speed), 0, s.Length.D())
+	for i, each := range sessions {
+		if s.listenerIndex(each.Listener) < 0 {
+			return nil, fmt.Errorf("%s: session %d is for listener %q, which the scenario does not have", s.Trace.File, i+1, each.Listener)
+		}
+		s.fillDefaults(&sessions[i], rng)
+	}
+	return sessions, nil
+}
+
+// streamSchedule draws one stream; municipalities have one schedule each.
+func (s *Scenario) streamSchedule(a Arrivals, rng *rand.Rand) [][]trace.Session {
+	from, to := a.From.D(), a.To.D()
+	var times []time.Duration
+	switch a.Shape {
+	case shapePoisson:
+		times = load.Poisson(rng, from, to, a.Rate, a.ToRate)
+	case shapeSteady:
+		times = load.Steady(from, to, a.Rate)
+	case shapeSteps:
+		times = load.Steps(rng, from, to, a.Rate, a.ToRate, a.Steps)
+	case shapeBurst:
+		times = load.Burst(rng, from, a.Half.D(), to, a.Count)
+	case shapeMunicipalities:
+		return s.municipalities(a, rng)
+	}
+	return [][]trace.Session{s.sessionsAt(times, a.Listener, "", rng)}
+}
+
+// municipalities each report at a time of their own, and their readers, a group each, come together.
+func (s *Scenario) municipalities(a Arrivals, rng *rand.Rand) [][]trace.Session {
+	from, to := a.From.D(), a.To.D()
+	var all [][]trace.Session
+	for n := range a.Places {
+		reportsAt := from + time.Duration(rng.Float64()*float64(to-from)*reportingShare)
+		readers := load.Burst(rng, reportsAt, a.Half.D(), to, a.Count)
+		all = append(all, s.sessionsAt(readers, a.Listener, fmt.Sprintf("c%03x", n+1), rng))
+	}
+	return all
+}
+
+// sessionsAt draws a session for each time. A listener or a group that is "" is drawn too.
+func (s *Scenario) sessionsAt(times []time.Duration, listener, group string, rng *rand.Rand) []trace.Session {
+	sessions := make([]trace.Session, len(times))
+	for i, at := range times {
+		next := &sessions[i]
+		next.AtMs, next.Listener, next.Group = float64(at)/float64(time.Millisecond), listener, group
+		next.Key = fmt.Sprintf("%016x", rng.Uint64()|1)
+		if next.Listener == "" {
+			next.Listener = s.randomListener(rng)
+		}
+		if next.Group == "" && s.Clients.Groups > 0 {
+			next.Group = s.randomGroup(rng)
+		}
+		if n := len(s.Clients.Tenants); n > 0 {
+			next.Tenant = s.Clients.Tenants[rng.Intn(n)]
+		}
+		s.fillDefaults(next, rng)
+	}
+	return sessions
+}
+
+// randomGroup draws a group; few groups have many of the sessions, after Zipf.
+func (s *Scenario) randomGroup(rng *rand.Rand) string {
+	n := int(math.Exp(rng.Float64()*math.Log(float64(s.Clients.Groups)+1))) - 1
+	return fmt.Sprintf("%x", firstGroup+min(n, s.Clients.Groups-1))
+}
+
+// randomListener draws a listener by the shares.
+func (s *Scenario) randomListener(rng *rand.Rand) string {
+	total := 0.0
+	for _, l := range s.Listeners {
+		total += l.Share
+	}
+	left := rng.Float64() * total
+	for _, l := range s.Listeners {
+		if left -= l.Share; left < 0 {
+			return l.Name
+		}
+	}
+	return s.Listeners[len(s.Listeners)-1].Name
+}
+
+// fillDefaults draws what a session leaves open.
+func (s *Scenario) fillDefaults(t *trace.Session, rng *rand.Rand) {
+	l := s.Listeners[s.listenerIndex(t.Listener)]
+	if t.LifetimeMs == 0 {
+		t.LifetimeMs = rng.ExpFloat64() * float64(l.Lifetime) / float64(time.Millisecond)
+	}
+	if t.Load == 0 {
+		spread := s.Clients.LoadSpread // log-normal with a mean of the listener's load
+		t.Load = l.Load * math.Exp(spread*rng.NormFloat64()-spread*spread/2)
+	}
+	if t.Zone == "" {
+		t.Zone = s.randomZone(rng)
+	}
+}
+
+// randomZone draws a zone, the first one more often by the skew.
+func (s *Scenario) randomZone(rng *rand.Rand) string {
+	zones := s.Platform.Zones
+	if rng.Float64() < s.Clients.ZoneSkew {
+		return zones[0]
+	}
+	return zones[rng.Intn(len(zones))]
+}
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -14,6 +14,13 @@
 	"chalkferry/internal/standin/judge"
 )
 
+// Phases of a member.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+	Gone     = "gone"
+)
+
 // Member is one entry, in discovery's form.
 type Member struct {
 	ID        string  `json:"id"`
@@ -76,7 +83,7 @@
 func (l *List) answer(after uint64) answer {
 	a := answer{Revision: l.revision, Complete: after == 0 || after > l.revision, Members: []Member{}}
 	for _, m := range l.members {
-		if m.Phase == "gone" && a.Complete {
+		if m.Phase == Gone && a.Complete {
 			continue
 		}
 		if a.Complete || m.revision > after {
@@ -108,7 +115,7 @@
 		if !upSince.IsZero() {
 			m.UpSinceMs = upSince.UnixMilli()
 		}
-		l.judge.NodeChanged(l.now(), id, phase != "ready")
+		l.judge.NodeChanged(l.now(), id, phase != Ready)
 		l.notifyWatches()
 	})
 }
@@ -272,7 +279,7 @@
 		phases[m.ID] = m.Phase
 	}
 	for i, name := range d.list.names {
-		if phase, listed := phases[name]; listed && phase != "ready" || a.Complete && !listed {
+		if phase, listed := phases[name]; listed && phase != Ready || a.Complete && !listed {
 			d.list.judge.NodePublished(d.list.now(), d.proxy, judge.NodeID(i), true)
 		}
 	}
