One set of flags for the commands that run a scenario

Need: rehearse, load and compare each parsed length, rate and trace for themselves, and wrote JSON by themselves.

Change: runFlags and traceFlags apply them once; rehearse's Run is in steps.

--- a/cmd/chalkferry/compare.go
+++ b/cmd/chalkferry/compare.go
@@ -2,24 +2,21 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"chalkferry/internal/rehearse"
-	"chalkferry/internal/strict"
 )
 
 type compareCmd struct {
-	A        string      `arg:"" type:"existingfile" help:"The build that is compared with."`
-	B        string      `arg:"" type:"existingfile" help:"The build that is looked at."`
-	Scenario string      `arg:"" optional:"" default:"calm" help:"A built-in scenario's name, or a TOML file."`
-	Pairs    int         `default:"5" help:"How many pairs of runs, 2 or more."`
-	Length   strict.Span `help:"In place of the scenario's."`
-	Rate     float64     `help:"Sessions a second, in place of the scenario's arrivals."`
-	JSON     string      `name:"json" help:"A file for the ratios."`
+	runFlags
+	A        string `arg:"" type:"existingfile" help:"The build that is compared with."`
+	B        string `arg:"" type:"existingfile" help:"The build that is looked at."`
+	Scenario string `arg:"" optional:"" default:"calm" help:"A built-in scenario's name, or a TOML file."`
+	Pairs    int    `default:"5" help:"How many pairs of runs, 2 or more."`
+	JSON     string `name:"json" help:"A file for the ratios."`
 }
 
 func (c *compareCmd) Run() error {
@@ -30,13 +27,8 @@
 	if err != nil {
 		return err
 	}
-	if c.Length > 0 {
-		if err := s.Shorten(c.Length.D()); err != nil {
-			return err
-		}
-	}
-	if c.Rate > 0 {
-		s.SetRate(c.Rate)
+	if err := c.runFlags.apply(s); err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -47,11 +39,7 @@
 	clearProgress()
 	found.Print(os.Stdout)
 	if c.JSON != "" {
-		text, err := json.MarshalIndent(found, "", " ")
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(c.JSON, append(text, '\n'), 0o644); err != nil {
+		if err := found.WriteJSON(c.JSON); err != nil {
 			return err
 		}
 	}
--- a/cmd/chalkferry/load.go
+++ b/cmd/chalkferry/load.go
@@ -7,18 +7,14 @@
 	"syscall"
 
 	"chalkferry/internal/rehearse"
-	"chalkferry/internal/strict"
 )
 
 type loadCmd struct {
-	Address  []string    `arg:"" help:"Where proxies listen."`
-	Scenario string      `default:"calm" help:"Whose listeners, clients and arrivals are taken; the faults are not."`
-	Rate     float64     `help:"Sessions a second, in place of the scenario's arrivals."`
-	Length   strict.Span `help:"In place of the scenario's."`
-	Trace    string      `help:"A trace to replay, in place of the scenario's arrivals." type:"existingfile"`
-	Speed    float64     `default:"1" help:"How many times as fast the trace passes, 1 to 100."`
-	Scale    float64     `default:"1" help:"How many times as many sessions the trace has."`
-	JSON     string      `name:"json" help:"A file for the whole report."`
+	runFlags
+	traceFlags
+	Address  []string `arg:"" help:"Where proxies listen."`
+	Scenario string   `default:"calm" help:"Whose listeners, clients and arrivals are taken; the faults are not."`
+	JSON     string   `name:"json" help:"A file for the whole report."`
 }
 
 func (c *loadCmd) Run() error {
@@ -27,18 +23,11 @@
 		return err
 	}
 	s.Faults = nil
-	if c.Length > 0 {
-		if err := s.Shorten(c.Length.D()); err != nil {
-			return err
-		}
-	}
-	if c.Rate > 0 {
-		s.SetRate(c.Rate)
+	if err := c.runFlags.apply(s); err != nil {
+		return err
 	}
-	if c.Trace != "" {
-		if err := s.Replay(c.Trace, c.Speed, c.Scale); err != nil {
-			return err
-		}
+	if err := c.traceFlags.apply(s); err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/cmd/chalkferry/rehearse.go
+++ b/cmd/chalkferry/rehearse.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -17,66 +16,71 @@
 	"chalkferry/internal/trace"
 )
 
+// runFlags change a scenario's length and arrivals.
+type runFlags struct {
+	Length strict.Span `help:"In place of the scenario's; faults must still lie within."`
+	Rate   float64     `help:"Sessions a second, in place of the scenario's arrivals."`
+}
+
+func (f runFlags) apply(s *rehearse.Scenario) error {
+	if f.Length > 0 {
+		if err := s.Shorten(f.Length.D()); err != nil {
+			return err
+		}
+	}
+	if f.Rate > 0 {
+		s.SetRate(f.Rate)
+	}
+	return nil
+}
+
+// traceFlags replace a scenario's arrivals by a trace. They take precedence over a rate.
+type traceFlags struct {
+	Trace string  `help:"A trace to replay, in place of the scenario's arrivals." type:"existingfile"`
+	Speed float64 `default:"1" help:"How many times as fast the trace passes, 1 to 100."`
+	Scale float64 `default:"1" help:"How many times as many sessions the trace has."`
+}
+
+func (f traceFlags) apply(s *rehearse.Scenario) error {
+	if f.Trace == "" {
+		return nil
+	}
+	return s.Replay(f.Trace, f.Speed, f.Scale)
+}
+
 type rehearseCmd struct {
-	Scenario string      `arg:"" optional:"" default:"calm" help:"A built-in scenario's name, or a TOML file."`
-	Proxy    string      `help:"The program under test; this one without."`
-	Seed     int64       `help:"In place of the scenario's."`
-	Length   strict.Span `help:"In place of the scenario's; faults must still lie within."`
-	JSON     string      `name:"json" help:"A file for the whole report."`
-	HTML     string      `name:"html" help:"A file for the report as a page with plots."`
-	Trace    string      `help:"A trace to replay, in place of the scenario's arrivals." type:"existingfile"`
-	Speed    float64     `default:"1" help:"How many times as fast the trace passes, 1 to 100."`
-	Scale    float64     `default:"1" help:"How many times as many sessions the trace has."`
-	Record   string      `help:"A file for a trace of what arrived."`
-	Logs     string      `help:"A folder that keeps the proxies' logs."`
-	Profiles string      `help:"A folder for profiles of the proxies' CPU."`
-	Rate     float64     `help:"Sessions a second, in place of the scenario's arrivals."`
-	Direct   bool        `help:"Clients connect to the nodes, with no proxy between: what a line's way costs without one."`
-	Climb    float64     `help:"Raise the rate by this factor from run to run, until the p99 of the handshake has doubled."`
-	Steps    int         `default:"20" help:"Of a climb, at most."`
-	List     bool        `help:"Name the built-in scenarios and end."`
-	Check    bool        `help:"Read the scenario, say what is wrong with it, and start nothing."`
+	runFlags
+	traceFlags
+	Scenario string  `arg:"" optional:"" default:"calm" help:"A built-in scenario's name, or a TOML file."`
+	Proxy    string  `help:"The program under test; this one without."`
+	Seed     int64   `help:"In place of the scenario's."`
+	JSON     string  `name:"json" help:"A file for the whole report."`
+	HTML     string  `name:"html" help:"A file for the report as a page with plots."`
+	Record   string  `help:"A file for a trace of what arrived."`
+	Logs     string  `help:"A folder that keeps the proxies' logs."`
+	Profiles string  `help:"A folder for profiles of the proxies' CPU."`
+	Direct   bool    `help:"Clients connect to the nodes, with no proxy between: what a line's way costs without one."`
+	Climb    float64 `help:"Raise the rate by this factor from run to run, until the p99 of the handshake has doubled."`
+	Steps    int     `default:"20" help:"Of a climb, at most."`
+	List     bool    `help:"Name the built-in scenarios and end."`
+	Check    bool    `help:"Read the scenario, say what is wrong with it, and start nothing."`
 }
 
 func (c *rehearseCmd) Run() error {
 	if c.List {
-		for _, name := range rehearse.BuiltIn() {
-			s, err := rehearse.Load(name)
-			if err != nil {
-				return err
-			}
-			fmt.Printf("%-16s %s\n", name, s.About)
-		}
-		return nil
+		return listScenarios()
 	}
-	s, err := rehearse.Load(c.Scenario)
+	s, err := c.scenario()
 	if err != nil {
 		return err
 	}
-	if c.Seed != 0 {
-		s.Seed = c.Seed
-	}
-	if c.Length > 0 {
-		if err := s.Shorten(c.Length.D()); err != nil {
-			return err
-		}
-	}
-	if c.Trace != "" {
-		if err := s.Replay(c.Trace, c.Speed, c.Scale); err != nil {
-			return err
-		}
-	}
-	if c.Rate > 0 {
-		s.SetRate(c.Rate)
-	}
 	if c.Check {
 		fmt.Println("the scenario is good")
 		return nil
 	}
-	if c.Proxy == "" {
-		if c.Proxy, err = os.Executable(); err != nil {
-			return err
-		}
+	options, err := c.options()
+	if err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -85,15 +89,6 @@
 			return err
 		}
 	}
-	if c.Profiles != "" {
-		if c.Profiles, err = filepath.Abs(c.Profiles); err != nil {
-			return err
-		}
-		if err := os.MkdirAll(c.Profiles, 0o755); err != nil {
-			return err
-		}
-	}
-	options := rehearse.Options{Proxy: c.Proxy, Progress: progress(), Logs: c.Logs, Profiles: c.Profiles, Direct: c.Direct}
 	if c.Climb != 0 {
 		return c.climb(ctx, s, options)
 	}
@@ -104,7 +99,56 @@
 	return report(r, c.JSON, c.HTML)
 }
 
-// report shows what was seen, keeps it in the files that are named, and tells the verdict.
+func listScenarios() error {
+	for _, name := range rehearse.BuiltIn() {
+		s, err := rehearse.Load(name)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-16s %s\n", name, s.About)
+	}
+	return nil
+}
+
+// scenario loads the scenario and applies the flags to it.
+func (c *rehearseCmd) scenario() (*rehearse.Scenario, error) {
+	s, err := rehearse.Load(c.Scenario)
+	if err != nil {
+		return nil, err
+	}
+	if c.Seed != 0 {
+		s.Seed = c.Seed
+	}
+	if err := c.runFlags.apply(s); err != nil {
+		return nil, err
+	}
+	return s, c.traceFlags.apply(s)
+}
+
+// options are those of the run, with this program as the proxy where none is named.
+func (c *rehearseCmd) options() (rehearse.Options, error) {
+	o := rehearse.Options{Proxy: c.Proxy, Progress: progress(), Logs: c.Logs, Profiles: c.Profiles, Direct: c.Direct}
+	if o.Proxy == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return o, err
+		}
+		o.Proxy = self
+	}
+	if o.Profiles != "" {
+		absolute, err := filepath.Abs(o.Profiles)
+		if err != nil {
+			return o, err
+		}
+		o.Profiles = absolute
+		if err := os.MkdirAll(absolute, 0o755); err != nil {
+			return o, err
+		}
+	}
+	return o, nil
+}
+
+// report prints a report, writes it to the files that are named, and returns the verdict.
 func report(r *rehearse.Report, json, html string) error {
 	clearProgress()
 	r.Print(os.Stdout)
@@ -135,16 +179,12 @@
 	}
 	fmt.Printf("carried %.0f sessions a second; %s\n", found.Carried, found.Why)
 	if c.JSON != "" {
-		text, err := json.MarshalIndent(found, "", " ")
-		if err != nil {
-			return err
-		}
-		return os.WriteFile(c.JSON, append(text, '\n'), 0o644)
+		return found.WriteJSON(c.JSON)
 	}
 	return nil
 }
 
-// progress is where the line about a run's progress goes, nil where nobody would see it.
+// progress is where the line about a run's progress goes, nil where there is no terminal.
 func progress() io.Writer {
 	if isatty.IsTerminal(os.Stderr.Fd()) {
 		return os.Stderr
@@ -152,7 +192,7 @@
 	return nil
 }
 
-// clearProgress makes room for what follows.
+// clearProgress clears that line.
 func clearProgress() {
 	if to := progress(); to != nil {
 		fmt.Fprint(to, "\r\x1b[K")
