--- a/internal/exchange/slopes_test.go
+++ b/internal/exchange/slopes_test.go
@@ -24,6 +24,7 @@
 func (idleSide) Answer([]byte, string)  {}
 func (idleSide) End(socket.End, string) {}
 func (idleSide) Waits() bool            { return true }
+func (idleSide) Gone() bool             { return false }
 
 // idleDialer keeps the latest dial for the test to bring it up.
 type idleDialer struct{ latest *Exchange }
--- a/internal/proxy/slopes_test.go
+++ b/internal/proxy/slopes_test.go
@@ -120,6 +120,7 @@
 func (silentSide) Answer([]byte, string)  {}
 func (silentSide) End(socket.End, string) {}
 func (silentSide) Waits() bool            { return true }
+func (silentSide) Gone() bool             { return false }
 
 // silentDialer has each dial come up at once, by call of the test.
 type silentDialer struct{ latest *exchange.Exchange }
