--- a/cmd/chalkferry/capacity.go
+++ b/cmd/chalkferry/capacity.go
@@ -41,13 +41,14 @@
 
 type capacityFitCmd struct {
 	Output    string   `short:"o" required:"" help:"The slopes file; slopes of other names stay in it."`
-	Command   string   `required:"" help:"The command whose output is read, as another would run it."`
-	Commit    string   `required:"" help:"The commit that was measured."`
+	Command   string   `help:"The command whose output is read, as another would run it. A scale run's report names it."`
+	Commit    string   `help:"The commit that was measured. A scale run's report names it."`
 	Date      string   `help:"The day of the run; today without."`
 	Machine   string   `help:"The machine; what the output says without."`
 	Note      string   `help:"What is to be known of the run."`
 	Sessions  []string `help:"Reports of rehearsals with one proxy in which the sessions vary, in place of benchmarks on standard input." type:"existingfile"`
 	Messages  []string `help:"The same with the messages varied." type:"existingfile"`
+	Scale     string   `help:"The report of a scale run." type:"existingfile"`
 	Benchmark string   `help:"A file with the output of go test -bench; standard input without." type:"existingfile"`
 }
 
@@ -74,6 +75,12 @@
 }
 
 func (c *capacityFitCmd) read(origin capacity.Origin) ([]*capacity.Slope, error) {
+	if c.Scale != "" {
+		return capacity.FromScaleRun(c.Scale, c.Machine, c.Note)
+	}
+	if c.Command == "" || c.Commit == "" {
+		return nil, errors.New("--command and --commit are needed: no figure stands without its run")
+	}
 	if len(c.Sessions)+len(c.Messages) > 0 {
 		return capacity.FromRehearsals(c.Sessions, c.Messages, origin)
 	}
--- a/internal/capacity/aggregation.go
+++ b/internal/capacity/aggregation.go
@@ -1,40 +1,76 @@
 package capacity
 
-// Names of the slopes of sums by aggregators. The scale run or benchmarks may measure them; until one has, their rows
-// say so.
+// Names of the benchmarks' slopes of sums by aggregators. What whole processes use is measured by the scale run.
 const (
-	slopeMemberState      = "MemberState.held-B"      // by keys
-	slopeAggregatorState  = "AggregatorState.held-B"  // by counts: members x their own keys
-	slopeMemberReport     = "MemberReport.ns/op"      // by keys: one datagram made
-	slopeMemberDigest     = "MemberDigest.ns/op"      // by keys: one datagram taken
-	slopeAggregatorReport = "AggregatorReport.ns/op"  // by counts: one datagram taken
-	slopeAggregatorDigest = "AggregatorDigest.ns/op"  // by keys: one datagram made
-	slopeEntries          = "MemberReport.entries/op" // by keys: in one datagram
+	slopeMemberState         = "MemberState.held-B"        // by keys
+	slopeMemberReport        = "MemberReport.ns/op"        // by keys: one report made
+	slopeReportBytes         = "MemberReport.report-B"     // by keys
+	slopeReportTurn          = "MemberReport.reports/turn" // by keys: until each was sent
+	slopeMemberDigest        = "MemberDigest.ns/op"        // by keys: one digest taken
+	slopeMemberFigure        = "MemberFigure.ns/op"        // by keys
+	slopeAggregatorState     = "AggregatorState.held-B"    // by counts: members x their own keys
+	slopeAggregatorReport    = "AggregatorReport.ns/op"    // by members: one report taken
+	slopeAggregatorDigest    = "AggregatorDigest.ns/op"    // by keys: one digest made
+	slopeDigestBytes         = "AggregatorDigest.digest-B" // by keys
+	slopeDigestTurn          = "AggregatorDigest.digests/turn"
+	slopeAggregatorRegionSum = "AggregatorRegionSum.ns/op" // by keys: one region sum made
+	slopeRegionSumTurn       = "AggregatorRegionSum.sums/turn"
 )
 
-// Intervals of the design, as the files leave them out.
+// What the files of members and aggregators leave out stands at these values (internal/sharing).
 const (
-	reportsPerSecond     = 2.5       // of a member, to each of its region's two aggregators
-	digestsPerSecond     = 1 / 0.170 // to each subscriber
+	reportInterval       = 0.400 // seconds; to each of the region's aggregators
+	digestInterval       = 0.170 // seconds; to each subscriber
+	exchangeInterval     = 0.050 // seconds; a region sum to each other aggregator
 	aggregatorsPerRegion = 2.0
+	maxMemberKeys        = 16384.0
+	maxFleetKeys         = 32768.0
+	maxAggregatorMembers = 6000.0
 )
 
+// regionMembers is how many members report to each aggregator, as each reports to both of its region.
+func regionMembers(c *Case) float64 { return c.Proxies / c.Regions }
+
 func aggregation() Role {
 	return Role{
 		Name: "Counts over the fleet: aggregators", Mechanism: "two aggregators in each region, without election; reports, region sums and digests at constant rates",
+		About: []string{"Benchmarks measure the logic without sockets and encoding; what a member takes with them is measured by the scale run, as far as it has gone. One turn is until each key was sent once; what has changed by more than a tenth goes before its turn."},
 		Quantities: []Quantity{
-			{What: "state of a member", Unit: Bytes, Ceiling: controlMem, Part: controlMemory,
+			{What: "keys of a member", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return maxMemberKeys }, "a member's, as its file leaves it out"}, Worked: func(c *Case) float64 { return c.Keys }, Note: "keys"},
+			{What: "state of a member, with both digests", Unit: Bytes, Ceiling: controlMem, Part: controlMemory,
 				Terms: terms(func(c *Case) []Term { return []Term{at(slopeMemberState, c.Keys)} })},
-			{What: "processor time of a member: reports and digests", Unit: Cores, Ceiling: controlCore, Part: controlCores, Note: "the logic, without sockets and codec",
+			{What: "processor time of a member: reports and digests", Unit: Cores, Ceiling: controlCore, Part: controlCores,
+				Terms: terms(func(c *Case) []Term {
+					return []Term{timed(slopeMemberReport, c.Keys, 1/reportInterval), timed(slopeMemberDigest, c.Keys, 1/digestInterval)}
+				})},
+			{What: "processor time of a hollow member, its sockets too", Unit: Cores, Ceiling: controlCore, Note: "with as many keys as that run has",
+				Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleCPU, c.Proxies)} })},
+			{What: "bytes of a member: reports to both, digests of one", Unit: TrafficPerSecond, Ceiling: controlBytes, Part: controlTraffic, Note: "without envelopes and headers",
+				Terms: terms(func(c *Case) []Term {
+					return []Term{{Slope: slopeReportBytes, At: c.Keys, Times: aggregatorsPerRegion / reportInterval}, {Slope: slopeDigestBytes, At: c.Keys, Times: 1 / digestInterval}}
+				})},
+			{What: "bytes of a hollow member, in and out", Unit: TrafficPerSecond, Ceiling: controlBytes,
+				Terms: terms(func(c *Case) []Term {
+					return []Term{at(scaleAggregation+scaleBytesIn, c.Proxies), at(scaleAggregation+scaleBytesOut, c.Proxies)}
+				})},
+			{What: "a change known to 99 in 100 hollow members", Unit: Seconds, Ceiling: withinTime,
+				Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleKnown99, c.Proxies)} })},
+			{What: "one turn of all keys: report, region sum, digest", Unit: Seconds, Ceiling: withinTime, Note: "as long as a change of less than a tenth, or what a member holds at its start, may take",
 				Terms: terms(func(c *Case) []Term {
-					return []Term{timed(slopeMemberReport, c.Keys, reportsPerSecond), timed(slopeMemberDigest, c.Keys, digestsPerSecond)}
+					return []Term{{Slope: slopeReportTurn, At: c.Keys, Times: reportInterval}, {Slope: slopeRegionSumTurn, At: c.Keys, Times: exchangeInterval},
+						{Slope: slopeDigestTurn, At: c.Keys, Times: digestInterval}}
 				})},
+			{What: "one key's figure", Unit: Seconds, Terms: terms(func(c *Case) []Term { return []Term{timed(slopeMemberFigure, c.Keys, 1)} })},
+			{What: "members of an aggregator", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return maxAggregatorMembers }, "an aggregator's, as its file leaves it out"}, Worked: regionMembers, Note: "proxies / regions"},
 			{What: "state of an aggregator", Unit: Bytes,
-				Terms: terms(func(c *Case) []Term { return []Term{at(slopeAggregatorState, c.Proxies/c.Regions*c.Keys)} })},
-			{What: "processor time of an aggregator: reports and digests", Unit: Cores, Note: "the logic, without sockets and codec",
+				Terms: terms(func(c *Case) []Term { return []Term{at(slopeAggregatorState, regionMembers(c)*c.Keys)} })},
+			{What: "processor time of an aggregator: reports, region sums, digests", Unit: Cores, Note: "no ceiling is given for these machines",
 				Terms: terms(func(c *Case) []Term {
-					return []Term{timed(slopeAggregatorReport, c.Proxies/c.Regions*c.Keys, reportsPerSecond*c.Proxies/c.Regions), timed(slopeAggregatorDigest, c.Keys, digestsPerSecond)}
+					return []Term{timed(slopeAggregatorReport, regionMembers(c), regionMembers(c)/reportInterval),
+						timed(slopeAggregatorRegionSum, c.Keys, 1/exchangeInterval), timed(slopeAggregatorDigest, c.Keys, 1/digestInterval)}
 				})},
+			{What: "processor time of an aggregator's process", Unit: Cores, Note: "in the scale run, which has the aggregators of all regions",
+				Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleAggregatorCPU, c.Proxies)} })},
 		},
 	}
 }
@@ -44,9 +80,24 @@
 		Name: "The machines set aside for control", Mechanism: "aggregators, two in each region; nothing else of the program runs there",
 		Quantities: []Quantity{
 			{What: "proxies to each", Unit: Number, Worked: func(c *Case) float64 { return c.ProxiesToMachine() }, Note: "proxies / machines"},
-			{What: "members that each hears, two in a region", Unit: Number, Worked: func(c *Case) float64 { return c.Proxies / c.Regions }, Note: "proxies / regions, as each reports to both"},
-			{What: "reports that each takes", Unit: PerSecond, Worked: func(c *Case) float64 { return c.Proxies / c.Regions * reportsPerSecond }, Note: "members x 2.5"},
-			{What: "bytes in and out, memory, processor time of the process", Unit: TrafficPerSecond, Note: "the scale run measures them"},
+			{What: "members that each hears, two in a region", Unit: Number, Worked: regionMembers, Note: "proxies / regions, as each reports to both"},
+			{What: "reports that each takes", Unit: PerSecond, Worked: func(c *Case) float64 { return regionMembers(c) / reportInterval }, Note: "members / 400 ms"},
+			{What: "bytes in: reports", Unit: TrafficPerSecond,
+				Terms: terms(func(c *Case) []Term {
+					return []Term{{Slope: slopeReportBytes, At: c.Keys, Times: regionMembers(c) / reportInterval}}
+				})},
+			{What: "bytes out: digests to half of the region's members", Unit: TrafficPerSecond, Ceiling: machineBytes,
+				Terms: terms(func(c *Case) []Term {
+					return []Term{{Slope: slopeDigestBytes, At: c.Keys, Times: regionMembers(c) / aggregatorsPerRegion / digestInterval}}
+				})},
+			{What: "the same to all of them, as its pair is down", Unit: TrafficPerSecond, Ceiling: machineBytes,
+				Terms: terms(func(c *Case) []Term {
+					return []Term{{Slope: slopeDigestBytes, At: c.Keys, Times: regionMembers(c) / digestInterval}}
+				})},
+			{What: "memory of an aggregator's process", Unit: Bytes, Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleAggregatorSize, c.Proxies)} })},
+			{What: "bytes in and out of an aggregator's process", Unit: TrafficPerSecond, Terms: terms(func(c *Case) []Term {
+				return []Term{at(scaleAggregation+scaleAggregatorIn, c.Proxies), at(scaleAggregation+scaleAggregatorOut, c.Proxies)}
+			})},
 		},
 	}
 }
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -42,7 +42,6 @@
 	loopCore      = Ceiling{func(*Case) float64 { return eventLoops }, "a core: there is one event loop"}
 	loopStall     = Ceiling{func(c *Case) float64 { return c.DeliveryWithin.D().Seconds() }, "the time for a delivery, which waits as long"}
 	machineBytes  = Ceiling{func(c *Case) float64 { return c.MachineBytes() }, "25 MB/s of each control machine"}
-	noCeiling     = Ceiling{}
 	coldSpanLimit = Ceiling{func(*Case) float64 { return coldSpanSeconds }, "the span in which a server is cold"}
 )
 
@@ -208,6 +207,10 @@
 				Terms: terms(func(c *Case) []Term {
 					return []Term{{Slope: "FlatCountsReach.datagrams", At: c.Proxies, Times: flatInterval / flatFanOut}}
 				})},
+			{What: "a change known to 99 in 100 hollow members", Unit: Seconds, Ceiling: withinTime,
+				Terms: terms(func(c *Case) []Term { return []Term{at(scaleFlat+scaleKnown99, c.Proxies)} })},
+			{What: "processor time of a hollow member", Unit: Cores, Ceiling: controlCore, Note: "with 100 keys",
+				Terms: terms(func(c *Case) []Term { return []Term{at(scaleFlat+scaleCPU, c.Proxies)} })},
 			{What: "until all have heard all own keys at first hand", Unit: Seconds, Ceiling: withinTime, Note: "24 counts in a datagram",
 				Terms: terms(func(c *Case) []Term {
 					return []Term{{Slope: "FlatCountsReach.datagrams", At: c.Proxies, Times: flatInterval / flatFanOut * c.Keys / flatEntries}}
