--- a/cmd/chalkferry/store.go
+++ b/cmd/chalkferry/store.go
@@ -32,7 +32,7 @@
 		return err
 	}
 	for _, s := range r.Segments {
-		fmt.Printf("%s: batches %d to %d, %d of %d bytes good\n", s.Name, s.First, s.Last, s.Good, s.Size)
+		fmt.Printf("%s: batches %d to %d, %d of %d bytes good\n", s.Name, s.First, s.Last, s.GoodBytes, s.Size)
 	}
 	fmt.Printf("good up to batch %d\n", r.Last)
 	if r.Torn != "" {
--- a/cmd/chalkferry/trace.go
+++ b/cmd/chalkferry/trace.go
@@ -30,27 +30,27 @@
 func (c *traceRecordCmd) Run() error {
 	var all [][]trace.Session
 	var starts []time.Time
-	passed := 0
+	skipped := 0
 	for _, name := range c.Log {
 		file, err := os.Open(name)
 		if err != nil {
 			return err
 		}
-		sessions, began, others, err := trace.FromLog(name, file)
+		sessions, start, skippedLines, err := trace.FromLog(name, file)
 		file.Close()
 		if err != nil {
 			return err
 		}
-		passed += others
+		skipped += skippedLines
 		if len(sessions) > 0 {
-			all, starts = append(all, sessions), append(starts, began)
+			all, starts = append(all, sessions), append(starts, start)
 		}
 	}
 	for i := range all {
 		all[i] = trace.Shift(all[i], starts[i].Sub(slices.MinFunc(starts, time.Time.Compare)))
 	}
 	sessions := trace.Merge(all...)
-	fmt.Fprintf(os.Stderr, "%d sessions; %d lines are no session's\n", len(sessions), passed)
+	fmt.Fprintf(os.Stderr, "%d sessions; %d lines are no session's\n", len(sessions), skipped)
 	return writeTrace(c.Out, "log "+strings.Join(c.Log, " "), sessions)
 }
 
--- a/internal/counts/counts.go
+++ b/internal/counts/counts.go
@@ -1,5 +1,5 @@
-// Package counts adds up the logs of many proxies: what happened in each second, where, and how late each
-// proxy learnt of a list.
+// Package counts aggregates the logs of many proxies, for the count command: events by second, dials by server, and how
+// late each revision of the list reached the proxies. It reads logs after the fact and does not judge what it counts.
 package counts
 
 import (
@@ -15,21 +15,22 @@
 	"time"
 )
 
-// Fleet is what the logs of all proxies say.
+// Fleet aggregates the logs of all proxies.
 type Fleet struct {
 	proxies     int
 	first, last time.Time
-	events      map[string][]time.Time // by what a row of the table is called
+	events      map[string][]time.Time // by the name of a row in the table
 	dials       map[string][]time.Time // by server, of dials that have ended
 	lists       map[string][]logLine   // by proxy, in the order of its log
 	Skipped     int                    // lines that are no log lines
 }
 
-// New makes an empty count.
+// New makes an empty aggregate.
 func New() *Fleet {
 	return &Fleet{events: map[string][]time.Time{}, dials: map[string][]time.Time{}, lists: map[string][]logLine{}}
 }
 
+// logLine is what is read of a line of a proxy's log.
 type logLine struct {
 	Time     time.Time `json:"time"`
 	Side     string    `json:"side"`
@@ -42,19 +43,19 @@
 	Revision uint64    `json:"revision"`
 }
 
-// Add reads one proxy's log. Whatever starts it may stand before a line, as a supervisor's own clock does.
+// Add reads one proxy's log. Each line may have a prefix before its JSON, such as a supervisor's time.
 func (f *Fleet) Add(proxy string, log io.Reader) error {
 	f.proxies++
 	lines := bufio.NewScanner(log)
 	lines.Buffer(make([]byte, 0, 16<<10), 1<<20)
 	for lines.Scan() {
 		var e logLine
-		at := bytes.IndexByte(lines.Bytes(), '{')
-		if at < 0 || json.Unmarshal(lines.Bytes()[at:], &e) != nil || e.Time.IsZero() {
+		brace := bytes.IndexByte(lines.Bytes(), '{')
+		if brace < 0 || json.Unmarshal(lines.Bytes()[brace:], &e) != nil || e.Time.IsZero() {
 			f.Skipped++
 			continue
 		}
-		f.add(proxy, e)
+		f.addLine(proxy, e)
 	}
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("%s: %w", proxy, err)
@@ -62,41 +63,42 @@
 	return nil
 }
 
-// failed are the reasons of dials that brought no session up; those that did end with their client's reason.
+// failedDialReasons are the reasons of dials that established no session; the others end with their client's reason.
 var failedDialReasons = []string{"unanswered", "unreachable", "full", "error", "drains"}
 
-func (f *Fleet) add(proxy string, e logLine) {
+// addLine counts one line.
+func (f *Fleet) addLine(proxy string, e logLine) {
 	if f.first.IsZero() || e.Time.Before(f.first) {
 		f.first = e.Time
 	}
 	if e.Time.After(f.last) {
 		f.last = e.Time
 	}
-	began := e.Time.Add(-time.Duration(e.Ms * float64(time.Millisecond)))
-	tell := func(kind string, at time.Time) { f.events[kind] = append(f.events[kind], at) }
+	start := e.Time.Add(-time.Duration(e.Ms * float64(time.Millisecond)))
+	count := func(kind string, at time.Time) { f.events[kind] = append(f.events[kind], at) }
 	switch {
 	case e.Side == "client" && e.ID != "":
-		tell("came", began)
+		count("came", start)
 		if e.Returned {
-			tell("returned", began)
+			count("returned", start)
 		}
-		tell(e.Reason, e.Time)
+		count(e.Reason, e.Time)
 	case e.Side == "server":
-		f.dials[e.Server] = append(f.dials[e.Server], began)
+		f.dials[e.Server] = append(f.dials[e.Server], start)
 		if slices.Contains(failedDialReasons, e.Reason) {
-			tell(e.Reason, e.Time)
+			count(e.Reason, e.Time)
 		}
 	case e.Message == "list":
-		tell("list", e.Time)
+		count("list", e.Time)
 		f.lists[proxy] = append(f.lists[proxy], e)
 	case e.Message == "the watch of the list failed":
-		tell("list failed", e.Time)
+		count("list failed", e.Time)
 	case strings.Contains(e.Message, "messages late or sessions dropped"):
-		tell("late", e.Time)
+		count("late", e.Time)
 	}
 }
 
-// Lateness is how a revision came to the proxies.
+// RevisionLateness is how late a revision of the list reached the proxies.
 type RevisionLateness struct {
 	Revision uint64
 	First    time.Duration // since the first line of any log
@@ -105,7 +107,7 @@
 	Never    int // proxies that had neither by the end
 }
 
-// Learnt tells of each revision how late the proxies had it. One that starts again from nothing had it before.
+// ListLateness returns, by revision, how late the proxies had it. A proxy that restarts from nothing had it before.
 func (f *Fleet) ListLateness() (all []RevisionLateness) {
 	revisions := map[uint64]bool{}
 	for _, lists := range f.lists {
@@ -133,10 +135,10 @@
 	return all
 }
 
-// Seconds are the counts of a kind.
+// PerSecond are the counts of a kind of event, by second.
 func (f *Fleet) PerSecond(kind string) []int { return f.countPerSecond(f.events[kind]) }
 
-// Dials are those that went to a server, by the second in which they began.
+// DialsPerSecond are the dials to a server, by the second in which they began.
 func (f *Fleet) DialsPerSecond(server string) []int { return f.countPerSecond(f.dials[server]) }
 
 func (f *Fleet) countPerSecond(times []time.Time) []int {
@@ -154,10 +156,10 @@
 	})
 }
 
-// Write prints the counts.
+// Write prints the aggregate.
 func (f *Fleet) Write(out io.Writer) {
 	fmt.Fprintf(out, "%d proxies, %.1f s, %d lines that are no log lines\n", f.proxies, f.last.Sub(f.first).Seconds(), f.Skipped)
-	row := func(name string, counts []int) {
+	printRow := func(name string, counts []int) {
 		fmt.Fprintf(out, "%-14s", name)
 		for _, n := range counts {
 			fmt.Fprintf(out, " %4d", n)
@@ -168,22 +170,22 @@
 	for i := range seconds {
 		seconds[i] = i
 	}
-	row("second", seconds)
+	printRow("second", seconds)
 	for _, kind := range slices.Sorted(maps.Keys(f.events)) {
-		row(kind, f.PerSecond(kind))
+		printRow(kind, f.PerSecond(kind))
 	}
 	fmt.Fprintln(out, "\ndials by server, of those that have ended")
 	for _, server := range f.Servers() {
-		row(server, f.DialsPerSecond(server))
+		printRow(server, f.DialsPerSecond(server))
 	}
 	fmt.Fprintln(out, "\nlists: when the first proxy had it, how much later half and all had it or a newer one")
 	for _, l := range f.ListLateness() {
-		fmt.Fprintf(out, "revision %-6d %7.2f s  half %s  all %s  never %d\n", l.Revision, l.First.Seconds(), span(l.Half),
-			span(l.All), l.Never)
+		fmt.Fprintf(out, "revision %-6d %7.2f s  half %s  all %s  never %d\n", l.Revision, l.First.Seconds(), formatDelay(l.Half),
+			formatDelay(l.All), l.Never)
 	}
 }
 
-func span(d time.Duration) string {
+func formatDelay(d time.Duration) string {
 	if d < 0 {
 		return "never"
 	}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -1,5 +1,5 @@
-// Package line reads and writes the lines of text that clients, proxies and servers exchange. What it returns
-// are slices of the buffer that it was given.
+// Package line parses and formats the lines of text that clients, proxies and servers exchange. It does no I/O and keeps
+// no state. What it returns are slices of the buffer that it was given.
 package line
 
 import (
@@ -13,17 +13,17 @@
 	"unicode/utf8"
 )
 
-// Most bytes of a line, its end included.
+// MaxLength is the size of the longest line in bytes, its end included.
 const MaxLength = 4096
 
+// What may be wrong with a line.
 var (
 	ErrLong      = errors.New("line is too long")
 	ErrEnd       = errors.New("line does not end in CRLF")
 	ErrMalformed = errors.New("malformed line")
 )
 
-// Next cuts the first line off a buffer: its text, and how many bytes it takes with its end. It takes none
-// while the line is not whole.
+// Next returns the first line of a buffer: its text, and its size with its end. The size is 0 while the line is not whole.
 func Next(buf []byte) (text []byte, size int, err error) {
 	end := bytes.IndexByte(buf, '\n')
 	switch {
@@ -57,72 +57,42 @@
 type Open struct {
 	ID, Key, Listener, Tenant, Group, At []byte
 	Left                                 time.Duration
-	Load                                 float64 // as told, 0 without
+	Load                                 float64 // as the client gave it, 0 without
 	Returned, MidFlow                    bool
-	leftAt, leftEnd                      int
+	leftStart, leftEnd                   int
 }
 
-// mostPairs of an OPEN line.
-const maxPairs = 32
+const (
+	// maxPairs is the largest number of pairs in an OPEN line.
+	maxPairs = 32
+	// maxLeftMs bounds the time that a client may wait, in milliseconds.
+	maxLeftMs = 1e9
+)
 
-// ParseOpen reads the text of an OPEN line. Names that it does not know are passed over; none may come twice, as
-// the server might read the other one.
+// ParseOpen reads the text of an OPEN line. Unknown names are ignored; none may occur twice, as the server might read the
+// other one.
 func ParseOpen(text []byte) (Open, error) {
 	var o Open
-	words := bytes.Split(text, []byte(" "))
-	if len(words) != 4 || string(words[0]) != "OPEN" || len(words[1]) == 0 || len(words[2]) == 0 {
+	fields := bytes.Split(text, []byte(" "))
+	if len(fields) != 4 || string(fields[0]) != "OPEN" || len(fields[1]) == 0 || len(fields[2]) == 0 {
 		return o, ErrMalformed
 	}
-	if !isPlainASCII(text[:len(text)-len(words[3])]) {
+	offset := len(text) - len(fields[3])
+	if !isPlainASCII(text[:offset]) {
 		return o, ErrMalformed
 	}
-	o.ID, o.Key = words[1], words[2]
-	at := len(text) - len(words[3])
+	o.ID, o.Key = fields[1], fields[2]
 	var names [maxPairs][]byte
-	for i, pair := range bytes.Split(words[3], []byte(",")) {
+	for i, pair := range bytes.Split(fields[3], []byte(",")) {
 		name, value, ok := bytes.Cut(pair, []byte("="))
 		if !ok || i == maxPairs || slices.ContainsFunc(names[:i], func(n []byte) bool { return bytes.Equal(n, name) }) {
 			return o, ErrMalformed
 		}
 		names[i] = name
-		switch string(name) {
-		case "c", "t", "at": // named in settings and lists, in any script
-			if !isPrintable(value) {
-				return o, ErrMalformed
-			}
-		default:
-			if !isPlainASCII(pair) {
-				return o, ErrMalformed
-			}
-		}
-		switch string(name) {
-		case "c":
-			o.Listener = value
-		case "t":
-			o.Tenant = value
-		case "g":
-			o.Group = value
-		case "at":
-			o.At = value
-		case "again":
-			o.Returned = string(value) == "1"
-		case "mid":
-			o.MidFlow = string(value) == "1"
-		case "h":
-			load, ok := parseDecimal(value)
-			if !ok {
-				return o, ErrMalformed
-			}
-			o.Load = load
-		case "d":
-			ms, ok := parseDecimal(value)
-			if !ok || !(ms > 0 && ms < 1e9) {
-				return o, ErrMalformed
-			}
-			o.Left = time.Duration(ms * float64(time.Millisecond))
-			o.leftAt, o.leftEnd = at+len("d="), at+len(pair)
+		if !o.set(name, value, offset) {
+			return o, ErrMalformed
 		}
-		at += len(pair) + 1
+		offset += len(pair) + 1
 	}
 	if o.leftEnd == 0 || o.Listener == nil {
 		return o, ErrMalformed
@@ -130,17 +100,58 @@
 	return o, nil
 }
 
-// plain tells whether a text has nothing but what can be seen of ASCII.
+// set takes one pair, which begins at an offset of the line. It reports whether the pair is well formed.
+func (o *Open) set(name, value []byte, offset int) bool {
+	switch string(name) {
+	case "c", "t", "at": // named in settings and lists, in any script
+		if !isPrintable(value) {
+			return false
+		}
+	default:
+		if !isPlainASCII(name) || !isPlainASCII(value) {
+			return false
+		}
+	}
+	switch string(name) {
+	case "c":
+		o.Listener = value
+	case "t":
+		o.Tenant = value
+	case "g":
+		o.Group = value
+	case "at":
+		o.At = value
+	case "again":
+		o.Returned = string(value) == "1"
+	case "mid":
+		o.MidFlow = string(value) == "1"
+	case "h":
+		load, ok := parseDecimal(value)
+		o.Load = load
+		return ok
+	case "d":
+		ms, ok := parseDecimal(value)
+		if !ok || !(ms > 0 && ms < maxLeftMs) {
+			return false
+		}
+		o.Left = time.Duration(ms * float64(time.Millisecond))
+		o.leftStart = offset + len("d=")
+		o.leftEnd = o.leftStart + len(value)
+	}
+	return true
+}
+
+// isPlainASCII reports whether a text consists of printable ASCII.
 func isPlainASCII(text []byte) bool {
 	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r > '~' })
 }
 
-// printable tells whether it has nothing but what can be seen of any script.
+// isPrintable reports whether a text consists of printable characters of any script.
 func isPrintable(text []byte) bool {
 	return utf8.Valid(text) && !bytes.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) })
 }
 
-// decimal reads digits with at most one point among them. The library's parser also takes signs, exponents,
+// parseDecimal reads digits with at most one point among them. The library's parser also takes signs, exponents,
 // hexadecimal, underscores, Inf and NaN, which no client writes in good faith and a server may read otherwise.
 func parseDecimal(text []byte) (float64, bool) {
 	if bytes.ContainsFunc(text, func(r rune) bool { return r != '.' && (r < '0' || r > '9') }) {
@@ -150,15 +161,15 @@
 	return v, err == nil
 }
 
-// AppendOpen writes the OPEN line as a server is to see it: unchanged but for the time left.
-func (o *Open) AppendOpen(to, text []byte, left time.Duration) []byte {
-	to = append(to, text[:o.leftAt]...)
-	to = strconv.AppendInt(to, max(int64(left/time.Millisecond), 1), 10)
-	to = append(to, text[o.leftEnd:]...)
-	return append(to, '\r', '\n')
+// AppendOpen appends the OPEN line as a server is to see it: unchanged but for the time left.
+func (o *Open) AppendOpen(dst, text []byte, left time.Duration) []byte {
+	dst = append(dst, text[:o.leftStart]...)
+	dst = strconv.AppendInt(dst, max(int64(left/time.Millisecond), 1), 10)
+	dst = append(dst, text[o.leftEnd:]...)
+	return append(dst, '\r', '\n')
 }
 
-// Key turns a key into a number that is the same at every proxy; only an absent one is 0.
+// Key maps a key to a number that is the same at every proxy; only that of an absent key is 0.
 func Key(text []byte) uint64 {
 	if len(text) == 0 {
 		return 0
@@ -178,7 +189,7 @@
 	return parseDecimal(Rest(text))
 }
 
-// Busy writes a refusal, with the time after which to come back if there is one.
+// Busy formats a refusal, with the time after which to retry if there is one.
 func Busy(retryAfter time.Duration) []byte {
 	if retryAfter <= 0 {
 		return []byte("BUSY\r\n")
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,6 +1,6 @@
-// Package load sends on a schedule that was fixed before, whatever becomes of what was sent (an open loop), and
-// counts each latency from the time at which it was to be sent, so that a stall is not hidden by those that wait for
-// its end (no coordinated omission, after Tene).
+// Package load generates load on a fixed schedule, whatever becomes of what was sent (an open loop), and records each
+// latency from the intended time of its send, so that a stall is not hidden by senders that wait for its end (no
+// coordinated omission, after Tene). What is sent is the caller's.
 package load
 
 import (
@@ -13,14 +13,14 @@
 )
 
 const (
-	minLatencyMicros  = 1                // microseconds
-	maxLatencyMicros  = 10 * 60 * 1e6    // the same; longer ones count as this
-	significantDigits = 3                // of the whole
+	minLatencyMicros  = 1
+	maxLatencyMicros  = 10 * 60 * 1e6    // longer ones count as this
+	significantDigits = 3                // of the recorder
 	windowDigits      = 2                // of each window, to save memory
-	reportUnit        = time.Millisecond // figures are told in milliseconds
+	reportUnit        = time.Millisecond // of all figures
 )
 
-// Figures are quantiles of latencies, in milliseconds.
+// Summary has quantiles of latencies, in milliseconds.
 type Summary struct {
 	N    int64   `json:"n"`
 	P50  float64 `json:"p50"`
@@ -30,13 +30,13 @@
 	Max  float64 `json:"max"`
 }
 
-// Window is what was to be sent within a span of time.
+// Window summarizes what was to be sent within one window of time.
 type Window struct {
 	FromMs float64 `json:"from_ms"`
 	Summary
 }
 
-// Recorder keeps latencies, whole and by window. It may be used from any goroutine.
+// Recorder keeps latencies, of the whole run and by window. It may be used from any goroutine.
 type Recorder struct {
 	mu      sync.Mutex
 	span    time.Duration
@@ -44,12 +44,12 @@
 	windows []*hdrhistogram.Histogram
 }
 
-// NewRecorder makes a recorder with windows of a span; 0 for none.
+// NewRecorder makes a recorder with windows of a length; 0 for none.
 func NewRecorder(span time.Duration) *Recorder {
 	return &Recorder{span: span, all: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits)}
 }
 
-// Record takes what something took that was to begin at a time since the run's start.
+// Record records the latency of something that was to begin at a time since the run's start.
 func (r *Recorder) Record(intended, took time.Duration) {
 	us := min(max(took.Microseconds(), minLatencyMicros), maxLatencyMicros)
 	r.mu.Lock()
@@ -74,14 +74,14 @@
 		Max: float64(h.Max()) / float64(reportUnit/time.Microsecond)}
 }
 
-// Figures tells the whole.
+// Summary summarizes the whole run.
 func (r *Recorder) Summary() Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return summarize(r.all)
 }
 
-// Windows tells each window in which anything was to be sent.
+// Windows returns each window in which anything was to be sent.
 func (r *Recorder) Windows() []Window {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,7 +94,7 @@
 	return windows
 }
 
-// Curve is the latency in milliseconds at each of some quantiles (0 to 100).
+// AtQuantiles is the latency in milliseconds at each of some quantiles (0 to 100).
 func (r *Recorder) AtQuantiles(quantiles []float64) []float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -113,7 +113,7 @@
 	late     atomic.Int64
 }
 
-// lateShare is the share of sends that may be later than the bound before a run counts as late.
+// maxLateShare is the share of sends that may be later than the bound before a run counts as late.
 const maxLateShare = 0.01
 
 // NewLateness makes a measure with the bound beyond which a send is late.
@@ -121,7 +121,7 @@
 	return &Lateness{recorder: NewRecorder(0), bound: bound}
 }
 
-// Sent takes how late a send was.
+// Record records how late a send was.
 func (l *Lateness) Record(by time.Duration) {
 	l.recorder.Record(-1, by)
 	if by > l.bound {
@@ -129,26 +129,26 @@
 	}
 }
 
-// Late tells how many sends were later than the bound, whether that is more than a hundredth of them, and the
-// lateness of all.
+// Result is how many sends were later than the bound, whether that is more than a hundredth of them, and the lateness
+// of all.
 func (l *Lateness) Result() (n int64, tooMany bool, all Summary) {
 	all, n = l.recorder.Summary(), l.late.Load()
 	return n, float64(n) > maxLateShare*float64(all.N), all
 }
 
-// Bound is what counts as late.
+// Bound is the delay beyond which a send is late.
 func (l *Lateness) Bound() time.Duration { return l.bound }
 
 // Run calls fire for each time of a schedule in its order, in a goroutine of its own, until the last one's or the
-// context's end. It never waits for what it has called: there is no queue. It returns how many it called.
+// context's end. It never waits for what it has called. It returns how many calls it made.
 func Run(ctx context.Context, now func() time.Duration, schedule []time.Duration, fire func(i int)) int {
-	alarm := time.NewTimer(0)
-	defer alarm.Stop()
-	for i, at := range schedule {
-		if wait := at - now(); wait > 0 {
-			alarm.Reset(wait)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for i, due := range schedule {
+		if wait := due - now(); wait > 0 {
+			timer.Reset(wait)
 			select {
-			case <-alarm.C:
+			case <-timer.C:
 			case <-ctx.Done():
 				return i
 			}
--- a/internal/load/shapes.go
+++ b/internal/load/shapes.go
@@ -7,30 +7,29 @@
 	"time"
 )
 
-// A shape makes the times at which something arrives, in order, from a source of chance; the same source gives the
-// same times.
+// The functions below draw times of arrival, in order, from a random source; the same source gives the same times.
 
-// Poisson arrives at random with a rate a second that goes evenly from one figure to another.
+// Poisson draws arrivals at random, with a rate a second that changes evenly from one figure to another.
 func Poisson(rng *rand.Rand, from, to time.Duration, rate, toRate float64) []time.Duration {
 	var times []time.Duration
-	most := max(rate, toRate)
-	if most <= 0 {
+	maxRate := max(rate, toRate)
+	if maxRate <= 0 {
 		return nil
 	}
 	// Thinning, after Lewis and Shedler.
-	for at := from; ; {
-		at += time.Duration(rng.ExpFloat64() / most * float64(time.Second))
-		if at >= to {
+	for next := from; ; {
+		next += time.Duration(rng.ExpFloat64() / maxRate * float64(time.Second))
+		if next >= to {
 			return times
 		}
-		part := float64(at-from) / float64(to-from)
-		if rng.Float64()*most < rate+(toRate-rate)*part {
-			times = append(times, at)
+		progress := float64(next-from) / float64(to-from)
+		if rng.Float64()*maxRate < rate+(toRate-rate)*progress {
+			times = append(times, next)
 		}
 	}
 }
 
-// Steady arrives at even distances.
+// Steady makes arrivals at even distances.
 func Steady(from, to time.Duration, rate float64) []time.Duration {
 	var times []time.Duration
 	if rate <= 0 {
@@ -45,7 +44,7 @@
 	}
 }
 
-// Steps arrives at random with a rate that goes from one figure to another in so many equal steps.
+// Steps draws arrivals at random, with a rate that changes from one figure to another in a number of equal steps.
 func Steps(rng *rand.Rand, from, to time.Duration, rate, toRate float64, steps int) []time.Duration {
 	var times []time.Duration
 	for n := range steps {
@@ -59,14 +58,14 @@
 	return times
 }
 
-// Burst is a crowd of n that comes when something happens: at once in part, then ever fewer. Half of them are there
-// after the span.
+// Burst draws a crowd of n that arrives when something happens: many at once, then ever fewer. Half of them have arrived
+// after the time half.
 func Burst(rng *rand.Rand, at, half, end time.Duration, n int) []time.Duration {
 	var times []time.Duration
 	for range n {
-		t := at + time.Duration(rng.ExpFloat64()/math.Ln2*float64(half))
-		if t < end {
-			times = append(times, t)
+		arrival := at + time.Duration(rng.ExpFloat64()/math.Ln2*float64(half))
+		if arrival < end {
+			times = append(times, arrival)
 		}
 	}
 	slices.Sort(times)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,5 @@
-// Package peers carries words between proxies over UDP. They may be lost.
+// Package peers carries datagrams between proxies over UDP, for the proxy's event loop. A datagram may be lost, doubled
+// or reordered, and its sender is not authenticated: what it means, and whether it is believed, is the receiver's.
 package peers
 
 import (
@@ -7,93 +8,97 @@
 	"net/netip"
 )
 
-// MostBytes of a word.
+// MaxDatagram is the size of the largest datagram, in bytes.
 const MaxDatagram = 256
 
-const sendQueueLength = 64 // words to be sent; more are dropped, as any may be lost
+// sendQueueLength is how many datagrams wait to be sent; more are dropped, as any may be lost.
+const sendQueueLength = 64
 
 // Peers is one proxy's end.
 type Peers struct {
-	conn *net.UDPConn
-	to   []netip.AddrPort
-	out  chan datagram
+	conn         *net.UDPConn
+	destinations []netip.AddrPort
+	queue        chan datagram
 }
 
 type datagram struct {
-	word []byte
-	to   []netip.AddrPort
+	payload      []byte
+	destinations []netip.AddrPort
 }
 
-// Listen hears words at an address. Words are told to all at once where there is an address for that, else to
-// each of the others.
-func Listen(listen, all string, others []string, hear func(word []byte)) (*Peers, error) {
-	at, err := net.ResolveUDPAddr("udp", listen)
+// Listen receives datagrams at an address. They are sent to broadcast, one address that reaches all proxies, or where
+// that is "" to each of the others. receive is called from another goroutine, with a payload that is its own.
+func Listen(listen, broadcast string, others []string, receive func(payload []byte)) (*Peers, error) {
+	address, err := net.ResolveUDPAddr("udp", listen)
 	if err != nil {
 		return nil, err
 	}
-	p := &Peers{out: make(chan datagram, sendQueueLength)}
-	if err := p.Address(all, others); err != nil {
+	p := &Peers{queue: make(chan datagram, sendQueueLength)}
+	if err := p.Address(broadcast, others); err != nil {
 		return nil, err
 	}
-	if p.conn, err = net.ListenUDP("udp", at); err != nil {
+	if p.conn, err = net.ListenUDP("udp", address); err != nil {
 		return nil, err
 	}
-	go p.read(hear)
+	go p.read(receive)
 	go p.write()
 	return p, nil
 }
 
-// Address names whom words go to from now on, as Listen does.
-func (p *Peers) Address(all string, others []string) error {
-	if all != "" {
-		others = []string{all}
+// Address sets the destinations from now on, as Listen does. It must not be called together with Send.
+func (p *Peers) Address(broadcast string, others []string) error {
+	if broadcast != "" {
+		others = []string{broadcast}
 	}
-	var to []netip.AddrPort
+	var destinations []netip.AddrPort
 	for _, other := range others {
-		next, err := netip.ParseAddrPort(other)
+		destination, err := netip.ParseAddrPort(other)
 		if err != nil {
 			return err
 		}
-		to = append(to, next)
+		destinations = append(destinations, destination)
 	}
-	p.to = to
+	p.destinations = destinations
 	return nil
 }
 
-// Close hears and tells nothing more.
+// Close ends receiving, and sending once the queue is empty.
 func (p *Peers) Close() {
 	p.conn.Close()
-	close(p.out)
+	close(p.queue)
 }
 
-func (p *Peers) read(hear func([]byte)) {
-	buf := make([]byte, MaxDatagram+1)
+// Send sends a datagram to all destinations. It never blocks; a full queue drops it.
+func (p *Peers) Send(payload []byte) {
+	select {
+	case p.queue <- datagram{payload, p.destinations}:
+	default:
+	}
+}
+
+// Tell is Send, by the name that internal/proxy still uses.
+func (p *Peers) Tell(payload []byte) { p.Send(payload) }
+
+func (p *Peers) read(receive func([]byte)) {
+	buffer := make([]byte, MaxDatagram+1)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if _, ok := err.(net.Error); ok && !errors.Is(err, net.ErrClosed) { // a word that did not arrive may be told here
-				continue
-			}
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		var netErr net.Error
+		switch {
+		case err == nil && n <= MaxDatagram:
+			receive(append([]byte(nil), buffer[:n]...))
+		case err == nil: // too long
+		case errors.As(err, &netErr) && !errors.Is(err, net.ErrClosed): // that of an earlier datagram, which did not arrive
+		default:
 			return
 		}
-		if n <= MaxDatagram {
-			hear(append([]byte(nil), buf[:n]...))
-		}
 	}
 }
 
 func (p *Peers) write() {
-	for m := range p.out {
-		for _, to := range m.to {
-			p.conn.WriteToUDPAddrPort(m.word, to)
+	for d := range p.queue {
+		for _, destination := range d.destinations {
+			p.conn.WriteToUDPAddrPort(d.payload, destination) // may be lost like any
 		}
 	}
 }
-
-// Tell sends a word; it never blocks.
-func (p *Peers) Tell(word []byte) {
-	select {
-	case p.out <- datagram{word, p.to}:
-	default:
-	}
-}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -28,8 +28,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.Tell(make([]byte, MaxDatagram+1))
-	p.Tell([]byte("late"))
+	p.Send(make([]byte, MaxDatagram+1))
+	p.Send([]byte("late"))
 	got := map[string]bool{}
 	for range 2 {
 		select {
@@ -43,6 +43,6 @@
 		t.Errorf("%v", got)
 	}
 	for range 10 * sendQueueLength {
-		p.Tell([]byte("late"))
+		p.Send([]byte("late"))
 	}
 }
--- a/internal/standin/front/front.go
+++ b/internal/standin/front/front.go
@@ -1,5 +1,6 @@
-// Package front is a stand-in for the layer that deals connections out among proxies. It takes a proxy in once that
-// has answered PING with PONG, and notices late that one has died.
+// Package front simulates the layer that distributes connections among proxies, for rehearsals. It probes each proxy,
+// takes it in once that has answered PING with PONG, and notices only after a delay that one has died. It carries no
+// traffic: clients ask it for an address and connect by themselves.
 package front
 
 import (
@@ -14,39 +15,45 @@
 	"chalkferry/internal/standin/judge"
 )
 
-type standing int
+// proxyState is what the front believes of a proxy.
+type proxyState int
 
 const (
-	out      standing = iota // has not answered since it was started
-	in                       // gets connections
-	doubtful                 // does not answer; not noticed yet
+	unavailable proxyState = iota // has not answered since it was started
+	available                     // gets connections
+	suspected                     // does not answer; still gets connections until the detection delay has passed
 )
 
+// proxy is one backend of the front.
 type proxy struct {
 	address, zone string
-	standing      standing
-	since         time.Duration // of the doubt
-	leaving       bool          // no longer dealt to, after its notice
+	state         proxyState
+	suspectedAt   time.Duration
+	leaving       bool // gets no new connections
 }
 
-// every is how often a proxy is asked.
-const every = 200 * time.Millisecond
+const (
+	// probeInterval is the pause between two probes of a proxy.
+	probeInterval = 200 * time.Millisecond
+	// probeTimeout bounds the connect and the answer of a probe.
+	probeTimeout = time.Second
+)
 
-// Front deals connections out.
+// Front names proxies to clients.
 type Front struct {
-	now     func() time.Duration
-	notice  time.Duration
-	mu      sync.Mutex
-	rand    *rand.Rand
-	proxies []proxy
+	now            func() time.Duration
+	detectionDelay time.Duration
+	mu             sync.Mutex
+	rand           *rand.Rand
+	proxies        []proxy
 }
 
-// New makes a front that notices a death after a time.
-func New(seed int64, now func() time.Duration, notice time.Duration) *Front {
-	return &Front{now: now, notice: notice, rand: rand.New(rand.NewSource(seed))}
+// New makes a front that notices a death after a delay.
+func New(seed int64, now func() time.Duration, detectionDelay time.Duration) *Front {
+	return &Front{now: now, detectionDelay: detectionDelay, rand: rand.New(rand.NewSource(seed))}
 }
 
-// Add names a proxy; Run begins to ask it.
+// Add adds a proxy; it must be called before Run, which probes it.
 func (f *Front) Add(address, zone string) judge.ProxyID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -54,15 +61,15 @@
 	return judge.ProxyID(len(f.proxies) - 1)
 }
 
-// Run asks all proxies until the context ends.
+// Run probes all proxies until the context ends.
 func (f *Front) Run(ctx context.Context) {
 	var all sync.WaitGroup
 	for i := range f.proxies {
 		all.Go(func() {
 			for ctx.Err() == nil {
-				f.took(i, ping(f.proxies[i].address))
+				f.recordProbe(i, probe(f.proxies[i].address))
 				select {
-				case <-time.After(every):
+				case <-time.After(probeInterval):
 				case <-ctx.Done():
 				}
 			}
@@ -71,46 +78,46 @@
 	all.Wait()
 }
 
-// ping asks one proxy.
-func ping(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+// probe asks one proxy whether it serves.
+func probe(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(time.Second))
+	conn.SetDeadline(time.Now().Add(probeTimeout))
 	fmt.Fprint(conn, "PING\r\n")
 	answer, _ := bufio.NewReader(conn).ReadString('\n') // a failure is no PONG
 	return answer == "PONG\r\n"
 }
 
-// took is the one place where a proxy changes its standing.
-func (f *Front) took(i int, well bool) {
+// recordProbe is the one place where a probe changes a proxy's state.
+func (f *Front) recordProbe(i int, answered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := &f.proxies[i]
 	switch {
-	case well:
-		p.standing = in
-	case p.standing == in:
-		p.standing, p.since = doubtful, f.now()
-	case p.standing == doubtful && f.now()-p.since >= f.notice:
-		p.standing = out
+	case answered:
+		p.state = available
+	case p.state == available:
+		p.state, p.suspectedAt = suspected, f.now()
+	case p.state == suspected && f.now()-p.suspectedAt >= f.detectionDelay:
+		p.state = unavailable
 	}
 }
 
-// Stop has no new connection dealt to a proxy that is about to leave, or again.
+// SetLeaving stops or resumes new connections to a proxy that is about to leave.
 func (f *Front) SetLeaving(id judge.ProxyID, leaving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.proxies[id].leaving = leaving
 	if !leaving { // it has to answer anew
-		f.proxies[id].standing = out
+		f.proxies[id].state = unavailable
 	}
 }
 
-// Notice is how long the front takes to notice a death.
-func (f *Front) DetectionDelay() time.Duration { return f.notice }
+// DetectionDelay is how long the front takes to notice a death.
+func (f *Front) DetectionDelay() time.Duration { return f.detectionDelay }
 
 // Len is how many proxies there are.
 func (f *Front) Len() int {
@@ -119,13 +126,13 @@
 	return len(f.proxies)
 }
 
-// Ready is how many proxies get connections.
+// ReadyCount is how many proxies get connections.
 func (f *Front) ReadyCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, p := range f.proxies {
-		if p.standing != out && !p.leaving {
+		if p.state != unavailable && !p.leaving {
 			n++
 		}
 	}
@@ -138,7 +145,7 @@
 	defer f.mu.Unlock()
 	var near, far []int
 	for i, p := range f.proxies {
-		if p.standing != out && !p.leaving {
+		if p.state != unavailable && !p.leaving {
 			far = append(far, i)
 			if p.zone == zone {
 				near = append(near, i)
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -1,5 +1,5 @@
-// Package list is a stand-in for discovery: each proxy has an address of its own to ask, so that it is known what
-// each was told and when.
+// Package list simulates discovery for rehearsals. Each proxy has an endpoint of its own, so that the judge learns which
+// proxy was sent which state, and when. It does not watch nodes: the rehearsal updates the list.
 package list
 
 import (
@@ -34,6 +34,7 @@
 	revision  uint64
 }
 
+// answer is one list, whole or of the changes since a revision.
 type answer struct {
 	Revision uint64   `json:"revision"`
 	Complete bool     `json:"complete"`
@@ -41,8 +42,12 @@
 	stale    bool
 }
 
-// heartbeat is how often a watch with no changes brings an empty line.
-const heartbeat = 2 * time.Second
+const (
+	// heartbeat is how often a watch with no changes sends an empty line.
+	heartbeat         = 2 * time.Second
+	readHeaderTimeout = 5 * time.Second
+	targetsPath       = "/api/targets"
+)
 
 // List is the service: what it knows, and how it behaves.
 type List struct {
@@ -52,9 +57,9 @@
 	delay     time.Duration // until a change shows
 	down      bool          // calls end with 503, watches end
 	reset     bool          // calls are reset
-	stale     bool          // whole lists of a lower revision are told
+	stale     bool          // whole lists of a lower revision are sent
 	names     []string      // by node
-	members   []Member      // the same
+	members   []Member      // by node
 	revision  uint64
 	changed   chan struct{} // closed at each change, and when the behaviour changes
 	endpoints []*Endpoint
@@ -62,8 +67,8 @@
 }
 
 // New makes a service that knows the members, all as of revision 1.
-func New(now func() time.Duration, j *judge.Judge, late time.Duration, members []Member) *List {
-	l := &List{now: now, judge: j, delay: late, revision: 1, changed: make(chan struct{})}
+func New(now func() time.Duration, j *judge.Judge, delay time.Duration, members []Member) *List {
+	l := &List{now: now, judge: j, delay: delay, revision: 1, changed: make(chan struct{})}
 	for _, m := range members {
 		m.revision = 1
 		l.members, l.names = append(l.members, m), append(l.names, m.ID)
@@ -71,7 +76,7 @@
 	return l
 }
 
-// Known is the list as a proxy's configuration has it.
+// Snapshot is the list as a proxy's configuration has it.
 func (l *List) Snapshot() json.RawMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -79,7 +84,7 @@
 	return text
 }
 
-// answer needs the lock.
+// answer is the list to a proxy that knows a revision, 0 for none. It needs the lock.
 func (l *List) answer(after uint64) answer {
 	a := answer{Revision: l.revision, Complete: after == 0 || after > l.revision, Members: []Member{}}
 	for _, m := range l.members {
@@ -93,17 +98,18 @@
 	return a
 }
 
+// notifyWatches needs the lock.
 func (l *List) notifyWatches() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
-// Change has a member's phase, address or start show after the service's lateness.
+// Update changes a member's phase, and its address and start where they are given, after the service's delay.
 func (l *List) Update(id judge.NodeID, phase, hostPort string, upSince time.Time) {
 	l.mu.Lock()
-	late := l.delay
+	delay := l.delay
 	l.mu.Unlock()
-	time.AfterFunc(late, func() {
+	time.AfterFunc(delay, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.revision++
@@ -120,16 +126,16 @@
 	})
 }
 
-// Late sets how late changes show from now on.
-func (l *List) SetDelay(by time.Duration) { l.set(func() { l.delay = by }) }
+// SetDelay sets how late changes show from now on.
+func (l *List) SetDelay(delay time.Duration) { l.set(func() { l.delay = delay }) }
 
-// Down has calls end with 503 and watches end, until it is called with false.
+// SetDown makes calls end with 503 and watches end, until it is called with false.
 func (l *List) SetDown(down bool) { l.set(func() { l.down = down }) }
 
-// Cut has calls and watches be reset, until it is called with false.
-func (l *List) SetReset(cut bool) { l.set(func() { l.reset = cut }) }
+// SetReset makes calls and watches be reset, until it is called with false.
+func (l *List) SetReset(reset bool) { l.set(func() { l.reset = reset }) }
 
-// Stale has it tell whole lists of a lower revision, until it is called with false.
+// SetStale makes it send whole lists of a lower revision, until it is called with false.
 func (l *List) SetStale(stale bool) { l.set(func() { l.stale = stale }) }
 
 func (l *List) set(change func()) {
@@ -139,14 +145,14 @@
 	l.notifyWatches()
 }
 
-// Calls is how many calls came.
+// Calls is how many calls were received.
 func (l *List) Calls() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.calls
 }
 
-// Door is the address at which one proxy asks.
+// Endpoint is the address at which one proxy asks.
 type Endpoint struct {
 	Address  string
 	list     *List
@@ -157,55 +163,55 @@
 	once     sync.Once
 }
 
-// Open opens an address for a proxy, "" at the one it is given.
+// OpenEndpoint opens an endpoint for a proxy; a port of 0 is any.
 func (l *List) OpenEndpoint(proxy judge.ProxyID, address string) (*Endpoint, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	d := &Endpoint{Address: listener.Addr().String(), list: l, proxy: proxy, listener: listener, closed: make(chan struct{})}
-	d.server = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
-	go d.server.Serve(listener)
+	e := &Endpoint{Address: listener.Addr().String(), list: l, proxy: proxy, listener: listener, closed: make(chan struct{})}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	go e.server.Serve(listener)
 	l.mu.Lock()
-	l.endpoints = append(l.endpoints, d)
+	l.endpoints = append(l.endpoints, e)
 	l.mu.Unlock()
-	return d, nil
+	return e, nil
 }
 
-// Close takes no new call and ends the open ones after a wait.
-func (d *Endpoint) Close(wait time.Duration) {
-	d.once.Do(func() {
-		d.listener.Close()
+// Close accepts no new call and ends the open ones after a wait.
+func (e *Endpoint) Close(wait time.Duration) {
+	e.once.Do(func() {
+		e.listener.Close()
 		time.AfterFunc(wait, func() {
-			close(d.closed)
-			d.server.Close()
+			close(e.closed)
+			e.server.Close()
 		})
 	})
 }
 
-// Close closes all doors.
+// Close closes all endpoints.
 func (l *List) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, d := range l.endpoints {
-		d.Close(0)
+	for _, e := range l.endpoints {
+		e.Close(0)
 	}
 }
 
-func (d *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l := d.list
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l := e.list
 	l.mu.Lock()
 	l.calls++
-	down, cut := l.down, l.reset
+	down, reset := l.down, l.reset
 	l.mu.Unlock()
-	l.judge.SetWatching(l.now(), d.proxy, false)
+	l.judge.SetWatching(l.now(), e.proxy, false)
 	switch {
-	case cut:
+	case reset:
 		panic(http.ErrAbortHandler)
 	case down:
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
-	case r.URL.Path != "/api/targets":
+	case r.URL.Path != targetsPath:
 		http.NotFound(w, r)
 		return
 	}
@@ -214,39 +220,39 @@
 		l.mu.Lock()
 		a := l.answer(0)
 		l.mu.Unlock()
-		d.write(w, a)
+		e.write(w, a)
 		return
 	}
-	l.judge.SetWatching(l.now(), d.proxy, true)
-	defer func() { l.judge.SetWatching(l.now(), d.proxy, false) }()
-	d.watch(w, r, after)
+	l.judge.SetWatching(l.now(), e.proxy, true)
+	defer func() { l.judge.SetWatching(l.now(), e.proxy, false) }()
+	e.watch(w, r, after)
 }
 
-func (d *Endpoint) watch(w http.ResponseWriter, r *http.Request, after uint64) {
-	l := d.list
+func (e *Endpoint) watch(w http.ResponseWriter, r *http.Request, after uint64) {
+	l := e.list
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	for isFirst := true; ; isFirst = false {
 		l.mu.Lock()
-		a, changed, down, cut, stale := l.answer(after), l.changed, l.down, l.reset, l.stale
+		a, changed, down, reset, stale := l.answer(after), l.changed, l.down, l.reset, l.stale
 		if stale {
 			a = l.answer(0)
 			a.Revision, a.stale = max(after, 2)-1, true
 		}
 		l.mu.Unlock()
-		if cut {
+		if reset {
 			panic(http.ErrAbortHandler)
 		}
 		if down {
 			return
 		}
 		if isFirst || len(a.Members) > 0 {
-			if !d.write(w, a) {
+			if !e.write(w, a) {
 				return
 			}
 			after = a.Revision
 		}
-		if stale { // said once a call; asked again, it says so again
+		if stale { // one list a call; the next call gets it again
 			return
 		}
 		select {
@@ -258,30 +264,35 @@
 			w.(http.Flusher).Flush()
 		case <-r.Context().Done():
 			return
-		case <-d.closed:
+		case <-e.closed:
 			return
 		}
 	}
 }
 
-// write writes one list, and then tells the judge what was told.
-func (d *Endpoint) write(w http.ResponseWriter, a answer) bool {
+// write sends one list, and then reports to the judge what was sent.
+func (e *Endpoint) write(w http.ResponseWriter, a answer) bool {
 	text, _ := json.Marshal(a) // plain values: it can't fail
 	if _, err := w.Write(append(text, '\n')); err != nil {
 		return false
 	}
 	w.(http.Flusher).Flush()
-	if a.stale { // nobody is told anything by a list that is to be passed over
+	if a.stale { // a list of a lower revision is to be ignored
 		return true
 	}
+	e.reportPublished(a)
+	return true
+}
+
+// reportPublished reports to the judge which nodes the proxy now knows to be unavailable.
+func (e *Endpoint) reportPublished(a answer) {
 	phases := map[string]string{}
 	for _, m := range a.Members {
 		phases[m.ID] = m.Phase
 	}
-	for i, name := range d.list.names {
+	for i, name := range e.list.names {
 		if phase, listed := phases[name]; listed && phase != Ready || a.Complete && !listed {
-			d.list.judge.NodePublished(d.list.now(), d.proxy, judge.NodeID(i), true)
+			e.list.judge.NodePublished(e.list.now(), e.proxy, judge.NodeID(i), true)
 		}
 	}
-	return true
 }
--- a/internal/standin/way/way.go
+++ b/internal/standin/way/way.go
@@ -1,5 +1,6 @@
-// Package way is a stand-in for the network between two proxies: a relay of packets on loopback, one way, that cuts,
-// loses, doubles, delays and plays old ones again as it is told. There are no rights for packet filters.
+// Package way simulates a one-way network link between two proxies, for tests of what they share: a relay of packets on
+// loopback that drops, duplicates, delays and replays them as it is asked to. It needs no rights for packet filters, and
+// does not look into packets.
 package way
 
 import (
@@ -11,29 +12,33 @@
 	"time"
 )
 
-const replayCount = 8 // of the first packets, to be played again
+const (
+	// replayCount is how many of the first packets are kept for a replay.
+	replayCount   = 8
+	maxPacketSize = 1 << 16
+)
 
-// Way carries what comes to its address on to another.
+// Way relays what arrives at its address to another.
 type Way struct {
-	conn *net.UDPConn
-	to   netip.AddrPort
+	conn        *net.UDPConn
+	destination netip.AddrPort
 
 	mu                        sync.Mutex
-	chance                    *rand.Rand
+	rng                       *rand.Rand
 	cut                       bool
 	lossShare, duplicateShare float64
 	maxDelay                  time.Duration
 	replayable                [][]byte
 }
 
-// Open opens a way from an address (port 0: any) to another; the seed is that of its chance.
+// Open opens a link from an address (port 0: any) to another, with a seed for its random faults.
 func Open(from, to string, seed int64) (*Way, error) {
 	at, err := netip.ParseAddrPort(from)
 	if err != nil {
 		return nil, err
 	}
-	w := &Way{chance: rand.New(rand.NewSource(seed))}
-	if w.to, err = netip.ParseAddrPort(to); err != nil {
+	w := &Way{rng: rand.New(rand.NewSource(seed))}
+	if w.destination, err = netip.ParseAddrPort(to); err != nil {
 		return nil, err
 	}
 	if w.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err != nil {
@@ -43,72 +48,73 @@
 	return w, nil
 }
 
-// Address is where packets are taken.
+// Address is where packets are received.
 func (w *Way) Address() string { return w.conn.LocalAddr().String() }
 
-// Close ends it; packets that are late do not come any more.
+// Close ends it; delayed packets are dropped.
 func (w *Way) Close() { w.conn.Close() }
 
-// Cut lets nothing pass, or all again.
+// Cut drops all packets, or relays them again.
 func (w *Way) Cut(cut bool) {
 	w.mu.Lock()
 	w.cut = cut
 	w.mu.Unlock()
 }
 
-// Faulty loses and doubles packets by chance, as shares, and has each come up to a span late, so that they overtake.
-func (w *Way) Faulty(lost, doubled float64, late time.Duration) {
+// Faulty drops and duplicates shares of the packets at random, and delays each by up to maxDelay, so that they are
+// reordered.
+func (w *Way) Faulty(lossShare, duplicateShare float64, maxDelay time.Duration) {
 	w.mu.Lock()
-	w.lossShare, w.duplicateShare, w.maxDelay = lost, doubled, late
+	w.lossShare, w.duplicateShare, w.maxDelay = lossShare, duplicateShare, maxDelay
 	w.mu.Unlock()
 }
 
-// Again sends the first packets that ever came once more, cut or not.
+// Again replays the first packets that ever arrived, cut or not.
 func (w *Way) Again() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, packet := range w.replayable {
-		w.conn.WriteToUDPAddrPort(packet, w.to) // may be lost like any
+		w.conn.WriteToUDPAddrPort(packet, w.destination) // may be lost like any
 	}
 }
 
-// Send sends a packet that nobody told, cut or not.
-func (w *Way) Send(packet []byte) { w.conn.WriteToUDPAddrPort(packet, w.to) }
+// Send sends a packet of the caller's, cut or not.
+func (w *Way) Send(packet []byte) { w.conn.WriteToUDPAddrPort(packet, w.destination) }
 
 func (w *Way) relay() {
-	text := make([]byte, 1<<16)
+	text := make([]byte, maxPacketSize)
 	for {
 		n, _, err := w.conn.ReadFromUDPAddrPort(text)
 		if err != nil {
 			return
 		}
 		packet := bytes.Clone(text[:n])
-		for _, late := range w.copies(packet) {
-			if late == 0 {
+		for _, delay := range w.copies(packet) {
+			if delay == 0 {
 				w.Send(packet)
 				continue
 			}
-			time.AfterFunc(late, func() { w.Send(packet) })
+			time.AfterFunc(delay, func() { w.Send(packet) })
 		}
 	}
 }
 
-// fate is how late each copy of a packet comes.
-func (w *Way) copies(packet []byte) (copies []time.Duration) {
+// copies draws the delay of each copy of a packet that is relayed, none for one that is dropped.
+func (w *Way) copies(packet []byte) (delays []time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.replayable) < replayCount {
 		w.replayable = append(w.replayable, packet)
 	}
-	if w.cut || w.chance.Float64() < w.lossShare {
+	if w.cut || w.rng.Float64() < w.lossShare {
 		return nil
 	}
 	n := 1
-	if w.chance.Float64() < w.duplicateShare {
+	if w.rng.Float64() < w.duplicateShare {
 		n = 2
 	}
 	for range n {
-		copies = append(copies, time.Duration(w.chance.Int63n(int64(w.maxDelay)+1)))
+		delays = append(delays, time.Duration(w.rng.Int63n(int64(w.maxDelay)+1)))
 	}
-	return copies
+	return delays
 }
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -10,34 +10,34 @@
 	"golang.org/x/sys/unix"
 )
 
-// Disk is all that a store asks of a folder. Tests have a form of their own that fails.
+// Disk is all that a store needs of a folder. Tests have an implementation that fails on demand.
 type Disk interface {
 	fs.FS
-	// Create makes a new file; one of the name must not be there.
+	// Create makes a new file; it fails where one of the name exists.
 	Create(name string) (File, error)
-	// SyncFolder makes names that were created last.
+	// SyncFolder makes the names of created files durable.
 	SyncFolder() error
 }
 
-// File is one segment that is written.
+// File is a segment while it is written.
 type File interface {
 	Write(text []byte) (int, error)
-	// Sync returns when all that was written will outlast a loss of power.
+	// Sync returns when all that was written is durable.
 	Sync() error
 	Close() error
 }
 
-// ErrLocked tells that another process writes to the folder.
+// ErrLocked says that another process writes to the folder.
 var ErrLocked = errors.New("folder is written by another process")
 
-// Folder is a Disk of the operating system's, with a lock for its one writer.
+// Folder is a Disk in the file system, locked for its one writer.
 type Folder struct {
 	fs.FS
 	path string
 	lock *os.File
 }
 
-// OpenFolder makes the folder if it is not there, and takes its lock: ErrLocked where another process has it.
+// OpenFolder makes the folder if it does not exist, and takes its lock: ErrLocked where another process has it.
 func OpenFolder(path string) (*Folder, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, err
@@ -53,10 +53,12 @@
 	return &Folder{FS: os.DirFS(path), path: path, lock: lock}, nil
 }
 
+// Create makes a new file; it fails where one of the name exists.
 func (f *Folder) Create(name string) (File, error) {
 	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
 }
 
+// SyncFolder makes the names of created files durable.
 func (f *Folder) SyncFolder() error {
 	d, err := os.Open(f.path)
 	if err != nil {
@@ -66,8 +68,8 @@
 	return d.Sync()
 }
 
-// Repair cuts a torn end off the last segment, or takes away one without a batch. What it cuts is kept: the segment as it was stays beside it under the
-// name that is returned, "" where nothing was torn. Any other damage is left and told.
+// Repair cuts a torn end off the last segment, or removes a last segment without a batch. The segment as it was is kept
+// beside it under the returned name, "" where nothing was torn. Any other damage is left, and returned.
 func (f *Folder) Repair() (kept string, err error) {
 	r, err := Recover(f)
 	if err != nil || len(r.Segments) == 0 {
@@ -84,7 +86,7 @@
 	}
 	if last.Last == 0 { // not one batch: the next writer's first segment has this name
 		err = os.Remove(name)
-	} else if err = f.copyPrefix(name, last.Good); err == nil {
+	} else if err = f.copyPrefix(name, last.GoodBytes); err == nil {
 		err = os.Rename(name+".new", name) // at once: the good part is always under one name or the other
 	}
 	if err != nil {
@@ -93,7 +95,7 @@
 	return kept, f.SyncFolder()
 }
 
-// keepStart makes a new file of the first bytes of another.
+// copyPrefix makes a new file of the first bytes of another.
 func (f *Folder) copyPrefix(name string, good int) error {
 	text, err := os.ReadFile(name)
 	if err != nil {
@@ -114,5 +116,5 @@
 	return to.Close()
 }
 
-// Close gives the lock back.
+// Close releases the lock.
 func (f *Folder) Close() error { return f.lock.Close() }
--- a/internal/store/format.go
+++ b/internal/store/format.go
@@ -1,5 +1,6 @@
-// Package store keeps what must outlast a restart: records by table and key in append-only segments, with an index in
-// memory. docs/store.md has the format and what each promise means.
+// Package store keeps records that must outlast a restart, by table and key, in append-only segments. It decides what of
+// a folder can be trusted after a crash, and acknowledges a batch once it is durable. It has no compaction and no
+// snapshots, and nothing in the proxy uses it yet. docs/store.md has the format and the guarantees.
 package store
 
 import (
@@ -12,19 +13,20 @@
 // Seq numbers batches from 1, without gaps over all segments.
 type Seq uint64
 
-// Version of the format that is written. A folder of a later one is refused.
+// Version is the version of the format that is written. A folder of a later one is refused.
 const Version = 1
 
+// Sizes of the format, in bytes.
 const (
-	magic         = "CKFS"
-	headerSize    = 4 + 2 + 2 + 8 + 4 // magic, version, reserved, first sequence, CRC-32C of what is before
-	frameSize     = 4 + 4 + 8         // length of the payload, CRC-32C of sequence and payload, sequence
-	maxBatchBytes = 1 << 20           // bytes of a payload
+	magic           = "CKFS"
+	headerSize      = 4 + 2 + 2 + 8 + 4 // magic, version, reserved, first sequence, CRC-32C of what is before
+	batchHeaderSize = 4 + 4 + 8         // length of the payload, CRC-32C of sequence and payload, sequence
+	maxBatchBytes   = 1 << 20           // bytes of a payload
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// ErrTooLarge is what a batch beyond 1 MiB is refused with.
+// ErrTooLarge refuses a batch of more than 1 MiB.
 var ErrTooLarge = errors.New("batch is over 1 MiB")
 
 // Op is one change: a value put under a key of a table, or the key deleted.
@@ -35,39 +37,40 @@
 	Delete bool
 }
 
-func appendHeader(to []byte, first Seq) []byte {
-	begin := len(to)
-	to = append(to, magic...)
-	to = binary.LittleEndian.AppendUint16(to, Version)
-	to = binary.LittleEndian.AppendUint16(to, 0)
-	to = binary.LittleEndian.AppendUint64(to, uint64(first))
-	return binary.LittleEndian.AppendUint32(to, crc32.Checksum(to[begin:], castagnoli))
+// appendHeader appends the header of a segment.
+func appendHeader(dst []byte, first Seq) []byte {
+	begin := len(dst)
+	dst = append(dst, magic...)
+	dst = binary.LittleEndian.AppendUint16(dst, Version)
+	dst = binary.LittleEndian.AppendUint16(dst, 0)
+	dst = binary.LittleEndian.AppendUint64(dst, uint64(first))
+	return binary.LittleEndian.AppendUint32(dst, crc32.Checksum(dst[begin:], castagnoli))
 }
 
-// readHeader gives the first sequence of a segment.
-func readHeader(text []byte) (Seq, error) {
+// readHeader returns the first sequence of a segment.
+func readHeader(data []byte) (Seq, error) {
 	switch {
-	case len(text) < headerSize:
+	case len(data) < headerSize:
 		return 0, errors.New("header is cut off")
-	case string(text[:4]) != magic:
+	case string(data[:4]) != magic:
 		return 0, errors.New("not a segment of a store")
-	case crc32.Checksum(text[:headerSize-4], castagnoli) != binary.LittleEndian.Uint32(text[headerSize-4:]):
+	case crc32.Checksum(data[:headerSize-4], castagnoli) != binary.LittleEndian.Uint32(data[headerSize-4:]):
 		return 0, errors.New("header is damaged")
 	}
-	if version := binary.LittleEndian.Uint16(text[4:]); version > Version {
+	if version := binary.LittleEndian.Uint16(data[4:]); version > Version {
 		return 0, fmt.Errorf("%w: it is of version %d, this build reads up to %d", ErrNewerVersion, version, Version)
 	}
-	return Seq(binary.LittleEndian.Uint64(text[8:])), nil
+	return Seq(binary.LittleEndian.Uint64(data[8:])), nil
 }
 
-// ErrLater tells that a folder was written by a later build.
+// ErrNewerVersion says that a folder was written by a later build.
 var ErrNewerVersion = errors.New("folder of a later version")
 
-// appendBatch frames a batch.
-func appendBatch(to []byte, seq Seq, ops []Op) ([]byte, error) {
+// appendBatch appends a batch behind its header.
+func appendBatch(dst []byte, seq Seq, ops []Op) ([]byte, error) {
 	var payload []byte
 	payload = binary.AppendUvarint(payload, uint64(len(ops)))
-	text := func(s string) {
+	appendString := func(s string) {
 		payload = binary.AppendUvarint(payload, uint64(len(s)))
 		payload = append(payload, s...)
 	}
@@ -77,45 +80,45 @@
 			kind = 1
 		}
 		payload = append(payload, kind)
-		text(op.Table)
-		text(op.Key)
+		appendString(op.Table)
+		appendString(op.Key)
 		if !op.Delete {
-			text(string(op.Value))
+			appendString(string(op.Value))
 		}
 	}
 	if len(payload) > maxBatchBytes {
-		return to, ErrTooLarge
+		return dst, ErrTooLarge
 	}
-	to = binary.LittleEndian.AppendUint32(to, uint32(len(payload)))
+	dst = binary.LittleEndian.AppendUint32(dst, uint32(len(payload)))
 	sum := crc32.Update(0, castagnoli, binary.LittleEndian.AppendUint64(nil, uint64(seq)))
-	to = binary.LittleEndian.AppendUint32(to, crc32.Update(sum, castagnoli, payload))
-	to = binary.LittleEndian.AppendUint64(to, uint64(seq))
-	return append(to, payload...), nil
+	dst = binary.LittleEndian.AppendUint32(dst, crc32.Update(sum, castagnoli, payload))
+	dst = binary.LittleEndian.AppendUint64(dst, uint64(seq))
+	return append(dst, payload...), nil
 }
 
-// errTorn tells that a text ends within a batch, or in one that is damaged.
+// errTorn says that the data end within a batch, or in one that is damaged.
 var errTorn = errors.New("batch is cut off or damaged")
 
-// readBatch reads the batch that a text begins with, and gives its size. Its values are slices of the text.
-func readBatch(text []byte) (seq Seq, ops []Op, size int, err error) {
-	if len(text) < frameSize {
+// readBatch reads the batch that the data begin with, and its size. Its values are slices of the data.
+func readBatch(data []byte) (seq Seq, ops []Op, size int, err error) {
+	if len(data) < batchHeaderSize {
 		return 0, nil, 0, errTorn
 	}
-	n := binary.LittleEndian.Uint32(text)
-	if n > maxBatchBytes || len(text) < frameSize+int(n) {
+	n := binary.LittleEndian.Uint32(data)
+	if n > maxBatchBytes || len(data) < batchHeaderSize+int(n) {
 		return 0, nil, 0, errTorn
 	}
-	size = frameSize + int(n)
-	if crc32.Checksum(text[8:size], castagnoli) != binary.LittleEndian.Uint32(text[4:]) {
+	size = batchHeaderSize + int(n)
+	if crc32.Checksum(data[8:size], castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
 		return 0, nil, 0, errTorn
 	}
-	seq = Seq(binary.LittleEndian.Uint64(text[8:]))
-	ops, err = readOps(text[frameSize:size])
+	seq = Seq(binary.LittleEndian.Uint64(data[8:]))
+	ops, err = readOps(data[batchHeaderSize:size])
 	return seq, ops, size, err
 }
 
 func readOps(payload []byte) ([]Op, error) {
-	number := func() (uint64, bool) {
+	nextNumber := func() (uint64, bool) {
 		v, n := binary.Uvarint(payload)
 		if n <= 0 {
 			return 0, false
@@ -123,8 +126,8 @@
 		payload = payload[n:]
 		return v, true
 	}
-	text := func() ([]byte, bool) {
-		n, ok := number()
+	nextBytes := func() ([]byte, bool) {
+		n, ok := nextNumber()
 		if !ok || n > uint64(len(payload)) {
 			return nil, false
 		}
@@ -132,7 +135,7 @@
 		payload = payload[n:]
 		return t, true
 	}
-	n, ok := number()
+	n, ok := nextNumber()
 	if !ok || n > uint64(len(payload)) {
 		return nil, errTorn
 	}
@@ -143,11 +146,11 @@
 		}
 		op := Op{Delete: payload[0] == 1}
 		payload = payload[1:]
-		table, okTable := text()
-		key, okKey := text()
+		table, okTable := nextBytes()
+		key, okKey := nextBytes()
 		op.Table, op.Key = string(table), string(key)
 		if !op.Delete {
-			value, okValue := text()
+			value, okValue := nextBytes()
 			okKey, op.Value = okKey && okValue, value
 		}
 		if !okTable || !okKey {
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -11,11 +11,11 @@
 
 // Segment is what is known of one file of a store.
 type Segment struct {
-	Name  string
-	First Seq
-	Last  Seq // 0 for none
-	Good  int // bytes that hold whole batches, from the start
-	Size  int
+	Name      string
+	First     Seq
+	Last      Seq // 0 for none
+	GoodBytes int // bytes that hold whole batches, from the start
+	Size      int
 }
 
 // Recovered is what a folder holds: always a prefix of what was appended, in order, and nothing else.
@@ -29,16 +29,17 @@
 // Damage is why a folder is not opened: something in its middle is missing or wrong, so that what follows can't be
 // trusted to follow.
 type Damage struct {
-	Segment string
-	At      int // bytes from its start
-	Good    Seq // up to which all is good
-	Text    string
+	Segment   string
+	Offset    int // bytes from its start
+	GoodUntil Seq // up to which all is good
+	Text      string
 }
 
 func (d *Damage) Error() string {
-	return fmt.Sprintf("%s at byte %d: %s; good up to batch %d", d.Segment, d.At, d.Text, d.Good)
+	return fmt.Sprintf("%s at byte %d: %s; good up to batch %d", d.Segment, d.Offset, d.Text, d.GoodUntil)
 }
 
+// segmentSuffix ends the names of segments, which begin with their first sequence.
 const segmentSuffix = ".segment"
 
 // Recover reads all segments of a folder. A last segment that ends within a batch is what a loss of power leaves: its
@@ -68,6 +69,7 @@
 	return r, nil
 }
 
+// recoverSegment reads the next segment.
 func (r *Recovered) recoverSegment(name string, text []byte, isFirst, isLast bool) error {
 	damage := func(at int, format string, args ...any) error {
 		return &Damage{name, at, r.Last, fmt.Sprintf(format, args...)}
@@ -89,29 +91,29 @@
 	} else if first != r.Last+1 {
 		return damage(0, "it begins with batch %d, batch %d is missing", first, r.Last+1)
 	}
-	s := Segment{Name: name, First: first, Good: headerSize, Size: len(text)}
-	for s.Good < len(text) {
-		seq, ops, size, err := readBatch(text[s.Good:])
+	s := Segment{Name: name, First: first, GoodBytes: headerSize, Size: len(text)}
+	for s.GoodBytes < len(text) {
+		seq, ops, size, err := readBatch(text[s.GoodBytes:])
 		if err != nil {
-			if !isLast || laterBatchFollows(text[s.Good+1:], r.Last) {
-				return damage(s.Good, "%v, and others follow", err)
+			if !isLast || laterBatchFollows(text[s.GoodBytes+1:], r.Last) {
+				return damage(s.GoodBytes, "%v, and others follow", err)
 			}
-			r.Torn = fmt.Sprintf("%s: %v from byte %d of %d", name, err, s.Good, len(text))
+			r.Torn = fmt.Sprintf("%s: %v from byte %d of %d", name, err, s.GoodBytes, len(text))
 			break
 		}
 		if seq != r.Last+1 {
-			return damage(s.Good, "batch %d where %d is due", seq, r.Last+1)
+			return damage(s.GoodBytes, "batch %d where %d is due", seq, r.Last+1)
 		}
 		r.apply(ops)
 		r.Last, s.Last = seq, seq
-		s.Good += size
+		s.GoodBytes += size
 	}
 	r.Segments = append(r.Segments, s)
 	return nil
 }
 
-// follows tells whether a whole batch of a later number stands anywhere in a text: then what is before it is no torn
-// end, but damage in the middle.
+// laterBatchFollows reports whether a whole batch of a later number occurs anywhere in the data: then what is before it
+// is not a torn end, but damage in the middle.
 func laterBatchFollows(text []byte, last Seq) bool {
 	for at := range text {
 		if seq, _, _, err := readBatch(text[at:]); err == nil && seq > last {
@@ -121,6 +123,7 @@
 	return false
 }
 
+// apply applies a batch to the tables.
 func (r *Recovered) apply(ops []Op) {
 	for _, op := range ops {
 		t := r.Tables[op.Table]
@@ -136,7 +139,7 @@
 	}
 }
 
-// Names are the tables that hold anything, in order.
+// Names are the tables, in order.
 func (r *Recovered) Names() []string {
 	return slices.Sorted(maps.Keys(r.Tables))
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -79,7 +79,7 @@
 		var wrong *Damage
 		switch {
 		case errors.As(err, &wrong):
-			if refused++; wrong.Segment == "" || int(wrong.Good) >= len(states) {
+			if refused++; wrong.Segment == "" || int(wrong.GoodUntil) >= len(states) {
 				t.Fatalf("%s: %v", what, err)
 			}
 		case err != nil:
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -6,11 +6,11 @@
 	"sync"
 )
 
-// Writer appends batches. Many that wait share one sync (group commit): each is acknowledged after the sync that made
-// it last, in the order in which they came. It never blocks who appends.
+// Writer appends batches. Pending batches share one sync (group commit): each is acknowledged after the sync that made it
+// durable, in the order in which they were appended. It never blocks its caller.
 type Writer struct {
 	disk            Disk
-	maxPending      int // batches that may wait
+	maxPending      int // batches
 	maxSegmentBytes int // bytes after which the next commit begins another segment
 	mu              sync.Mutex
 	pending         []pendingBatch
@@ -20,7 +20,8 @@
 	wake            chan struct{}
 	ended           chan struct{}
 
-	file File // the rest is the committing goroutine's
+	// Used by the committing goroutine only.
+	file File
 	size int
 	last Seq
 }
@@ -31,16 +32,16 @@
 }
 
 var (
-	// ErrFull is what a batch is shed with when too many wait.
+	// ErrFull refuses a batch when too many are pending.
 	ErrFull = errors.New("too many batches wait")
-	// ErrClosed is what a batch is refused with after Close.
+	// ErrClosed refuses a batch after Close.
 	ErrClosed = errors.New("store is closed")
 )
 
-// NewWriter goes on behind what was recovered, in a segment of its own: a torn end is never written over. At most so
-// many batches wait; a segment that has reached so many bytes is followed by another.
-func NewWriter(disk Disk, r *Recovered, most, segment int) (*Writer, error) {
-	w := &Writer{disk: disk, maxPending: most, maxSegmentBytes: segment, last: r.Last, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+// NewWriter continues after what was recovered, in a new segment: a torn end is never overwritten. At most maxPending
+// batches wait; a segment that has reached maxSegmentBytes is followed by another.
+func NewWriter(disk Disk, r *Recovered, maxPending, maxSegmentBytes int) (*Writer, error) {
+	w := &Writer{disk: disk, maxPending: maxPending, maxSegmentBytes: maxSegmentBytes, last: r.Last, wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	if r.Torn != "" {
 		return nil, fmt.Errorf("the end is torn, repair it first: %s", r.Torn)
 	}
@@ -51,8 +52,8 @@
 	return w, nil
 }
 
-// Append hands a batch in. Done is called from another goroutine once it will outlast a loss of power, or with why it
-// may not; it must not block. A batch beyond what may wait is shed at once with ErrFull, and counted.
+// Append queues a batch. done is called from another goroutine once the batch is durable, or with the reason why it may
+// not be; it must not block. A batch beyond the limit of pending ones is refused at once with ErrFull, and counted.
 func (w *Writer) Append(ops []Op, done func(Seq, error)) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -73,14 +74,14 @@
 	return nil
 }
 
-// Shed is how many batches were refused because too many waited.
+// Shed is how many batches were refused because too many were pending.
 func (w *Writer) Shed() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.shed
 }
 
-// Close commits what waits and ends the writer.
+// Close commits the pending batches and ends the writer.
 func (w *Writer) Close() error {
 	w.mu.Lock()
 	if !w.closed {
@@ -105,7 +106,7 @@
 	}
 }
 
-// commit writes all that waits and syncs once. After any failure the file is not trusted again: what a failed sync
+// commit writes all pending batches and syncs once. After any failure the file is not trusted again: what a failed sync
 // has lost, a later one that succeeds does not bring back.
 func (w *Writer) commit() {
 	w.mu.Lock()
@@ -116,17 +117,17 @@
 		return
 	}
 	first := w.last + 1
-	var text []byte
-	var refused []error
+	var data []byte
+	var rejections []error
 	for _, b := range batches {
 		var err error
-		if text, err = appendBatch(text, w.last+1, b.ops); err == nil {
+		if data, err = appendBatch(data, w.last+1, b.ops); err == nil {
 			w.last++
 		}
-		refused = append(refused, err)
+		rejections = append(rejections, err)
 	}
 	if failed == nil && w.last >= first {
-		if failed = w.write(first, text); failed != nil {
+		if failed = w.write(first, data); failed != nil {
 			w.mu.Lock()
 			w.failed = failed
 			w.mu.Unlock()
@@ -135,8 +136,8 @@
 	seq := first
 	for i, b := range batches {
 		switch {
-		case refused[i] != nil:
-			b.done(0, refused[i])
+		case rejections[i] != nil:
+			b.done(0, rejections[i])
 		case failed != nil:
 			b.done(0, failed)
 		default:
@@ -146,7 +147,7 @@
 	}
 }
 
-func (w *Writer) write(first Seq, text []byte) error {
+func (w *Writer) write(first Seq, data []byte) error {
 	if w.file != nil && w.size >= w.maxSegmentBytes {
 		file := w.file
 		w.file, w.size = nil, 0
@@ -164,10 +165,10 @@
 			return err
 		}
 		w.file = file
-		text = append(appendHeader(nil, first), text...)
+		data = append(appendHeader(nil, first), data...)
 	}
-	w.size += len(text)
-	if _, err := w.file.Write(text); err != nil {
+	w.size += len(data)
+	if _, err := w.file.Write(data); err != nil {
 		return err
 	}
 	return w.file.Sync()
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -1,4 +1,5 @@
-// Package strict reads TOML files in which every key must be known, and says at which line a value is wrong.
+// Package strict reads TOML files in which every key must be known, and reports errors with their line. What values are
+// valid is the caller's to decide.
 package strict
 
 import (
@@ -48,21 +49,21 @@
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
 		var unknown *toml.StrictMissingError
-		var wrong *toml.DecodeError
+		var invalid *toml.DecodeError
 		switch {
 		case errors.As(err, &unknown) && len(unknown.Errors) > 0:
 			row, _ := unknown.Errors[0].Position()
 			return nil, &Error{name, row, fmt.Sprintf("unknown key %q", strings.Join(unknown.Errors[0].Key(), "."))}
-		case errors.As(err, &wrong):
-			row, _ := wrong.Position()
-			return nil, &Error{name, row, strings.TrimPrefix(wrong.Error(), "toml: ")}
+		case errors.As(err, &invalid):
+			row, _ := invalid.Position()
+			return nil, &Error{name, row, strings.TrimPrefix(invalid.Error(), "toml: ")}
 		}
 		return nil, &Error{name, 0, strings.TrimPrefix(err.Error(), "toml: ")}
 	}
-	return &File{Name: name, lines: index(text)}, nil
+	return &File{Name: name, lines: keyLines(text)}, nil
 }
 
-// Wrong makes an *Error for the value at a path such as "fault[2].at". Where the file does not have the key, the
+// Wrong returns an *Error for the value at a path such as "fault[2].at". Where the file does not have the key, the
 // line is that of the nearest table around it.
 func (f *File) Wrong(path, format string, args ...any) error {
 	line := 0
@@ -77,8 +78,8 @@
 	return &Error{f.Name, line, fmt.Sprintf("%s: %s", path, fmt.Sprintf(format, args...))}
 }
 
-// index gives the line of each key and table of a text that has been decoded.
-func index(text []byte) map[string]int {
+// keyLines returns the line of each key and table of a text that has been decoded.
+func keyLines(text []byte) map[string]int {
 	lines, counts, table := map[string]int{}, map[string]int{}, ""
 	var p unstable.Parser
 	p.Reset(text)
@@ -112,7 +113,7 @@
 	return lines
 }
 
-// Span is a time in a file, such as "1.5s" or "200ms".
+// Span is a duration in a file, such as "1.5s" or "200ms".
 type Span time.Duration
 
 // UnmarshalText reads what time.ParseDuration does.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -1,5 +1,6 @@
-// Package trace holds recorded arrivals of sessions. A trace is a text of JSON lines: a header, then one session a
-// line in the order of their arrival. docs/rehearsal.md has the format.
+// Package trace reads, writes and edits recorded arrivals of sessions, for rehearsals and the trace command. A trace is a
+// text of JSON lines: a header, then one session a line in the order of their arrival. docs/rehearsal.md has the format.
+// It replays nothing: that is the rehearsal's.
 package trace
 
 import (
@@ -16,25 +17,25 @@
 	"time"
 )
 
-// Version of the format that is written; later ones are refused.
+// Version is the version of the format that is written; later ones are refused.
 const Version = 1
 
 // Session is one arrival. Times are in milliseconds.
 type Session struct {
 	AtMs          float64 `json:"at"`                 // since the trace's start
 	Listener      string  `json:"listener"`           //
-	Tenant        string  `json:"title,omitempty"`    // the tenant
+	Tenant        string  `json:"title,omitempty"`    //
 	Zone          string  `json:"zone,omitempty"`     // of the client
 	Key           string  `json:"key"`                // of the client, hexadecimal
 	Group         string  `json:"group,omitempty"`    //
 	DialTimeoutMs float64 `json:"wait,omitempty"`     // its dial timeout; 0: the listener's
-	Load          float64 `json:"load,omitempty"`     // in usual sessions; 0: not known
-	LifetimeMs    float64 `json:"life,omitempty"`     // how long it stood; 0: not known
+	Load          float64 `json:"load,omitempty"`     // in average sessions; 0: not known
+	LifetimeMs    float64 `json:"life,omitempty"`     // how long it was established; 0: not known
 	Answer        string  `json:"answer,omitempty"`   // how it ended when it was recorded
-	Returned      bool    `json:"returned,omitempty"` // its client came again after a break or a move
+	Returned      bool    `json:"returned,omitempty"` // its client reconnected after a broken connection or a migration
 }
 
-// Arrives is when the session arrives, since the trace's start.
+// ArrivesAt is when the session arrives, since the trace's start.
 func (s Session) ArrivesAt() time.Duration { return time.Duration(s.AtMs * float64(time.Millisecond)) }
 
 type header struct {
@@ -52,7 +53,11 @@
 
 func (e *Error) Error() string { return fmt.Sprintf("%s:%d: %s", e.Name, e.Line, e.Text) }
 
-const maxLineBytes = 64 << 10
+const (
+	// unit is that of all times in a trace.
+	unit         = "ms"
+	maxLineBytes = 64 << 10
+)
 
 // Read reads a whole trace; what is wrong with it is an *Error with the line's number.
 func Read(name string, from io.Reader) ([]Session, error) {
@@ -62,32 +67,22 @@
 	n := 0
 	for lines.Scan() {
 		n++
-		wrong := func(format string, args ...any) error { return &Error{name, n, fmt.Sprintf(format, args...)} }
 		text := bytes.TrimSpace(lines.Bytes())
 		if n == 1 {
-			var h header
-			switch err := decodeStrict(text, &h); {
-			case err != nil:
-				return nil, wrong("no header of a trace: %v", err)
-			case h.Trace < 1 || h.Trace > Version:
-				return nil, wrong("version %d of the format; this build reads up to %d", h.Trace, Version)
-			case h.Unit != "ms":
-				return nil, wrong("unit is %q, not ms", h.Unit)
+			if err := checkHeader(text); err != nil {
+				return nil, &Error{name, n, err.Error()}
 			}
 			continue
 		}
 		if len(text) == 0 {
 			continue
 		}
-		var s Session
-		if err := decodeStrict(text, &s); err != nil {
-			return nil, wrong("%v", err)
-		}
-		if err := s.check(); err != nil {
-			return nil, wrong("%v", err)
+		s, err := parseSession(text)
+		if err != nil {
+			return nil, &Error{name, n, err.Error()}
 		}
 		if len(sessions) > 0 && s.AtMs < sessions[len(sessions)-1].AtMs {
-			return nil, wrong("arrives at %v ms, before the line above", s.AtMs)
+			return nil, &Error{name, n, fmt.Sprintf("arrives at %v ms, before the line above", s.AtMs)}
 		}
 		sessions = append(sessions, s)
 	}
@@ -100,6 +95,30 @@
 	return sessions, nil
 }
 
+// checkHeader reports a header that this build can't read.
+func checkHeader(text []byte) error {
+	var h header
+	err := decodeStrict(text, &h)
+	switch {
+	case err != nil:
+		return fmt.Errorf("no header of a trace: %v", err)
+	case h.Trace < 1 || h.Trace > Version:
+		return fmt.Errorf("version %d of the format; this build reads up to %d", h.Trace, Version)
+	case h.Unit != unit:
+		return fmt.Errorf("unit is %q, not %s", h.Unit, unit)
+	}
+	return nil
+}
+
+func parseSession(text []byte) (Session, error) {
+	var s Session
+	if err := decodeStrict(text, &s); err != nil {
+		return s, err
+	}
+	return s, s.check()
+}
+
+// decodeStrict decodes one JSON value whose keys must all be known.
 func decodeStrict(text []byte, into any) error {
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
@@ -112,6 +131,7 @@
 	return nil
 }
 
+// check reports a value that can't occur in a first line.
 func (s Session) check() error {
 	for _, v := range []struct {
 		name  string
@@ -137,7 +157,7 @@
 func Write(to io.Writer, source string, sessions []Session) error {
 	w := bufio.NewWriter(to)
 	e := json.NewEncoder(w)
-	if err := e.Encode(header{Version, "ms", source}); err != nil {
+	if err := e.Encode(header{Version, unit, source}); err != nil {
 		return err
 	}
 	for _, s := range sessions {
@@ -160,9 +180,9 @@
 	return kept
 }
 
-// Scale makes a trace of factor times as many sessions: each stands there as often as the factor says, the rest of
-// the factor by chance. Copies have keys of their own, and arrive up to the spread later, so that they are no wave
-// that nobody saw.
+// Scale makes a trace of factor times as many sessions: each occurs as often as the whole part of the factor says, and
+// once more with the probability of the rest. Copies have keys of their own, and arrive up to the spread later, so that
+// they form no wave that never was.
 func Scale(sessions []Session, factor float64, spread time.Duration, rng *rand.Rand) []Session {
 	var scaled []Session
 	for _, s := range sessions {
@@ -190,7 +210,7 @@
 	return strconv.FormatUint(h.Sum64(), 16)
 }
 
-// Speed makes a trace pass so many times as fast; how long sessions wait and live stays.
+// Speed makes a trace play so many times as fast; dial timeouts and lifetimes stay.
 func Speed(sessions []Session, times float64) []Session {
 	faster := slices.Clone(sessions)
 	for i := range faster {
@@ -199,13 +219,14 @@
 	return faster
 }
 
-// Merge lays traces over one another.
+// Merge combines traces.
 func Merge(traces ...[]Session) []Session {
 	all := slices.Concat(traces...)
 	sortByArrival(all)
 	return all
 }
 
+// sortByArrival keeps the order of sessions that arrive together.
 func sortByArrival(sessions []Session) {
 	slices.SortStableFunc(sessions, func(a, b Session) int {
 		switch {
@@ -218,7 +239,7 @@
 	})
 }
 
-// logged is what the proxy's log says of a session's client side.
+// logLine is what the proxy's log says of a session's client side.
 type logLine struct {
 	Time     time.Time `json:"time"`
 	Side     string    `json:"side"`
@@ -234,56 +255,68 @@
 	Returned bool      `json:"returned"`
 }
 
-// FromLog makes a trace of a proxy's log. Lines that are no session's are passed over and counted; a line that is no
-// JSON is an *Error, but for a last one that is cut off. Began is when the first session came.
+// session is the arrival that a line of the log records, false for a line of another kind.
+func (l *logLine) session() (Session, bool) {
+	if l.Side != "client" || l.Listener == "" || l.Key == "" {
+		return Session{}, false
+	}
+	s := Session{Listener: l.Listener, Tenant: l.Title, Key: l.Key, Group: l.Group, DialTimeoutMs: l.WaitMs,
+		Answer: l.Reason, Returned: l.Returned}
+	if l.UpMs > 0 {
+		s.LifetimeMs = max(l.Ms-l.UpMs, 1)
+	}
+	return s, true
+}
+
+// arrived is when the session arrived; the line was written when it ended.
+func (l *logLine) arrived() time.Time {
+	return l.Time.Add(-time.Duration(l.Ms * float64(time.Millisecond)))
+}
+
+// FromLog makes a trace of a proxy's log. Lines of other kinds are skipped and counted; a line that is not JSON is an
+// *Error, but for a last one that is cut off. start is when the first session arrived.
 func FromLog(name string, from io.Reader) (sessions []Session, start time.Time, skipped int, err error) {
 	lines := bufio.NewReader(from)
-	var starts []time.Time
-	for n := 1; ; n++ {
+	var arrivals []time.Time
+	for n, isLast := 1, false; !isLast; n++ {
 		text, readErr := lines.ReadBytes('\n')
 		if readErr != nil && readErr != io.EOF {
 			return nil, start, skipped, readErr
 		}
-		isLast := readErr == io.EOF
-		if len(bytes.TrimSpace(text)) > 0 {
-			var l logLine
-			if err := json.Unmarshal(text, &l); err != nil {
-				if isLast { // the process was killed as it wrote
-					skipped++
-					break
-				}
-				return nil, start, skipped, &Error{name, n, err.Error()}
-			}
-			if l.Side != "client" || l.Listener == "" || l.Key == "" {
+		isLast = readErr == io.EOF
+		if len(bytes.TrimSpace(text)) == 0 {
+			continue
+		}
+		var l logLine
+		if err := json.Unmarshal(text, &l); err != nil {
+			if isLast { // the process was killed as it wrote
 				skipped++
-			} else {
-				s := Session{Listener: l.Listener, Tenant: l.Title, Key: l.Key, Group: l.Group, DialTimeoutMs: l.WaitMs,
-					Answer: l.Reason, Returned: l.Returned}
-				if l.UpMs > 0 {
-					s.LifetimeMs = max(l.Ms-l.UpMs, 1)
-				}
-				if err := s.check(); err != nil {
-					return nil, start, skipped, &Error{name, n, err.Error()}
-				}
-				sessions = append(sessions, s)
-				starts = append(starts, l.Time.Add(-time.Duration(l.Ms*float64(time.Millisecond))))
+				break
 			}
+			return nil, start, skipped, &Error{name, n, err.Error()}
 		}
-		if isLast {
-			break
+		s, ok := l.session()
+		if !ok {
+			skipped++
+			continue
 		}
+		if err := s.check(); err != nil {
+			return nil, start, skipped, &Error{name, n, err.Error()}
+		}
+		sessions = append(sessions, s)
+		arrivals = append(arrivals, l.arrived())
 	}
-	if len(starts) > 0 {
-		start = slices.MinFunc(starts, time.Time.Compare)
+	if len(arrivals) > 0 {
+		start = slices.MinFunc(arrivals, time.Time.Compare)
 		for i := range sessions {
-			sessions[i].AtMs = float64(starts[i].Sub(start)) / float64(time.Millisecond)
+			sessions[i].AtMs = float64(arrivals[i].Sub(start)) / float64(time.Millisecond)
 		}
 		sortByArrival(sessions)
 	}
 	return sessions, start, skipped, nil
 }
 
-// Shift has all arrive so much later.
+// Shift makes all sessions arrive later.
 func Shift(sessions []Session, by time.Duration) []Session {
 	later := slices.Clone(sessions)
 	for i := range later {
