--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -37,14 +37,14 @@
 	run := func(seed int64) (ok bool) {
 		chance := rand.New(rand.NewSource(seed))
 		r := newRig(someCold, chance)
-		r.most = []int{9, 9, 200}[uint64(seed)%3]
-		for i := 0; i < 600 && r.fault == ""; i++ {
+		r.maxServers = []int{9, 9, 200}[uint64(seed)%3]
+		for i := 0; i < 600 && r.failure == ""; i++ {
 			r.step(chance)
 		}
-		if r.fault != "" {
-			t.Logf("seed %d: %s", seed, r.fault)
+		if r.failure != "" {
+			t.Logf("seed %d: %s", seed, r.failure)
 		}
-		return r.fault == ""
+		return r.failure == ""
 	}
 	if err := quick.Check(run, &quick.Config{MaxCount: 150, Rand: rand.New(rand.NewSource(7))}); err != nil {
 		t.Fatal(err)
@@ -69,12 +69,12 @@
 		r := fleet(6)
 		r.b.opened = 9 // an hour in which dials are answered
 		s := r.arrive(c.listener, 9, 9, 0)
-		for s.out != 0 {
+		for s.dialing != 0 {
 			r.settle(s, c.outcome)
 		}
-		if s.dials != c.dials || s.answer != c.answer || r.fault != "" {
+		if s.dials != c.dials || s.answer != c.answer || r.failure != "" {
 			t.Errorf("listener %d, outcome %d: %d dials, %q, want %d, %q (%s)", c.listener, c.outcome,
-				s.dials, s.answer, c.dials, c.answer, r.fault)
+				s.dials, s.answer, c.dials, c.answer, r.failure)
 		}
 	}
 }
@@ -112,7 +112,7 @@
 		r := fleet(n)
 		large, want := 0.0, 0.0
 		for k := Key(1); k <= keys; k++ {
-			if r.top(k).Size > 2 {
+			if r.topServer(k).Size > 2 {
 				large++
 			}
 		}
@@ -131,7 +131,7 @@
 	r := fleet(8)
 	var before [20000]*server
 	for k := range before {
-		before[k] = r.top(Key(k))
+		before[k] = r.topServer(Key(k))
 	}
 	for i, srv := range r.b.ready {
 		srv.sample([]float64{3, 3, 0, 0, 0, 0, 0, 0}[i])
@@ -140,7 +140,7 @@
 	r.b.setWeights()
 	moved := 0
 	for k, was := range before {
-		if is := r.top(Key(k)); is != was && was.factor < 1 && is.factor == 1 {
+		if is := r.topServer(Key(k)); is != was && was.factor < 1 && is.factor == 1 {
 			moved++
 		} else if is != was {
 			t.Fatalf("key %d moves from %d to %d", k, was.ID, is.ID)
@@ -179,10 +179,10 @@
 func TestRamp(t *testing.T) {
 	const n, keys = 150, 400000
 	r := fleet(n)
-	r.tell(ListDelta, []Entry{{ID: 500, Size: 4, Standing: Ready, Started: true, Since: -2 * sec}})
+	r.publish(ListDelta, []Entry{{ID: 500, Size: 4, Standing: Ready, Started: true, Since: -2 * sec}})
 	count := 0.0
 	for k := range Key(keys) {
-		if r.top(k).ID == 500 {
+		if r.topServer(k).ID == 500 {
 			count++
 		}
 	}
@@ -199,16 +199,16 @@
 // TestNoColdRule: without a cold rule, a server whose start is told as yet to come, by a clock ahead, is as others.
 func TestNoColdRule(t *testing.T) {
 	r := newRig(ColdRule{Proxies: 3}, rand.New(rand.NewSource(1)))
-	r.tell(ListFull, []Entry{{ID: 1, Size: 1, Standing: Ready, Started: true, Since: sec}})
-	if s := r.arrive(0, 1, 1, 0); s.out != 1 {
-		t.Errorf("dialed %d", s.out)
+	r.publish(ListFull, []Entry{{ID: 1, Size: 1, Standing: Ready, Started: true, Since: sec}})
+	if s := r.arrive(0, 1, 1, 0); s.dialing != 1 {
+		t.Errorf("dialed %d", s.dialing)
 	}
 }
 
 // TestMidFlow: packets of an open session go to the top score even where it has no room.
 func TestMidFlow(t *testing.T) {
 	r := fleet(5)
-	top := r.top(77)
+	top := r.topServer(77)
 	top.full, top.carried, top.missed, top.avoidUntil = 1, 2, 1, sec
 	r.b.Arrive(0, Arrival{ID: 900, Left: sec, Client: 77, MidFlow: true})
 	if r.sessions[900] != nil || len(r.dialsTo[top.ID]) != 1 {
@@ -221,7 +221,7 @@
 func TestHang(t *testing.T) {
 	r := fleet(6)
 	r.fill(60)
-	hung := r.top(1)
+	hung := r.topServer(1)
 	before := len(hung.held)
 	r.b.DelayNoted(r.now, hung.ID, time.Minute)
 	if left := len(hung.held); left > before/2 {
@@ -237,7 +237,7 @@
 			t.Errorf("the hung server was tried with %d dials at once", n)
 		}
 		for _, s := range r.order {
-			if s.out == hung.ID {
+			if s.dialing == hung.ID {
 				r.settle(s, Unanswered)
 			}
 		}
@@ -253,15 +253,15 @@
 	for _, outcome := range []Outcome{Failed, Unanswered, Unreachable, Full} {
 		r := fleet(6)
 		if outcome == Full { // which after errors proves that it is there
-			r.top(1).errors = 2
+			r.topServer(1).errors = 2
 		}
 		r.b.opened = 99
-		ghost, tries := r.top(1), 0
+		ghost, tries := r.topServer(1), 0
 		for range 30 {
 			r.now += 50 * ms
 			s := r.arrive(0, 1, 1, 0)
-			for s.out != 0 {
-				if s.out == ghost.ID {
+			for s.dialing != 0 {
+				if s.dialing == ghost.ID {
 					tries++
 					r.settle(s, outcome)
 				} else {
@@ -286,8 +286,8 @@
 		r.b.DelayNoted(r.now, srv.ID, 400*ms)
 	}
 	for range 2 {
-		if s := r.arrive(0, 99, 99, 0); s.dials != 0 || s.answer != "refused" || s.comeBack <= 0 {
-			t.Errorf("%d dials, %q, come back %v", s.dials, s.answer, s.comeBack)
+		if s := r.arrive(0, 99, 99, 0); s.dials != 0 || s.answer != "refused" || s.retryAfter <= 0 {
+			t.Errorf("%d dials, %q, come back %v", s.dials, s.answer, s.retryAfter)
 		}
 		for _, srv := range r.b.ready {
 			srv.missed, srv.avoidUntil = 1, time.Hour // and the same when none is trusted either
@@ -300,7 +300,7 @@
 	r := fleet(6)
 	srv := r.b.ready[0]
 	for id, k := SessionID(0), Key(1); id < 40; k++ {
-		for n := id + 4; r.top(k) == srv && id < n; id++ {
+		for n := id + 4; r.topServer(k) == srv && id < n; id++ {
 			r.b.Hold(0, Arrival{ID: id, Group: k}, srv.ID)
 		}
 	}
@@ -323,9 +323,9 @@
 	var waits [3]time.Duration
 	for i := range waits {
 		r.b.List(r.now, ListFailed, nil)
-		waits[i], r.asked = r.lastTimer, 0
+		waits[i], r.watches = r.lastTimer, 0
 		r.b.Tick(r.now, r.lastToken)
-		if r.asked != 1 {
+		if r.watches != 1 {
 			t.Fatal("did not ask again")
 		}
 	}
@@ -339,17 +339,17 @@
 func TestOneAsk(t *testing.T) {
 	chance := rand.New(rand.NewSource(1))
 	r := fleet(1)
-	for r.b.List(0, ListFailed, nil); r.now < 3000*sec && r.asked < 5000; {
-		next := slices.MinFunc(r.timers, func(a, c timer) int { return cmp.Compare(a.at, c.at) })
+	for r.b.List(0, ListFailed, nil); r.now < 3000*sec && r.watches < 5000; {
+		next := slices.MinFunc(r.timers, func(a, c timer) int { return cmp.Compare(a.due, c.due) })
 		r.timers = slices.DeleteFunc(r.timers, func(t timer) bool { return t == next })
-		r.now = next.at
-		was := r.asked
-		if r.b.Tick(r.now, next.token); r.asked > was && chance.Intn(4) > 0 {
+		r.now = next.due
+		was := r.watches
+		if r.b.Tick(r.now, next.token); r.watches > was && chance.Intn(4) > 0 {
 			r.b.List(r.now, ListFailed, nil) // else nothing is ever heard of it
 		}
 	}
-	if r.asked < 300 || r.asked > 1500 {
-		t.Errorf("asked %d times in %v", r.asked, r.now)
+	if r.watches < 300 || r.watches > 1500 {
+		t.Errorf("asked %d times in %v", r.watches, r.now)
 	}
 }
 
@@ -379,7 +379,7 @@
 // else it is refused at once. Sessions that leave the window take their part along, and a switch knows nothing before.
 func TestBudget(t *testing.T) {
 	r := fleet(9)
-	r.change(false, DialBudget{Free: 1, Share: 0.1, Window: 2 * sec})
+	r.switchSettings(false, DialBudget{Free: 1, Share: 0.1, Window: 2 * sec})
 	r.now = sec
 	for id := range SessionID(50) { // held from before, not taken
 		if err := r.b.Hold(r.now, Arrival{ID: 1000 + id, Left: sec, Client: 99}, 1); err != nil {
@@ -389,7 +389,7 @@
 	again := func(sessions Key) (dialed int) {
 		for k := range sessions {
 			s := r.arrive(0, k+1, 0, 0)
-			if r.settle(s, Full); s.out != 0 {
+			if r.settle(s, Full); s.dialing != 0 {
 				dialed++
 			} else if s.answer != "refused" {
 				t.Fatalf("session %d has the answer %q", s.id, s.answer)
@@ -414,8 +414,8 @@
 			t.Errorf("step %d: %d further dials of %d sessions, not %d", i, got, c.sessions, c.want)
 		}
 	}
-	if r.fault != "" {
-		t.Error(r.fault)
+	if r.failure != "" {
+		t.Error(r.failure)
 	}
 }
 
@@ -423,7 +423,7 @@
 func TestLastDial(t *testing.T) {
 	for budget, want := range map[DialBudget]time.Duration{{}: 300 * ms, {Window: 2 * sec}: 1200 * ms, {Free: 1, Window: 2 * sec}: 300 * ms} {
 		r := fleet(9)
-		r.change(false, budget)
+		r.switchSettings(false, budget)
 		r.now += 3 * sec
 		if s := r.arrive(0, 1, 0, 0); s.outUntil-s.outSince != want {
 			t.Errorf("%+v: a dial of %v", budget, s.outUntil-s.outSince)
@@ -443,7 +443,7 @@
 			cold.Proxies = c.proxies
 			r := newRig(cold, rand.New(rand.NewSource(int64(k))))
 			r.list(ListFull, c.servers)
-			at[r.arrive(0, k+1, 9, 0).out]++
+			at[r.arrive(0, k+1, 9, 0).dialing]++
 		}
 		if len(at) != c.places {
 			t.Errorf("%d proxies, %d servers: the group has the servers %v", c.proxies, c.servers, at)
@@ -468,7 +468,7 @@
 		}
 		dialed, at := 0.0, 0.0
 		for k := Key(1); k <= 300; k++ {
-			if top := r.top(k); top.lateAt == 0 {
+			if top := r.topServer(k); top.lateAt == 0 {
 				r.b.Arrive(r.now, Arrival{ID: SessionID(k), Left: sec, Client: k, Group: k, Returned: returned})
 				at++
 				dialed += float64(len(top.dialing))
@@ -490,20 +490,20 @@
 			r := fleet(9)
 			r.b.words, r.b.cold.Proxies, r.b.chance = rule, 200, rand.New(rand.NewSource(seed))
 			r.fill(9)
-			r.b.DelayNoted(sec, r.top(1).ID, 200*ms)
-			tells += r.tells
+			r.b.DelayNoted(sec, r.topServer(1).ID, 200*ms)
+			tells += r.delayReports
 		}
 		if want = want / 2; tells < want || tells > 5*want {
 			t.Errorf("%+v: %d of 200 proxies tell", rule, tells)
 		}
 	}
 	r := fleet(3)
-	top := r.top(5)
+	top := r.topServer(5)
 	r.b.Told(sec, top.ID, 200*ms)
 	r.b.Told(sec, 99, 200*ms) // which no list has named
 	for r.now = 2 * sec; r.now < 4*sec; r.now += sec {
-		if s := r.arrive(0, 5, 5, 0); s.out == 99 || (s.out == top.ID) != (r.now == 3*sec) {
-			t.Errorf("at %v server %d is dialed", r.now, s.out)
+		if s := r.arrive(0, 5, 5, 0); s.dialing == 99 || (s.dialing == top.ID) != (r.now == 3*sec) {
+			t.Errorf("at %v server %d is dialed", r.now, s.dialing)
 		}
 	}
 }
@@ -573,14 +573,14 @@
 				rule.Me = i
 				r := newRig(rule, rand.New(rand.NewSource(seed<<16+int64(i))))
 				r.now = start
-				r.tell(ListFull, list)
+				r.publish(ListFull, list)
 				for k := range perProxy { // one in four asks for four times as much
 					s := r.arrive(listeners[k], Key(chance.Int63()), 0, 0)
 					r.settle(s, Accepted)
 					r.b.LoadNoted(start, s.id, 0, loads[listeners[k]])
 				}
 				r.b.round()
-				r.tell(ListDelta, []Entry{{ID: small, Size: 0.5, Standing: Ready, Started: true, Since: start},
+				r.publish(ListDelta, []Entry{{ID: small, Size: 0.5, Standing: Ready, Started: true, Since: start},
 					{ID: large, Size: 8, Standing: Ready, Started: true, Since: start}})
 				rigs[i] = r
 			}
@@ -602,9 +602,9 @@
 					for range c.come(chance, step) {
 						listener := listeners[chance.Intn(perProxy)]
 						s := r.arrive(listener, Key(1+chance.Int63n(c.keys)), 0, 0)
-						for s.out != 0 { // what the server turns away pushes too
-							if s.out >= small {
-								sends[s.out] = append(sends[s.out], sent{now, loads[listener]})
+						for s.dialing != 0 { // what the server turns away pushes too
+							if s.dialing >= small {
+								sends[s.dialing] = append(sends[s.dialing], sent{now, loads[listener]})
 							}
 							r.settle(s, Full)
 						}
@@ -649,8 +649,8 @@
 			}
 			s := r.arrive(0, Key(step), 0, 0)
 			works := step >= 200
-			for s.out != 0 {
-				if dials++; s.out > bad || works {
+			for s.dialing != 0 {
+				if dials++; s.dialing > bad || works {
 					r.settle(s, Accepted)
 				} else {
 					r.settle(s, Failed)
@@ -661,8 +661,8 @@
 			}
 			if !s.isOpen {
 				given++
-				if s.answer != "refused" || s.comeBack <= 0 {
-					t.Errorf("answered %q, come back after %v", s.answer, s.comeBack)
+				if s.answer != "refused" || s.retryAfter <= 0 {
+					t.Errorf("answered %q, come back after %v", s.answer, s.retryAfter)
 				}
 				if step >= 280 {
 					late++
@@ -671,8 +671,8 @@
 				r.b.Settled(r.now, s.id, DialNo(s.dials-1), 1, Accepted, 0, true)
 			}
 		}
-		if bad < 6 && given > 0 || late > 0 || r.fault != "" {
-			t.Errorf("%d servers fail: %d sessions given up, %d of them late; %s", bad, given, late, r.fault)
+		if bad < 6 && given > 0 || late > 0 || r.failure != "" {
+			t.Errorf("%d servers fail: %d sessions given up, %d of them late; %s", bad, given, late, r.failure)
 		}
 	}
 }
@@ -691,14 +691,14 @@
 	for k := range Key(600) {
 		r.b.loadOf[k] = 0.001
 	}
-	r.tell(ListDelta, []Entry{{ID: 100, Size: 2, Standing: Ready, Started: true, Since: -2 * sec}})
+	r.publish(ListDelta, []Entry{{ID: 100, Size: 2, Standing: Ready, Started: true, Since: -2 * sec}})
 	for k := range Key(600) {
-		for s := r.arrive(0, k, 0, 0); s.out != 0; {
+		for s := r.arrive(0, k, 0, 0); s.dialing != 0; {
 			r.settle(s, Full)
 		}
 	}
-	if n := float64(len(r.dialsTo[100])); n == 0 || n > 6 || r.fault != "" {
-		t.Errorf("%v dials, %s", n, r.fault)
+	if n := float64(len(r.dialsTo[100])); n == 0 || n > 6 || r.failure != "" {
+		t.Errorf("%v dials, %s", n, r.failure)
 	}
 }
 
@@ -708,7 +708,7 @@
 func TestLyingList(t *testing.T) {
 	for _, alone := range []bool{false, true} {
 		r := fleet(2)
-		r.b.list.DrainsBindAlone, r.lenient = alone, alone
+		r.b.list.DrainsBindAlone, r.drainsBindAlone = alone, alone
 		entry := func(id ServerID, standing Standing, since time.Duration) Entry {
 			return Entry{ID: id, Size: 1, Standing: standing, Started: since != 0, Since: since}
 		}
@@ -727,15 +727,15 @@
 			{ListCached, nil, 0, 1},
 			{ListFull, []Entry{entry(2, Ready, -time.Hour)}, 1, 2}, // it has started anew, if long ago
 		} {
-			r.tell(c.kind, c.entries)
+			r.publish(c.kind, c.entries)
 			dialed := map[ServerID]bool{}
 			for k := range Key(60) {
-				for s := r.arrive(0, k+1, k+1, 0); s.out != 0; r.settle(s, Cancelled) {
-					dialed[s.out] = true
+				for s := r.arrive(0, k+1, k+1, 0); s.dialing != 0; r.settle(s, Cancelled) {
+					dialed[s.dialing] = true
 				}
 			}
-			if want := map[bool]int{false: c.ready, true: c.gone}[alone]; len(dialed) != want || r.fault != "" {
-				t.Errorf("drains alone %v, list %d: %d servers are dialed, want %d; %s", alone, i, len(dialed), want, r.fault)
+			if want := map[bool]int{false: c.ready, true: c.gone}[alone]; len(dialed) != want || r.failure != "" {
+				t.Errorf("drains alone %v, list %d: %d servers are dialed, want %d; %s", alone, i, len(dialed), want, r.failure)
 			}
 		}
 	}
@@ -746,12 +746,12 @@
 func TestSentAway(t *testing.T) {
 	r := fleet(2)
 	for r.b.SentAway(0, 1); r.now < 10*sec; r.now += sec {
-		if s := r.arrive(0, Key(r.now), 0, 0); s.out == 1 {
+		if s := r.arrive(0, Key(r.now), 0, 0); s.dialing == 1 {
 			t.Fatalf("dialed at %v", r.now)
 		}
 	}
 	r.b.SentAway(r.now, 1)
-	r.tell(ListDelta, []Entry{{ID: 1, Standing: Ready, Started: true, Since: r.now - sec}})
+	r.publish(ListDelta, []Entry{{ID: 1, Standing: Ready, Started: true, Since: r.now - sec}})
 	if !r.b.trusted(r.b.byID[1]) {
 		t.Error("not trusted after its start")
 	}
@@ -766,15 +766,15 @@
 		r.b.LoadNoted(0, 1, 0, 0.5)
 		r.notePeak()
 		r.b.round()
-		r.tell(ListDelta, []Entry{{ID: 9, Size: 4, Standing: Ready, Started: true, Since: 0}})
+		r.publish(ListDelta, []Entry{{ID: 9, Size: 4, Standing: Ready, Started: true, Since: 0}})
 		for k := range Key(400) {
 			r.now += 50 * ms
 			s := r.arrive(1, k, 0, 0)
 			if k == 100 {
 				r.b.models[0].speed, r.b.ready[0].full = 0.8, 3
-				r.change(other, DialBudget{})
+				r.switchSettings(other, DialBudget{})
 			}
-			for s.out != 0 {
+			for s.dialing != 0 {
 				r.settle(s, Full)
 			}
 			load := r.b.terms[map[bool]int{true: 1}[other && k >= 100]].loads.value
@@ -786,8 +786,8 @@
 			}
 		}
 		after := r.dialsTo[9][before:]
-		if waits := after[0]-101*50*ms >= someCold.Window; before == 0 || waits != other || r.fault != "" {
-			t.Errorf("other %v: %d dials before, then at %v; %s", other, before, after, r.fault)
+		if waits := after[0]-101*50*ms >= someCold.Window; before == 0 || waits != other || r.failure != "" {
+			t.Errorf("other %v: %d dials before, then at %v; %s", other, before, after, r.failure)
 		}
 	}
 }
@@ -812,8 +812,8 @@
 			r.b.Tick(r.now, tokenRound)
 		}
 		one, two := 10*r.b.part(r.b.byID[1]), 10*r.b.part(r.b.byID[2])
-		if two < c.least || two > c.most || math.Abs(one+two-1) > 1e-9 || r.fault != "" {
-			t.Errorf("%v late: shares of %.3f and %.3f; %s", c.late, one, two, r.fault)
+		if two < c.least || two > c.most || math.Abs(one+two-1) > 1e-9 || r.failure != "" {
+			t.Errorf("%v late: shares of %.3f and %.3f; %s", c.late, one, two, r.failure)
 		}
 	}
 }
@@ -828,10 +828,10 @@
 			r := newRig(someCold, rand.New(rand.NewSource(seed)))
 			r.list(ListFull, 9)
 			s := r.arrive(0, 1, 1, 0)
-			to := s.out
+			to := s.dialing
 			r.settle(s, Accepted)
 			r.b.DelayNoted(sec, to, someListeners[0].MessageTarget/3+growth)
-			if s.gone {
+			if s.clientGone {
 				moved++
 			}
 		}
@@ -885,7 +885,7 @@
 	r.fill(30)
 	held := func(id ServerID) int { return len(r.b.byID[id].held) }
 	before, others := held(1), held(2)+held(3)
-	r.tell(ListDelta, []Entry{{ID: 1, Size: 4, Standing: Draining}})
+	r.publish(ListDelta, []Entry{{ID: 1, Size: 4, Standing: Draining}})
 	for round := 1; round <= 12; round++ {
 		r.now += roundSpan
 		r.b.Tick(r.now, tokenRound)
@@ -893,8 +893,8 @@
 			t.Errorf("%d of %d sessions are left after round %d", n, before, round)
 		}
 	}
-	if now := held(2) + held(3); before < 6 || now != others || r.fault != "" {
-		t.Errorf("%d sessions before, elsewhere %d of %d; %s", before, now, others, r.fault)
+	if now := held(2) + held(3); before < 6 || now != others || r.failure != "" {
+		t.Errorf("%d sessions before, elsewhere %d of %d; %s", before, now, others, r.failure)
 	}
 }
 
@@ -973,8 +973,8 @@
 		r.b.Switch(0, r.listeners, r.dials, budget, ListRules{MustWatch: true, MustAskIn: 10 * sec}, rule, WordRule{})
 		r.now = 4 * sec
 		cold := Entry{ID: 10, Size: 8, Standing: Ready, Started: true, Since: r.now}
-		r.tell(ListDelta, []Entry{cold})
-		var out []*owed
+		r.publish(ListDelta, []Entry{cold})
+		var out []*clientSession
 		stands := map[SessionID]time.Duration{}
 		went, taken := []time.Duration{}, []time.Duration{}
 		frame, sent := 0, 0.0
@@ -982,7 +982,7 @@
 			r.now += 10 * ms
 			if chance.Intn(3) == 0 {
 				taken = append(taken, r.now)
-				if s := r.arrive(0, Key(chance.Int63()), 0, 0); s.out != 0 {
+				if s := r.arrive(0, Key(chance.Int63()), 0, 0); s.dialing != 0 {
 					out, stands[s.id] = append(out, s), r.now+time.Duration(chance.Int63n(int64(rule.Window/3)))
 				}
 			}
@@ -993,7 +993,7 @@
 					out = append(out, s)
 					continue
 				}
-				goes, at := r.b.Goes(r.now, s.id), r.b.byID[s.out]
+				goes, at := r.b.Goes(r.now, s.id), r.b.byID[s.dialing]
 				if goes && s.dials > 1 {
 					went = append(went, r.now)
 					n, most := inWindow(went, r.now-budget.Window), budget.Free+budget.Share*float64(inWindow(taken, r.now-budget.Window*5/4))
@@ -1011,7 +1011,7 @@
 						t.Fatalf("seed %d: %v goes out in frame %d, whose turn is %v", seed, sent, frame, at.turn)
 					}
 				}
-				if r.settle(s, map[bool]Outcome{true: Full, false: NotSent}[goes]); s.out != 0 {
+				if r.settle(s, map[bool]Outcome{true: Full, false: NotSent}[goes]); s.dialing != 0 {
 					out, stands[s.id] = append(out, s), r.now+time.Duration(chance.Int63n(int64(rule.Window/3)))
 				}
 			}
--- a/cmd/chalkferry/rehearse_test.go
+++ b/cmd/chalkferry/rehearse_test.go
@@ -19,7 +19,7 @@
 	os.Exit(m.Run())
 }
 
-func rehearsed(t *testing.T, name, logs string) *rehearse.Report {
+func runScenario(t *testing.T, name, logs string) *rehearse.Report {
 	t.Helper()
 	s, err := rehearse.Load(name)
 	if err != nil {
@@ -56,7 +56,7 @@
 func TestStallNight(t *testing.T) {
 	t.Parallel()
 	logs := t.TempDir()
-	r := rehearsed(t, "stall", logs)
+	r := runScenario(t, "stall", logs)
 	for _, w := range r.MessageBy {
 		if w.FromMs == 2000 && w.P99 < 100 {
 			t.Errorf("the stall of 200 ms is not seen in %+v", w)
@@ -91,7 +91,7 @@
 // Bad clients by thousands cost no usual one anything, and the proxies keep to their descriptors.
 func TestBadClientsNight(t *testing.T) {
 	t.Parallel()
-	if r := rehearsed(t, "bad-clients", ""); r.BadClients.Sent < 4000 {
+	if r := runScenario(t, "bad-clients", ""); r.BadClients.Sent < 4000 {
 		t.Errorf("only %+v", r.BadClients)
 	}
 }
@@ -99,7 +99,7 @@
 // Nodes are added, others drain, and a proxy is killed as it leaves.
 func TestSurgeAndDrainNight(t *testing.T) {
 	t.Parallel()
-	r := rehearsed(t, "surge-and-drain", "")
+	r := runScenario(t, "surge-and-drain", "")
 	if r.Proxies[0].Starts != 2 || r.Clients.Migrated == 0 {
 		t.Errorf("%d starts of the proxy that is killed, %d moves", r.Proxies[0].Starts, r.Clients.Migrated)
 	}
