--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -30,8 +30,8 @@
 	otherCold = ColdRule{Span: 9 * sec, From: 0.3, Multiple: 2.5, Window: 1500 * ms, Proxies: 40, Me: 7}
 )
 
-// TestRules drives the module through lists, restarts, outcomes, departures, notes, words, late events and
-// changes of settings, with few servers and with many.
+// TestRules drives the module through lists, restarts, outcomes, departures, load and delay reports, messages of other
+// proxies, late events and changes of settings, with few servers and with many.
 // The rig checks the rules at each call and after each step.
 func TestRules(t *testing.T) {
 	run := func(seed int64) (ok bool) {
@@ -481,8 +481,8 @@
 	}
 }
 
-// TestWords: from 208 proxies that each found late servers for themselves; about one of those that hear of
-// one tells, if it is allowed and worth its price. What others told holds as long as a note.
+// TestWords: from 208 proxies that each found overloaded servers for themselves; about one of those that observe one
+// publishes it, if that is allowed and worth its price. What others published holds as long as a report of the server's.
 func TestWords(t *testing.T) {
 	for want, rule := range []WordRule{{}, {Allowed: true, Price: 0.1}, {Allowed: true}} {
 		tells := 0
@@ -521,8 +521,8 @@
 	}
 }
 
-// TestBlind: from a shrunk fleet with many proxies, a late server of which nothing more is heard must not
-// look idle. From 114 and 354 proxies that kept late servers late by trying them: the smaller a proxy's part
+// TestBlind: from a shrunk fleet with many proxies, an overloaded server of which nothing more is received must not
+// look idle. From 114 and 354 proxies that kept such servers overloaded by trying them: the smaller a proxy's share
 // of the sessions, the longer it leaves such a server alone.
 func TestBlind(t *testing.T) {
 	for sessions, rest := range map[Key]time.Duration{0: 8 * sec, 19: 400 * ms, 1: 4 * sec} {
@@ -542,7 +542,7 @@
 }
 
 // TestColdFleet: from 300 proxies that share nothing. A hot group whose top score was a cold server came to all of
-// them, each with a chance of its own, and together they sent it four times what it could do. However sessions
+// them, each with a probability of its own, and together they sent it four times what it could do. However sessions
 // come, and whatever their loads, no window passes the budget, of a small server or a large one; it is put to use
 // all the same.
 func TestColdFleet(t *testing.T) {
@@ -602,7 +602,7 @@
 					for range c.come(chance, step) {
 						listener := listeners[chance.Intn(perProxy)]
 						s := r.arrive(listener, Key(1+chance.Int63n(c.keys)), 0, 0)
-						for s.dialing != 0 { // what the server turns away pushes too
+						for s.dialing != 0 { // what the server refuses counts too
 							if s.dialing >= small {
 								sends[s.dialing] = append(sends[s.dialing], sent{now, loads[listener]})
 							}
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -90,8 +90,8 @@
 // TestDamagedWord: what another proxy sent is no reason to end, only for a line in the log.
 func TestDamagedWord(t *testing.T) {
 	var out bytes.Buffer
-	word := record(4, uint16(3), uint16(8), uint16(5), "hello")
-	if err := serve(bytes.NewReader(batch(0, 1, append(opening(3), word)...)), &out); err != nil {
+	message := record(4, uint16(3), uint16(8), uint16(5), "hello")
+	if err := serve(bytes.NewReader(batch(0, 1, append(opening(3), message)...)), &out); err != nil {
 		t.Fatal(err)
 	}
 	if !strings.Contains(out.String(), "a word from proxy 8 is ignored: 5 bytes") {
--- a/cmd/chalkferry/compare.go
+++ b/cmd/chalkferry/compare.go
@@ -10,6 +10,7 @@
 	"chalkferry/internal/rehearse"
 )
 
+// compareCmd runs a scenario with two builds in pairs.
 type compareCmd struct {
 	runFlags
 	A        string `arg:"" type:"existingfile" help:"The build that is compared with."`
--- a/cmd/chalkferry/count.go
+++ b/cmd/chalkferry/count.go
@@ -8,6 +8,7 @@
 	"chalkferry/internal/counts"
 )
 
+// countCmd aggregates the logs of a fleet.
 type countCmd struct {
 	Log []string `arg:"" type:"existingfile" help:"Logs of the proxies of one fleet, one each, of one clock."`
 }
--- a/cmd/chalkferry/load.go
+++ b/cmd/chalkferry/load.go
@@ -9,6 +9,7 @@
 	"chalkferry/internal/rehearse"
 )
 
+// loadCmd sends sessions at proxies that run already.
 type loadCmd struct {
 	runFlags
 	traceFlags
--- a/cmd/chalkferry/rehearse.go
+++ b/cmd/chalkferry/rehearse.go
@@ -48,6 +48,7 @@
 	return s.Replay(f.Trace, f.Speed, f.Scale)
 }
 
+// rehearseCmd runs a scenario on the simulated platform.
 type rehearseCmd struct {
 	runFlags
 	traceFlags
--- a/cmd/chalkferry/rehearse_test.go
+++ b/cmd/chalkferry/rehearse_test.go
@@ -49,7 +49,7 @@
 	return r
 }
 
-// Three nights with seeded schedules; the verdict is by rules and counts alone.
+// Three scenarios with seeded schedules; the verdict is by rules and counts alone.
 
 // A stall of 200 ms is in the p99 of the second it lies in, and the hang and the slow node break no rule. The proxies'
 // own logs give back the sessions.
--- a/cmd/chalkferry/store.go
+++ b/cmd/chalkferry/store.go
@@ -10,12 +10,14 @@
 	"chalkferry/internal/store"
 )
 
+// storeCmd inspects a store's folder.
 type storeCmd struct {
 	Check storeCheckCmd `cmd:"" help:"Say what of a folder is good, and up to where. Changes nothing without --repair."`
 	List  storeListCmd  `cmd:"" help:"Name the tables and how much they hold."`
 	Dump  storeDumpCmd  `cmd:"" help:"Write all records as JSON lines."`
 }
 
+// storeCheckCmd reports what of a folder is good, and repairs a torn end on request.
 type storeCheckCmd struct {
 	Dir    string `arg:"" type:"existingdir"`
 	Repair bool   `help:"Cut a torn end off; what is cut off is kept beside it."`
@@ -57,6 +59,7 @@
 	return nil
 }
 
+// storeListCmd names the tables.
 type storeListCmd struct {
 	Dir string `arg:"" type:"existingdir"`
 }
@@ -76,6 +79,7 @@
 	return nil
 }
 
+// storeDumpCmd writes all records.
 type storeDumpCmd struct {
 	Dir string `arg:"" type:"existingdir"`
 }
--- a/cmd/chalkferry/trace.go
+++ b/cmd/chalkferry/trace.go
@@ -14,6 +14,7 @@
 	"chalkferry/internal/trace"
 )
 
+// traceCmd records and edits traces.
 type traceCmd struct {
 	Record traceRecordCmd `cmd:"" help:"Make a trace of a proxy's log."`
 	Check  traceCheckCmd  `cmd:"" help:"Read traces and say what is wrong with them, or what they hold."`
@@ -22,6 +23,7 @@
 	Merge  traceMergeCmd  `cmd:"" help:"Lay traces over one another."`
 }
 
+// traceRecordCmd makes a trace of proxies' logs.
 type traceRecordCmd struct {
 	Log []string `arg:"" type:"existingfile" help:"Logs of proxies, of one clock."`
 	Out string   `short:"o" help:"A file for the trace; standard output without."`
@@ -54,6 +56,7 @@
 	return writeTrace(c.Out, "log "+strings.Join(c.Log, " "), sessions)
 }
 
+// traceCheckCmd reads traces and summarizes them.
 type traceCheckCmd struct {
 	File []string `arg:"" type:"existingfile"`
 }
@@ -75,6 +78,7 @@
 	return nil
 }
 
+// traceCutCmd keeps a span of a trace.
 type traceCutCmd struct {
 	File string      `arg:"" type:"existingfile"`
 	From strict.Span `help:"Since the trace's start." default:"0s"`
@@ -93,6 +97,7 @@
 	return writeTrace(c.Out, fmt.Sprintf("%s from %v to %v", c.File, c.From, c.To), trace.Cut(sessions, c.From.D(), c.To.D()))
 }
 
+// traceScaleCmd changes the number of sessions or the speed.
 type traceScaleCmd struct {
 	File   string      `arg:"" type:"existingfile"`
 	Factor float64     `default:"1" help:"How many times as many sessions."`
@@ -116,6 +121,7 @@
 	return writeTrace(c.Out, fmt.Sprintf("%s times %g at speed %g", c.File, c.Factor, c.Speed), trace.Speed(sessions, c.Speed))
 }
 
+// traceMergeCmd combines traces.
 type traceMergeCmd struct {
 	File []string `arg:"" type:"existingfile"`
 	Out  string   `short:"o" help:"A file for the trace; standard output without."`
@@ -133,6 +139,7 @@
 	return writeTrace(c.Out, strings.Join(c.File, " and "), trace.Merge(all...))
 }
 
+// readTrace reads a trace from a file.
 func readTrace(name string) ([]trace.Session, error) {
 	file, err := os.Open(name)
 	if err != nil {
@@ -142,7 +149,7 @@
 	return trace.Read(name, bufio.NewReader(file))
 }
 
-// keep writes a trace to a file or to standard output.
+// writeTrace writes a trace to a file, or to standard output.
 func writeTrace(name, source string, sessions []trace.Session) error {
 	if name == "" {
 		return trace.Write(io.Writer(os.Stdout), source, sessions)
--- a/cmd/chalkferry/version.go
+++ b/cmd/chalkferry/version.go
@@ -8,6 +8,7 @@
 // version is that of the changelog.
 const version = "0.1.0"
 
+// versionCmd prints the version.
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -1,4 +1,4 @@
-// Toy is a push server and a discovery in one program, to try chalkferry with.
+// Toy is a push server and a discovery service in one program, to try chalkferry with. It has neither load nor faults.
 package main
 
 import (
@@ -16,12 +16,12 @@
 )
 
 var options struct {
-	Discovery string   `default:"127.0.0.1:8500" help:"Where the list of servers is told."`
+	Discovery string   `default:"127.0.0.1:8500" help:"Address of the discovery service."`
 	Servers   []string `default:"127.0.0.1:9001,127.0.0.1:9002" help:"Where the servers listen."`
 }
 
-// serve greets a session, sends back each line that its client sends, and says goodbye when asked to.
-func serve(name string, conn net.Conn) {
+// serveSession accepts a session, echoes each line of its client, and closes it when asked to.
+func serveSession(name string, conn net.Conn) {
 	defer conn.Close()
 	lines := bufio.NewScanner(conn)
 	for lines.Scan() {
@@ -40,6 +40,7 @@
 	}
 }
 
+// listen serves sessions at an address.
 func listen(name, at string) error {
 	listener, err := net.Listen("tcp", at)
 	if err != nil {
@@ -52,14 +53,14 @@
 				log.Printf("%s: %v", name, err)
 				return
 			}
-			go serve(name, conn)
+			go serveSession(name, conn)
 		}
 	}()
 	return nil
 }
 
-// tell answers a watch: the whole list, then an empty line every two seconds, as nothing changes here.
-func tell(list []byte) http.HandlerFunc {
+// serveList answers a watch: the whole list, then an empty line every two seconds, as nothing changes here.
+func serveList(list []byte) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintf(w, "%s\n", list)
 		for r.URL.Query().Get("watch") == "1" && r.Context().Err() == nil {
@@ -86,7 +87,7 @@
 	if err != nil {
 		log.Fatal(err)
 	}
-	http.HandleFunc("GET /api/targets", tell(list))
+	http.HandleFunc("GET /api/targets", serveList(list))
 	log.Printf("%d servers, discovery at %s", len(members), options.Discovery)
 	log.Fatal(http.ListenAndServe(options.Discovery, nil))
 }
--- a/internal/counts/counts_test.go
+++ b/internal/counts/counts_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// TestLearnt: a proxy that skips a revision has learnt of it with the next; one that has neither is told.
+// TestLearnt: a proxy that skips a revision has learnt of it with the next; one that has neither is counted.
 func TestLearnt(t *testing.T) {
 	f := New()
 	for proxy, log := range map[string]string{"n0": line(0, `"message":"list","revision":4`) + line(2, `"message":"list","revision":5`),
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -37,7 +37,7 @@
 	return buf[:end-1], end + 1, nil
 }
 
-// Verb is the first word of a line.
+// Verb is the first field of a line.
 func Verb(text []byte) []byte {
 	if i := bytes.IndexByte(text, ' '); i >= 0 {
 		return text[:i]
@@ -45,7 +45,7 @@
 	return text
 }
 
-// Rest is what follows the first word.
+// Rest is what follows the verb.
 func Rest(text []byte) []byte {
 	if i := bytes.IndexByte(text, ' '); i >= 0 {
 		return text[i+1:]
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -15,7 +15,7 @@
 const ms = time.Millisecond
 
 // stalls is a server on a clock of the test's own: it serves one call after another, each in a millisecond, and
-// stands still for a while.
+// stalls for a while.
 type stalls struct {
 	free, from, to time.Duration
 }
@@ -29,7 +29,7 @@
 	return s.free
 }
 
-// A server that stands still for 200 ms is seen in the p99 of each window that the stall reaches into when latencies
+// A server that stalls for 200 ms is seen in the p99 of each window that the stall reaches into when latencies
 // are counted from the schedule. A generator that waits for each answer, and counts from when it sends, hides it.
 func TestStallIsSeen(t *testing.T) {
 	const every, span = 4 * ms, 100 * ms
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// TestWords: a word reaches all others, one that is too long none, and a full queue never blocks.
+// TestWords: a datagram reaches all others, one that is too long none, and a full queue never blocks.
 func TestWords(t *testing.T) {
-	heard := make(chan string, 8)
+	received := make(chan string, 8)
 	free := func() string {
 		c, err := net.ListenPacket("udp", "127.0.0.1:0")
 		if err != nil {
@@ -18,13 +18,13 @@
 		return c.LocalAddr().String()
 	}
 	one, two, three := free(), free(), free()
-	hear := func(name string) func([]byte) { return func(word []byte) { heard <- name + string(word) } }
+	receive := func(name string) func([]byte) { return func(payload []byte) { received <- name + string(payload) } }
 	for at, name := range map[string]string{two: "two ", three: "three "} {
-		if _, err := Listen(at, "", nil, hear(name)); err != nil {
+		if _, err := Listen(at, "", nil, receive(name)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	p, err := Listen(one, "", []string{two, three}, hear("one "))
+	p, err := Listen(one, "", []string{two, three}, receive("one "))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,8 +33,8 @@
 	got := map[string]bool{}
 	for range 2 {
 		select {
-		case word := <-heard:
-			got[word] = true
+		case payload := <-received:
+			got[payload] = true
 		case <-time.After(5 * time.Second):
 			t.Fatalf("only %v", got)
 		}
--- a/internal/rehearse/check.go
+++ b/internal/rehearse/check.go
@@ -56,7 +56,7 @@
 	return s.checkFaults(f)
 }
 
-// requirements are those of all tables that stand once.
+// requirements are those of all tables that occur once.
 func (s *Scenario) requirements() []requirement {
 	return slices.Concat(
 		[]requirement{
--- a/internal/rehearse/html.go
+++ b/internal/rehearse/html.go
@@ -45,7 +45,7 @@
 {{range .Plots}}<h2>{{.Title}}</h2>{{.SVG}}{{end}}
 {{if .Report.Rules}}<h2>Rules broken</h2><table><tr><th>rule</th><th>at, ms</th><th>session</th><th>node</th><th>proxy</th><th>what</th></tr>
 {{range .Report.Rules}}<tr><td>{{.Rule}}</td><td>{{.AtMs}}</td><td>{{.Session}}</td><td>{{.Node}}</td><td>{{.Proxy}}</td><td>{{.Text}}</td></tr>{{end}}</table>{{end}}
-<h2>In words</h2><pre>{{.Text}}</pre>
+<h2>As text</h2><pre>{{.Text}}</pre>
 </body></html>
 `))
 
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -206,13 +206,13 @@
 
 // bindAwayFrom binds this process's threads to the processors that no proxy has to itself, so that what is measured of a
 // proxy is not the generator's. It returns what takes that back.
-func bindAwayFrom(taken []int) (func(), error) {
+func bindAwayFrom(pinned []int) (func(), error) {
 	var all, rest unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &all); err != nil {
 		return nil, err
 	}
 	rest = all
-	for _, cpu := range taken {
+	for _, cpu := range pinned {
 		rest.Clear(cpu)
 	}
 	if rest.Count() == 0 { // as many proxies as processors: all share them
--- a/internal/rehearse/proxies.go
+++ b/internal/rehearse/proxies.go
@@ -61,10 +61,10 @@
 	}
 }
 
-// reloadProxy replaces a proxy's configuration and sends it SIGHUP; moved gives discovery another address.
-func (r *rehearsal) reloadProxy(i int, moved bool) {
+// reloadProxy replaces a proxy's configuration and sends it SIGHUP; discoveryMoved gives discovery another address.
+func (r *rehearsal) reloadProxy(i int, discoveryMoved bool) {
 	p := r.processes[i]
-	if moved {
+	if discoveryMoved {
 		next, err := r.list.OpenEndpoint(p.id, "127.0.0.1:0")
 		if err != nil {
 			r.addTrouble("discovery can't move for proxy %d: %v", i, err)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -17,7 +17,7 @@
 	"chalkferry/internal/standin/judge"
 )
 
-// TestMain is also the wicked proxy: the test's own program, started as one by a name that says what it does wrong.
+// TestMain is also the faulty proxy: the test's own program, started as one by a name that says what it does wrong.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 2 && os.Args[1] == "serve" {
 		faultyProxy(filepath.Base(os.Args[0]), os.Args[2])
@@ -25,9 +25,9 @@
 	os.Exit(m.Run())
 }
 
-// wicked is a proxy that places by no rule and breaks the one that it is named for.
+// faultyProxy is a proxy that places by no rule and breaks the one that it is named for.
 func faultyProxy(how, file string) {
-	var told struct {
+	var config struct {
 		Listen, Discovery string
 		Known             struct {
 			Members []struct {
@@ -36,16 +36,16 @@
 		}
 	}
 	text, _ := os.ReadFile(file)
-	if json.Unmarshal(text, &told) != nil {
+	if json.Unmarshal(text, &config) != nil {
 		os.Exit(3)
 	}
-	go func() { // it is told of changes, and does nothing about them
-		if answer, err := http.Get("http://" + told.Discovery + "/api/targets?watch=1&after=1"); err == nil {
+	go func() { // it receives changes, and does nothing about them
+		if answer, err := http.Get("http://" + config.Discovery + "/api/targets?watch=1&after=1"); err == nil {
 			for lines := bufio.NewScanner(answer.Body); lines.Scan(); {
 			}
 		}
 	}()
-	l, err := net.Listen("tcp", told.Listen)
+	l, err := net.Listen("tcp", config.Listen)
 	if err != nil {
 		os.Exit(4)
 	}
@@ -54,7 +54,7 @@
 		if err != nil {
 			os.Exit(5)
 		}
-		nodes := told.Known.Members
+		nodes := config.Known.Members
 		at := n
 		if how == "cold" || how == "drain" {
 			at = 0
@@ -63,6 +63,7 @@
 	}
 }
 
+// handleFaulty serves one client of the faulty proxy.
 func handleFaulty(how string, c net.Conn, first, second string) {
 	defer c.Close()
 	lines := bufio.NewReader(c)
@@ -158,7 +159,7 @@
 rate = 20
 %s`
 
-// Each rule broken on the sockets by a wicked proxy is found; the same proxy that breaks none is not blamed.
+// Each rule broken on the sockets by a faulty proxy is found; the same proxy that breaks none is not blamed.
 func TestWickedProxies(t *testing.T) {
 	drain := "[[fault]]\nkind = \"drain\"\nat = \"200ms\"\nfor = \"2s\"\nnodes = [0]\n"
 	restart := "[[fault]]\nkind = \"restart\"\nat = \"100ms\"\nnodes = [0]\n"
@@ -252,7 +253,7 @@
 	}
 }
 
-// A program that does not serve is told with its last words, and nothing is left.
+// A program that does not serve is reported with the end of its log, and no process is left.
 func TestNoProxy(t *testing.T) {
 	s, err := Parse("small.toml", fmt.Appendf(nil, small, "2s", "", "repeatable", ""))
 	if err != nil {
--- a/internal/standin/judge/judge_test.go
+++ b/internal/standin/judge/judge_test.go
@@ -41,7 +41,7 @@
 		{"broken before the answer", SessionLost, func(j *Judge, broken bool) {
 			j.Requested(0, "s", 0, repeatable)
 			j.ConnectionLost(100*ms, "s")
-			if !broken { // told after the break, as the two are seen by two readers
+			if !broken { // reported after the break, as the two are seen by two readers
 				j.ProxyDied(0)
 			}
 		}},
@@ -156,7 +156,7 @@
 	j.Answered(10*ms, id, Accepted, "r")
 }
 
-// Random orderly runs, with the two ends of each session told in either order, break nothing and leave nothing behind.
+// Random orderly runs, with the two ends of each session reported in either order, break nothing and leave nothing behind.
 func TestOrderly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		j := fresh()
--- a/internal/standin/list/list_test.go
+++ b/internal/standin/list/list_test.go
@@ -10,7 +10,7 @@
 	"chalkferry/internal/standin/judge"
 )
 
-// Two proxies watch; a drain that is written to one only counts as told to that one, and what discovery does when it
+// Two proxies watch; a drain that is written to one only counts as published to that one, and what discovery does when it
 // is late, down, cut and stale is seen by those who ask.
 func TestToldAndFaults(t *testing.T) {
 	began := time.Now()
@@ -19,13 +19,13 @@
 	j := judge.New(0, grace, time.Hour, false, []judge.Place{{}, {}})
 	l := New(now, j, 0, []Member{{ID: "a", HostPort: "127.0.0.1:1", Phase: "ready"}, {ID: "b", HostPort: "127.0.0.1:2", Phase: "ready"}})
 	t.Cleanup(l.Close)
-	var doors [2]*Endpoint
-	for i := range doors {
+	var endpoints [2]*Endpoint
+	for i := range endpoints {
 		d, err := l.OpenEndpoint(judge.ProxyID(i), "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		doors[i] = d
+		endpoints[i] = d
 	}
 	watch := func(d *Endpoint, after string) (*http.Response, *bufio.Scanner) {
 		t.Helper()
@@ -49,7 +49,7 @@
 		t.Fatal("the watch ended")
 		return
 	}
-	_, lines := watch(doors[0], "0")
+	_, lines := watch(endpoints[0], "0")
 	if a := next(lines); !a.Complete || len(a.Members) != 2 || a.Revision != 1 {
 		t.Fatalf("%+v", a)
 	}
@@ -58,7 +58,7 @@
 		t.Fatalf("%+v", a)
 	}
 	time.Sleep(5 * grace)
-	for proxy := range doors { // both dial the node that drains; the first was told
+	for proxy := range endpoints { // both dial the node that drains; it was published to the first
 		id := judge.SessionID(rune('x' + proxy))
 		j.Requested(now(), id, judge.ProxyID(proxy), judge.Terms{DialTimeout: time.Second, Effect: judge.Repeatable})
 		j.DialArrived(now(), now(), id, 0, false)
@@ -68,23 +68,23 @@
 	}
 
 	l.SetStale(true)
-	_, lines = watch(doors[1], "2")
+	_, lines = watch(endpoints[1], "2")
 	if a := next(lines); a.Revision >= 2 || !a.Complete {
 		t.Errorf("stale: %+v", a)
 	}
 	l.SetStale(false)
 	l.SetDown(true)
-	if r, _ := watch(doors[1], "2"); r == nil || r.StatusCode != http.StatusServiceUnavailable {
+	if r, _ := watch(endpoints[1], "2"); r == nil || r.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("down: %v", r)
 	}
 	l.SetDown(false)
 	l.SetReset(true)
-	if r, _ := watch(doors[1], "2"); r != nil {
+	if r, _ := watch(endpoints[1], "2"); r != nil {
 		t.Errorf("cut: %v", r.Status)
 	}
 	l.SetReset(false)
-	doors[1].Close(0)
-	if r, _ := watch(doors[1], "2"); r != nil {
+	endpoints[1].Close(0)
+	if r, _ := watch(endpoints[1], "2"); r != nil {
 		t.Errorf("closed: %v", r.Status)
 	}
 }
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -11,9 +11,9 @@
 	"testing/fstest"
 )
 
-// faulty is a disk in memory: it fails when it is told to, and a loss of power leaves what was synced and any part of
+// faultyDisk is a disk in memory: it fails on demand, and a loss of power leaves what was synced and any part of
 // the rest.
-type faulty struct {
+type faultyDisk struct {
 	mu     sync.Mutex
 	files  map[string]*faultyFile
 	rng    *rand.Rand
@@ -22,17 +22,17 @@
 }
 
 type faultyFile struct {
-	disk   *faulty
+	disk   *faultyDisk
 	text   []byte
 	synced int
 }
 
 var errDisk = errors.New("the disk fails")
 
-func (d *faulty) Open(string) (fs.File, error) { return nil, fs.ErrNotExist }
-func (d *faulty) SyncFolder() error            { return nil }
+func (d *faultyDisk) Open(string) (fs.File, error) { return nil, fs.ErrNotExist }
+func (d *faultyDisk) SyncFolder() error            { return nil }
 
-func (d *faulty) Create(name string) (File, error) {
+func (d *faultyDisk) Create(name string) (File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f := &faultyFile{disk: d}
@@ -65,7 +65,7 @@
 func (f *faultyFile) Close() error { return nil }
 
 // after is what the folder holds after a loss of power.
-func (d *faulty) after() fstest.MapFS {
+func (d *faultyDisk) after() fstest.MapFS {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	folder := fstest.MapFS{}
@@ -80,7 +80,7 @@
 func TestAcknowledged(t *testing.T) {
 	for seed := range int64(300) {
 		rng := rand.New(rand.NewSource(seed))
-		disk := &faulty{files: map[string]*faultyFile{}, rng: rng, writes: rng.Intn(12), syncs: rng.Intn(12)}
+		disk := &faultyDisk{files: map[string]*faultyFile{}, rng: rng, writes: rng.Intn(12), syncs: rng.Intn(12)}
 		w, err := NewWriter(disk, &Recovered{}, 64, 1+rng.Intn(200))
 		if err != nil {
 			t.Fatal(err)
@@ -163,7 +163,7 @@
 // What can't wait is shed at once and counted.
 func TestShed(t *testing.T) {
 	hold, began := make(chan struct{}), make(chan struct{})
-	disk := &faulty{files: map[string]*faultyFile{}, rng: rand.New(rand.NewSource(1))}
+	disk := &faultyDisk{files: map[string]*faultyFile{}, rng: rand.New(rand.NewSource(1))}
 	w, err := NewWriter(disk, &Recovered{}, 2, 1<<20)
 	if err != nil {
 		t.Fatal(err)
