sharing: codec, member, aggregator, and a tally of sessions that costs one comparison each

Change: CBOR datagrams of version 2 with typed errors; StartMember and StartAggregator (not yet used by a command); the proxy's facts are counted by Tally, which keeps its counts between two walks over the open sessions; same facts (TestTally). The flat counts are as they were.

--- a/cmd/chalkferry/fleet.go
+++ b/cmd/chalkferry/fleet.go
@@ -51,7 +51,7 @@
 		_, err := io.Copy(os.Stdout, answer.Body)
 		return err
 	}
-	var s sharing.Status
+	var s sharing.FlatStatus
 	if err := json.NewDecoder(answer.Body).Decode(&s); err != nil {
 		return fmt.Errorf("the answer from %s: %w", at, err)
 	}
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -2,35 +2,30 @@
 
 import (
 	"chalkferry/choice"
-	"chalkferry/internal/fleet"
 	"chalkferry/internal/line"
 	"chalkferry/internal/sharing"
 )
 
-// Share has what this proxy holds told to the fleet, once in a note's span. It is to be called before Run; tell must
-// not wait for anything. Without it nothing is counted.
-func (p *Proxy) Share(tell func([]sharing.Fact)) { p.share = tell }
+// Share has what this proxy holds published to the fleet, once in a note's span. It is to be called before Run;
+// publish must not wait for anything. Without it nothing is counted.
+func (p *Proxy) Share(publish func([]sharing.Fact)) { p.share = publish }
 
-// tellFleet adds up what is held by server, listener and tenant.
-func (p *Proxy) tellFleet() {
-	type name struct {
-		kind fleet.CountKind
-		name string
-	}
-	held := map[name]uint32{}
-	p.table.EachOpen(func(at choice.ServerID, of *line.Open) { // by the names that they came under
-		if place := p.directory.servers[at]; place != nil {
-			held[name{fleet.ByServer, place.name}]++
-		}
-		held[name{fleet.ByListener, string(of.Listener)}]++
-		if of.Tenant != nil {
-			held[name{fleet.ByTenant, string(of.Tenant)}]++
-		}
-	})
-	facts := make([]sharing.Fact, 0, len(held))
-	for n, sessions := range held { // each stands for itself, in any order
-		facts = append(facts, sharing.Fact{Kind: n.kind, Name: n.name, Held: sessions})
+// tellFleet begins to publish what is held by server, listener and tenant.
+func (p *Proxy) tellFleet() { p.publishHeld(sharing.NewTally()) }
+
+// publishHeld walks over the open sessions, on the event loop, and comes again after a note's span.
+func (p *Proxy) publishHeld(tally *sharing.Tally) {
+	tally.Begin()
+	p.table.EachOpen(func(at choice.ServerID, of *line.Open) { tally.Session(at, of) })
+	p.share(tally.Facts(p.serverName))
+	p.timers.After(noteSpan, func() { p.publishHeld(tally) })
+}
+
+// serverName is the name that a server came under.
+func (p *Proxy) serverName(at choice.ServerID) (name string, known bool) {
+	place := p.directory.servers[at]
+	if place == nil {
+		return "", false
 	}
-	p.share(facts)
-	p.timers.After(noteSpan, p.tellFleet)
+	return place.name, true
 }
--- a/internal/sharing/config.go
+++ b/internal/sharing/config.go
@@ -5,13 +5,15 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"chalkferry/internal/aggregation"
 )
 
 // Bounds of what a configuration may say.
 const (
-	maxNameBytes        = 64 // of a member's or an aggregator's name
-	maxRegionBytes      = 24 // of a region's or a zone's name: they go into datagrams
-	maxRegions          = 8
+	maxNameBytes        = 64                       // of a member's or an aggregator's name
+	maxRegionBytes      = aggregation.MaxNameBytes // of a region's or a zone's name: they go into datagrams
+	maxRegions          = aggregation.MaxRegions
 	maxAggregators      = 4 // of one region
 	maxMembersLimit     = 1 << 16
 	maxKeysLimit        = 1 << 20
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"chalkferry/internal/fleet"
 )
@@ -23,13 +22,6 @@
 	waitingMost = 64 // words heard and not taken yet; more are passed over
 )
 
-// Fact is how many sessions a proxy holds of one name.
-type Fact struct {
-	Kind fleet.CountKind
-	Name string
-	Held uint32
-}
-
 // Sharing is one proxy's end. One goroutine has its state; all others reach it by channels.
 type Sharing struct {
 	terms  *Terms
@@ -38,7 +30,7 @@
 	door   net.Listener // of the status, nil for none
 	facts  chan []Fact
 	heard  chan []byte
-	asks   chan chan Status
+	asks   chan chan FlatStatus
 	ends   chan struct{}
 	counts *fleet.Counts
 	names  map[fleet.CountKey]string
@@ -59,7 +51,7 @@
 		return nil, err
 	}
 	s := &Sharing{terms: t, log: log, conn: conn, facts: make(chan []Fact, 1), heard: make(chan []byte, waitingMost),
-		asks: make(chan chan Status), ends: make(chan struct{}), names: map[fleet.CountKey]string{},
+		asks: make(chan chan FlatStatus), ends: make(chan struct{}), names: map[fleet.CountKey]string{},
 		from: make([]int, len(t.members)), words: map[string]int{}, warned: map[string]time.Duration{}}
 	// A later start has a later time of day; one that does not, as a clock was set back, is not heard until it has.
 	s.counts, err = fleet.NewCounts(boot(), t.me, len(t.members), fleet.Incarnation(time.Now().UnixNano()), t.lately, t.fade, t.keys)
@@ -79,16 +71,6 @@
 	return s, nil
 }
 
-// boot is the time since the machine started. It goes on while the process is stopped and while the machine sleeps,
-// as what others hold goes on, too.
-func boot() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(err) // Linux has it
-	}
-	return time.Duration(t.Nano())
-}
-
 // Tell takes what this proxy holds now. It never waits: facts that come before the last were taken are passed over,
 // as the next come soon.
 func (s *Sharing) Tell(facts []Fact) {
@@ -145,7 +127,7 @@
 }
 
 // key of a name is the same at all proxies.
-func key(kind fleet.CountKind, name string) fleet.CountKey {
+func flatKey(kind fleet.CountKind, name string) fleet.CountKey {
 	h := fnv.New64a()
 	h.Write([]byte(name))
 	return fleet.CountKey{Kind: kind, ID: h.Sum64()}
@@ -154,7 +136,7 @@
 func (s *Sharing) take(facts []Fact) {
 	held := map[fleet.CountKey]bool{}
 	for _, f := range facts {
-		k := key(f.Kind, f.Name)
+		k := flatKey(fleet.CountKind(f.Kind), f.Name)
 		held[k], s.names[k] = true, f.Name
 		s.counts.Set(k, f.Held)
 	}
@@ -169,7 +151,7 @@
 }
 
 func (s *Sharing) hear(now time.Duration, text []byte) {
-	w, err := read(text, s.terms.me, len(s.terms.members))
+	w, err := flatRead(text, s.terms.me, len(s.terms.members))
 	if err != nil {
 		s.passOver(now, err)
 		return
@@ -226,16 +208,16 @@
 	}
 }
 
-// Status is what a proxy believes of its fleet.
-type Status struct {
+// FlatStatus is what a proxy believes of its fleet.
+type FlatStatus struct {
 	Me      fleet.MemberID `json:"me"`
-	Members []MemberStatus `json:"members"`
+	Members []FlatMember   `json:"members"`
 	Counts  []CountStatus  `json:"counts"`
 	Words   map[string]int `json:"words"`
 }
 
-// MemberStatus is one member as it was heard of last.
-type MemberStatus struct {
+// FlatMember is one member as it was heard of last.
+type FlatMember struct {
 	Member  fleet.MemberID    `json:"member"`
 	Address netip.AddrPort    `json:"address"`
 	Known   bool              `json:"known"`
@@ -252,10 +234,10 @@
 	Heard float64 `json:"heard"`
 }
 
-var kinds = map[fleet.CountKind]string{fleet.ByServer: "server", fleet.ByTenant: "tenant", fleet.ByListener: "listener"}
+var flatKinds = map[fleet.CountKind]string{fleet.ByServer: "server", fleet.ByTenant: "tenant", fleet.ByListener: "listener"}
 
-func (s *Sharing) status(now time.Duration) Status {
-	st := Status{Me: s.terms.me, Words: map[string]int{}}
+func (s *Sharing) status(now time.Duration) FlatStatus {
+	st := FlatStatus{Me: s.terms.me, Words: map[string]int{}}
 	for reason, n := range s.words {
 		st.Words[reason] = n
 	}
@@ -264,7 +246,7 @@
 	}
 	for i, at := range s.terms.members {
 		process, age, known := s.counts.Member(now, fleet.MemberID(i))
-		st.Members = append(st.Members, MemberStatus{fleet.MemberID(i), at, known, process, age.Milliseconds()})
+		st.Members = append(st.Members, FlatMember{fleet.MemberID(i), at, known, process, age.Milliseconds()})
 	}
 	for _, k := range s.counts.Keys() {
 		f := s.counts.Of(now, k)
@@ -272,13 +254,13 @@
 		if !known {
 			name = k.String()
 		}
-		st.Counts = append(st.Counts, CountStatus{kinds[k.Kind], name, f.Value, f.Age.Milliseconds(), f.Heard})
+		st.Counts = append(st.Counts, CountStatus{flatKinds[k.Kind], name, f.Value, f.Age.Milliseconds(), f.Heard})
 	}
 	return st
 }
 
 func (s *Sharing) answer(w http.ResponseWriter, r *http.Request) {
-	ask := make(chan Status, 1)
+	ask := make(chan FlatStatus, 1)
 	select {
 	case s.asks <- ask:
 	case <-s.ends:
--- a/internal/sharing/terms.go
+++ b/internal/sharing/terms.go
@@ -1,5 +1,3 @@
-// Package sharing carries what internal/fleet decides between proxies: words over UDP, which may be lost, and its
-// status on a loopback address. It runs beside the event loop, which hands it facts and never waits for it.
 package sharing
 
 import (
--- a/internal/sharing/words.go
+++ b/internal/sharing/words.go
@@ -30,9 +30,9 @@
 	Reports []fleet.Report `cbor:"2,keyasint"`
 }
 
-var reader = must(cbor.DecOptions{MaxArrayElements: 4096, MaxMapPairs: 16, MaxNestedLevels: 8}.DecMode())
+var reader = mustDec(cbor.DecOptions{MaxArrayElements: 4096, MaxMapPairs: 16, MaxNestedLevels: 8}.DecMode())
 
-func must[T any](value T, err error) T {
+func mustDec[T any](value T, err error) T {
 	if err != nil {
 		panic(err) // constant options
 	}
@@ -40,7 +40,7 @@
 }
 
 // read takes a word from another member.
-func read(text []byte, me fleet.MemberID, members int) (w word, err error) {
+func flatRead(text []byte, me fleet.MemberID, members int) (w word, err error) {
 	if len(text) > mostBytes {
 		return w, errLong
 	}
