--- a/cmd/chalkferry/fleet.go
+++ b/cmd/chalkferry/fleet.go
@@ -5,69 +5,60 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"net/netip"
 	"os"
-	"slices"
 	"time"
 
 	"chalkferry/internal/sharing"
 )
 
 type fleetCmd struct {
-	Status fleetStatusCmd `cmd:"" help:"Members and counts as one proxy has heard of them, with their ages."`
+	Status fleetStatusCmd `cmd:"" help:"The sums over the fleet as a proxy or an aggregator has them, with age and error."`
 }
 
 type fleetStatusCmd struct {
-	At   string        `arg:"" name:"file or address" help:"The file of serve --fleet, or the status address in it."`
-	JSON bool          `name:"json" help:"As the proxy tells it."`
+	At   string        `arg:"" name:"file or address" help:"The file of serve --fleet or of aggregate, or the status address in it."`
+	JSON bool          `name:"json" help:"As the process answers it."`
 	Wait time.Duration `default:"2s" help:"For an answer."`
 }
 
+// maxStatusBytes is far above what a status with as many keys and members as there may be takes.
+const maxStatusBytes = 1 << 30
+
+// Run asks for the status and prints it.
 func (c *fleetStatusCmd) Run() error {
-	at := c.At
-	if _, err := netip.ParseAddrPort(at); err != nil {
-		terms, err := sharing.Read(at)
-		if err != nil {
+	address, err := netip.ParseAddrPort(c.At)
+	if err != nil {
+		if address, err = sharing.ReadStatusAddress(c.At); err != nil {
 			return err
 		}
-		if at = terms.Status(); at == "" {
-			return fmt.Errorf("%s names no status address", c.At)
-		}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
-	defer cancel()
-	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/", nil)
-	if err != nil {
-		return err
 	}
-	answer, err := http.DefaultClient.Do(ask)
+	text, err := c.ask(address)
 	if err != nil {
 		return err
 	}
-	defer answer.Body.Close()
 	if c.JSON {
-		_, err := io.Copy(os.Stdout, answer.Body)
+		_, err := os.Stdout.Write(text)
 		return err
 	}
-	var s sharing.FlatStatus
-	if err := json.NewDecoder(answer.Body).Decode(&s); err != nil {
-		return fmt.Errorf("the answer from %s: %w", at, err)
-	}
-	fmt.Printf("member %d of %d\n", s.Me, len(s.Members))
-	for _, m := range s.Members {
-		if m.Known {
-			fmt.Printf("member %3d  %-21s  heard of %d ms ago, process %d\n", m.Member, m.Address, m.AgeMS, m.Process)
-		} else {
-			fmt.Printf("member %3d  %-21s  not heard of\n", m.Member, m.Address)
-		}
+	if err := sharing.WriteStatus(os.Stdout, text); err != nil {
+		return fmt.Errorf("the answer from %s: %w", address, err)
 	}
-	for _, n := range s.Counts {
-		fmt.Printf("%-8s  %-24s  %8.1f held  %6d ms old  %3.0f%% of members heard\n", n.Kind, n.Name, n.Held, n.AgeMS, 100*n.Heard)
+	return nil
+}
+
+func (c *fleetStatusCmd) ask(address netip.AddrPort) (json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/", nil)
+	if err != nil {
+		return nil, err
 	}
-	for _, reason := range slices.Sorted(maps.Keys(s.Words)) {
-		fmt.Printf("words %s: %d\n", reason, s.Words[reason])
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	defer answer.Body.Close()
+	return io.ReadAll(io.LimitReader(answer.Body, maxStatusBytes))
 }
--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -24,6 +24,8 @@
 		Fleet    fleetCmd    `cmd:"" help:"Ask a proxy what it believes of its fleet."`
 		Store    storeCmd    `cmd:"" help:"Look into a store's folder."`
 		Version  versionCmd  `cmd:"" help:"Print the version."`
+
+		Aggregate aggregateCmd `cmd:"" help:"Run an aggregator: add up what the proxies of a region hold."`
 	}
 	ctx := kong.Parse(&commands, kong.Name("chalkferry"),
 		kong.Description("A balancer for long-lived connections."))
--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -16,7 +16,7 @@
 type serveCmd struct {
 	File    string `arg:"" optional:"" name:"configuration" env:"RELAY_CONFIG" help:"The configuration, a JSON file."`
 	Profile string `help:"A file for a profile of the CPU, written when the proxy ends in good order."`
-	Fleet   string `help:"A TOML file: share what this proxy holds with the others that it names. Off without it."`
+	Fleet   string `help:"A TOML file: report what this proxy holds to the aggregators that it names. Off without it."`
 	Level   string `default:"info" enum:"debug,info,warn,error" help:"Least level of what is logged."`
 }
 
@@ -41,16 +41,16 @@
 		return err
 	}
 	if c.Fleet != "" { // nothing else turns it on
-		terms, err := sharing.Read(c.Fleet)
+		config, err := sharing.ReadMember(c.Fleet)
 		if err != nil {
 			return err
 		}
-		end, err := sharing.Start(terms, log)
+		member, err := sharing.StartMember(*config, log)
 		if err != nil {
 			return err
 		}
-		defer end.Close()
-		p.Share(end.Tell)
+		defer member.Close()
+		p.Share(member.Publish)
 	}
 	go func() {
 		for {
--- a/internal/sharing/aggregator.go
+++ b/internal/sharing/aggregator.go
@@ -185,7 +185,7 @@
 	}
 }
 
-// sendSlots sends the members whose slot has come a heartbeat, and those that subscribe a digest.
+// sendSlots sends the members whose slot has come a digest if they subscribe, and a heartbeat if they don't.
 func (a *Aggregator) sendSlots(now time.Duration) {
 	if a.digests.advance(now) {
 		a.entries = a.state.Digest(now).Entries
@@ -196,8 +196,9 @@
 	heartbeat := a.state.Heartbeat(now) // its ages are those of now, and its number that of the latest digest
 	digest := heartbeat
 	digest.Entries = a.entries
-	a.sendDue(a.heartbeats, heartbeat, func(aggregation.MemberID) bool { return true })
-	a.sendDue(a.digests, digest, func(id aggregation.MemberID) bool { return a.state.Subscribed(now, id) })
+	isSubscribed := func(id aggregation.MemberID) bool { return a.state.Subscribed(now, id) }
+	a.sendDue(a.digests, digest, isSubscribed)
+	a.sendDue(a.heartbeats, heartbeat, func(id aggregation.MemberID) bool { return !isSubscribed(id) })
 }
 
 // sendDue sends a message to the members that it is for and whose slot has come.
@@ -222,6 +223,9 @@
 		StatusHead: StatusHead{Role: RoleAggregator, Name: a.config.Name, Region: a.config.Region,
 			Listen: a.endpoint.address().String(), Incarnation: a.incarnation},
 		Members:   a.membersStatus(now),
+		Peers:     []AggregatorStatus{},
+		Regions:   []RegionStatus{},
+		Sums:      []SumStatus{},
 		Limits:    LimitsStatus{Members: a.config.MaxMembers, MemberKeys: a.config.MaxMemberKeys, Keys: a.config.MaxKeys},
 		Datagrams: a.endpoint.counters.snapshot(),
 		Dropped:   droppedStatus(a.state.Counters()),
@@ -238,7 +242,8 @@
 	return s
 }
 
-func (a *Aggregator) membersStatus(now time.Duration) (s MembersStatus) {
+func (a *Aggregator) membersStatus(now time.Duration) MembersStatus {
+	s := MembersStatus{Each: []KnownMemberStatus{}}
 	for _, m := range a.state.Members(now) {
 		s.Known++
 		if m.Weight == 1 {
--- a/internal/sharing/config.go
+++ b/internal/sharing/config.go
@@ -19,8 +19,10 @@
 	maxKeysLimit        = 1 << 20
 	minInterval         = 5 * time.Millisecond
 	maxInterval         = time.Minute
-	maxFreshness        = time.Hour
-	intervalsInFresh    = 2 // a sender that is heard must not count as silent between two datagrams
+	maxFreshness        = time.Hour // and of the decay
+	intervalsInFresh    = 5         // a process that is silent to itself for a quarter of the freshness counts as stopped
+	heartbeatsInFresh   = 4         // a member changes its aggregator after half of the freshness without a datagram
+	minDecay            = 10 * time.Millisecond
 	maxChangeShare      = 1.0
 	defaultChangeShare  = 0.1
 	defaultFreshness    = 5 * time.Second
@@ -119,7 +121,7 @@
 		checkStatus(c.Status),
 		c.checkAggregators(),
 		checkInterval("report_interval", c.ReportInterval),
-		checkFreshness(c.Freshness, "report_interval", c.ReportInterval),
+		checkFreshness(c.Freshness, intervalsInFresh, "report_interval", c.ReportInterval),
 		checkDecay(c.Decay),
 		checkLimit("keys", c.MaxKeys, maxKeysLimit),
 		checkShare(c.ChangeShare),
@@ -161,10 +163,9 @@
 		checkInterval("digest_interval", c.DigestInterval),
 		checkInterval("exchange_interval", c.ExchangeInterval),
 		checkInterval("heartbeat_interval", c.HeartbeatInterval),
-		checkFreshness(c.Freshness, "exchange_interval", c.ExchangeInterval),
-		checkFreshness(c.Freshness, "digest_interval", c.DigestInterval),
-		// A member changes its aggregator after half of its freshness without a datagram.
-		checkFreshness(c.Freshness, "two heartbeat_interval", 2*c.HeartbeatInterval),
+		checkFreshness(c.Freshness, intervalsInFresh, "exchange_interval", c.ExchangeInterval),
+		checkFreshness(c.Freshness, intervalsInFresh, "digest_interval", c.DigestInterval),
+		checkFreshness(c.Freshness, heartbeatsInFresh, "heartbeat_interval", c.HeartbeatInterval),
 		checkDecay(c.Decay),
 		checkShare(c.ChangeShare),
 		checkLimit("members", c.MaxMembers, maxMembersLimit),
@@ -248,16 +249,16 @@
 	return nil
 }
 
-func checkFreshness(freshness time.Duration, field string, interval time.Duration) error {
-	if freshness < intervalsInFresh*interval || freshness > maxFreshness {
-		return invalid("freshness", "%v, twice %s (%v) to %v are possible", freshness, field, interval, maxFreshness)
+func checkFreshness(freshness time.Duration, times int, field string, interval time.Duration) error {
+	if freshness < time.Duration(times)*interval || freshness > maxFreshness {
+		return invalid("freshness", "%v, %d times %s (%v) to %v are possible", freshness, times, field, interval, maxFreshness)
 	}
 	return nil
 }
 
 func checkDecay(decay time.Duration) error {
-	if decay <= 0 || decay > maxFreshness {
-		return invalid("decay", "%v, over 0 to %v are possible", decay, maxFreshness)
+	if decay < minDecay || decay > maxFreshness {
+		return invalid("decay", "%v, %v to %v are possible", decay, minDecay, maxFreshness)
 	}
 	return nil
 }
--- a/internal/sharing/member.go
+++ b/internal/sharing/member.go
@@ -170,9 +170,12 @@
 	s := MemberStatus{
 		StatusHead: StatusHead{Role: RoleMember, Name: m.config.Name, Region: m.config.Region, Zone: m.config.Zone,
 			Listen: m.endpoint.address().String(), Incarnation: m.state.Incarnation()},
-		Superseded: m.state.Superseded(),
-		Datagrams:  m.endpoint.counters.snapshot(),
-		Dropped:    droppedStatus(m.state.Counters()),
+		Superseded:  m.state.Superseded(),
+		Aggregators: []AggregatorStatus{},
+		Regions:     []RegionStatus{},
+		Sums:        []SumStatus{},
+		Datagrams:   m.endpoint.counters.snapshot(),
+		Dropped:     droppedStatus(m.state.Counters()),
 	}
 	for _, a := range m.state.Aggregators(now) {
 		s.Aggregators = append(s.Aggregators, m.names.status(a))
--- a/internal/sharing/status.go
+++ b/internal/sharing/status.go
@@ -73,6 +73,7 @@
 	Heard   float64 `json:"heard"`
 	AgeMS   int64   `json:"age_ms"`
 	Slack   uint64  `json:"slack"`  // bound on the error by what was not sent
+	Weight  float64 `json:"weight"` // 1: its sums count in full
 	Fading  uint64  `json:"fading"` // bound on the error by what is no longer heard
 }
 
@@ -158,7 +159,7 @@
 
 func (n aggregatorNames) regionStatus(r aggregation.RegionState) RegionStatus {
 	return RegionStatus{Region: r.Region, Source: n.sourceName(r.Source), Members: r.Members, Heard: r.Heard,
-		AgeMS: r.Age.Milliseconds(), Slack: r.Slack, Fading: r.Fading}
+		AgeMS: r.Age.Milliseconds(), Slack: r.Slack, Weight: r.Weight, Fading: r.Fading}
 }
 
 func (n aggregatorNames) sourceName(id aggregation.AggregatorID) string {
