Process tests replay a proxy's latest datagrams, not only its first eight

Need: a trial on a scratch copy showed that TestFleet passed with the memory of forgotten members switched off: the first eight reports hold nothing yet, and the figure was looked at only until it was right. Change: a link records the latest 64 reports, and the sum is held against the truth right after they come again; also in Strangers.

--- a/cmd/chalkferry/aggregate_test.go
+++ b/cmd/chalkferry/aggregate_test.go
@@ -85,6 +85,7 @@
 func testFrozen(f *testFleet) {
 	f.aggregators[westA].cmd.Process.Signal(syscall.SIGSTOP)
 	f.proxies[0].open(f.t, 3, "dddddddd")
+	time.Sleep(testFreshness / 10) // in which reports gather in its socket
 	f.proxies[1].kill()
 	f.expect("one aggregator is stopped, and a proxy dead", 6, 0, 2)
 	time.Sleep(testFreshness)
@@ -142,6 +143,7 @@
 			f.links[0][westA].down.Send(datagram)
 		}
 		f.eachWay((*way.Way).Again) // each its first eight
+		f.replayProxy(0)
 		time.Sleep(strangersPause)
 	}
 	f.hold("after strangers", 4, time.Second, 0, 1, 2)
--- a/cmd/chalkferry/fleet_rig_test.go
+++ b/cmd/chalkferry/fleet_rig_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -171,8 +172,13 @@
 // the link's socket and answers there.
 type link struct {
 	up, down *way.Way
+
+	mu       sync.Mutex
+	recorded [][]byte // the proxy's latest datagrams
 }
 
+const recordedReports = 64
+
 func openLink(t *testing.T, proxy, aggregator string, seed int64) *link {
 	t.Helper()
 	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -196,6 +202,7 @@
 			if from == to {
 				socket.WriteToUDP(buffer[:n], down) // may be lost like any
 			} else {
+				l.record(buffer[:n])
 				socket.WriteToUDPAddrPort(buffer[:n], to)
 			}
 		}
@@ -213,6 +220,23 @@
 	return w
 }
 
+func (l *link) record(datagram []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recorded = append(l.recorded, bytes.Clone(datagram))
+	l.recorded = l.recorded[max(0, len(l.recorded)-recordedReports):]
+}
+
+// replay sends the proxy's latest datagrams once more, as if they were new.
+func (l *link) replay() {
+	l.mu.Lock()
+	datagrams := slices.Clone(l.recorded)
+	l.mu.Unlock()
+	for _, datagram := range datagrams {
+		l.up.Send(datagram)
+	}
+}
+
 func (l *link) cut(isCut bool) {
 	l.up.Cut(isCut)
 	l.down.Cut(isCut)
--- a/cmd/chalkferry/fleet_test.go
+++ b/cmd/chalkferry/fleet_test.go
@@ -54,9 +54,8 @@
 	f.proxies[1].kill()
 	f.expect("one is dead", 3, 0, 2)
 	f.replayProxy(1)
-	time.Sleep(300 * time.Millisecond)
-	f.expect("its old datagrams come again", 3, 0, 2)
-	f.hold("its old datagrams came again", 3, time.Second, 0, 2)
+	f.hold("its old datagrams come again", 3, time.Second, 0, 2)
+	f.expect("its old datagrams have come again", 3, 0, 2)
 	f.proxies[1].start(t, binary)
 	f.proxies[1].open(t, 1, "eeeeeeee")
 	f.expectWhole("it is back, with nothing of before", 4, 0, 1, 2)
@@ -82,11 +81,12 @@
 	}
 }
 
-// replayProxy plays the first datagrams of a proxy again, as if they were new.
+// replayProxy plays the first and the latest datagrams of a proxy again, as if they were new.
 func (f *testFleet) replayProxy(i int) {
 	for _, l := range f.links[i] {
 		if l != nil {
 			l.up.Again()
+			l.replay()
 		}
 	}
 }
