--- a/internal/sharing/endpoint.go
+++ b/internal/sharing/endpoint.go
@@ -30,6 +30,7 @@
 // datagramCounters are written by the goroutine that reads the socket and the one that owns the state.
 type datagramCounters struct {
 	sent, notSent                      atomic.Uint64
+	sentBytes, receivedBytes           atomic.Uint64
 	accepted                           atomic.Uint64
 	tooLong, malformed, otherVersion   atomic.Uint64
 	unknownSender, duplicate, obsolete atomic.Uint64
@@ -39,7 +40,9 @@
 // Datagrams counts datagrams by what became of them.
 type Datagrams struct {
 	Sent          uint64 `json:"sent"`
-	NotSent       uint64 `json:"not_sent"` // the network refused them
+	SentBytes     uint64 `json:"sent_bytes"`     // without the headers of UDP and IP
+	ReceivedBytes uint64 `json:"received_bytes"` // the same, of all that was read from the socket
+	NotSent       uint64 `json:"not_sent"`       // the network refused them
 	Accepted      uint64 `json:"accepted"`
 	Duplicate     uint64 `json:"duplicate"`
 	Obsolete      uint64 `json:"obsolete"`
@@ -55,7 +58,7 @@
 
 func (c *datagramCounters) snapshot() Datagrams {
 	return Datagrams{
-		Sent: c.sent.Load(), NotSent: c.notSent.Load(), Accepted: c.accepted.Load(), Duplicate: c.duplicate.Load(),
+		Sent: c.sent.Load(), SentBytes: c.sentBytes.Load(), ReceivedBytes: c.receivedBytes.Load(), NotSent: c.notSent.Load(), Accepted: c.accepted.Load(), Duplicate: c.duplicate.Load(),
 		Obsolete: c.obsolete.Load(), Refused: c.refused.Load(), UnknownSender: c.unknownSender.Load(),
 		NoRoom: c.noRoom.Load(), TooLong: c.tooLong.Load(), Malformed: c.malformed.Load(),
 		OtherVersion: c.otherVersion.Load(), QueueFull: c.queueFull.Load(),
@@ -86,6 +89,7 @@
 		if err != nil {
 			continue // an earlier datagram found nobody; the next one may
 		}
+		e.counters.receivedBytes.Add(uint64(size))
 		content, err := decode(buffer[:size])
 		if err != nil {
 			e.countError(from, err)
@@ -106,6 +110,7 @@
 		return
 	}
 	e.counters.sent.Add(1)
+	e.counters.sentBytes.Add(uint64(len(encoded)))
 }
 
 // countError counts a datagram that can't be read.
--- a/internal/sharing/file_test.go
+++ b/internal/sharing/file_test.go
@@ -164,3 +164,13 @@
 		t.Errorf("an aggregator's defaults: %+v", aggregator)
 	}
 }
+
+// TestExamples: the files that operators begin with are good.
+func TestExamples(t *testing.T) {
+	if _, err := ReadMember("../../deploy/fleet/member.toml"); err != nil {
+		t.Error(err)
+	}
+	if _, err := ReadAggregator("../../deploy/fleet/aggregator.toml"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/sharing/process_test.go
+++ b/internal/sharing/process_test.go
@@ -240,6 +240,9 @@
 	}
 	end.send([]byte("nonsense"), end.address())
 	eventually(t, "all are read", func() bool { return end.counters.malformed.Load() == 1 })
+	if d := end.counters.snapshot(); d.Sent != 11 || d.SentBytes != uint64(10*len(datagram)+len("nonsense")) || d.ReceivedBytes != d.SentBytes {
+		t.Errorf("counted %+v", d)
+	}
 	if dropped := end.counters.queueFull.Load(); dropped != 9 || len(end.received) != 1 {
 		t.Errorf("%d dropped, %d wait", dropped, len(end.received))
 	}
--- a/internal/sharing/status_text.go
+++ b/internal/sharing/status_text.go
@@ -109,7 +109,7 @@
 		name  string
 		count uint64
 	}{
-		{"sent", d.Sent}, {"not sent", d.NotSent}, {"accepted", d.Accepted}, {"duplicate", d.Duplicate},
+		{"sent", d.Sent}, {"sent, bytes", d.SentBytes}, {"received, bytes", d.ReceivedBytes}, {"not sent", d.NotSent}, {"accepted", d.Accepted}, {"duplicate", d.Duplicate},
 		{"obsolete", d.Obsolete}, {"refused", d.Refused}, {"unknown sender", d.UnknownSender}, {"no room", d.NoRoom},
 		{"too long", d.TooLong}, {"malformed", d.Malformed}, {"other version", d.OtherVersion},
 		{"dropped, queue full", d.QueueFull}, {"dropped, socket buffer full", d.SocketDropped},
