--- a/cmd/chalkferry/fleet_rig_test.go
+++ b/cmd/chalkferry/fleet_rig_test.go
@@ -29,7 +29,25 @@
 	shares string // UDP
 	status string
 	cmd    *exec.Cmd
-	log    bytes.Buffer
+	log    logBuffer
+}
+
+// logBuffer has a process's output, and may be read while that runs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 func (p *running) start(t *testing.T, binary string) {
