--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -25,6 +25,8 @@
 		Store    storeCmd    `cmd:"" help:"Look into a store's folder."`
 		Capacity capacityCmd `cmd:"" help:"Say what each role costs at a size of the fleet, from measured slopes."`
 		Version  versionCmd  `cmd:"" help:"Print the version."`
+
+		Aggregate aggregateCmd `cmd:"" help:"Run an aggregator: add up what the proxies of a region hold."`
 	}
 	ctx := kong.Parse(&commands, kong.Name("chalkferry"),
 		kong.Description("A balancer for long-lived connections."))
