--- /dev/null
+++ b/choice/faults_test.go
@@ -0,0 +1,93 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDropped: a session that breaks off alone says nothing of its server; a good part of them at once, or one at a
+// server known to be loaded, does.
+func TestDropped(t *testing.T) {
+	for _, c := range []struct {
+		broken int
+		every  time.Duration
+		delay  time.Duration
+		late   bool
+	}{{1, 0, 0, false}, {6, 1100 * ms, 0, false}, {6, 100 * ms, 0, true}, {1, 0, 80 * ms, true}} {
+		r := fleet(3)
+		r.now = sec
+		r.fill(60)
+		srv := r.b.ready[0]
+		if c.delay > 0 {
+			r.b.DelayNoted(r.now, srv.ID, c.delay)
+		}
+		for i := 0; i < c.broken; i++ {
+			r.now += c.every
+			s := srv.held[0]
+			r.b.Settled(r.now, s.ID, DialNo(s.dials-1), srv.ID, Broken, 0, true)
+		}
+		if late := srv.full > 0; late != c.late {
+			t.Errorf("%+v: late %v with %d held", c, late, len(srv.held))
+		}
+	}
+}
+
+// TestHang: a server that passes probes and the list but answers no dial is left alone, longer each time, and
+// then tried with one dial at a time; its sessions leave with the word of the delay.
+func TestHang(t *testing.T) {
+	r := fleet(6)
+	r.fill(60)
+	hung := r.topServer(1)
+	before := len(hung.held)
+	r.b.DelayNoted(r.now, hung.ID, time.Minute)
+	if left := len(hung.held); left > before/2 {
+		t.Errorf("the hung server still holds %d of %d sessions", left, before)
+	}
+	hung.lateAt, hung.delayAt = 0, -time.Minute
+	for tries := range 3 {
+		r.dialsTo[hung.ID], hung.full = nil, 0
+		for k := Key(1); k <= 60; k++ {
+			r.arrive(0, k, k, 0)
+		}
+		if n := len(r.dialsTo[hung.ID]); n != 1 && (tries > 0 || n == 0) {
+			t.Errorf("the hung server was tried with %d dials at once", n)
+		}
+		for _, s := range r.order {
+			if s.dialing == hung.ID {
+				r.settle(s, Unanswered)
+			}
+		}
+		if r.now = hung.avoidUntil; r.now < time.Duration(tries+1)*r.b.longestWait {
+			t.Errorf("the hung server is tried again at %v", r.now)
+		}
+	}
+}
+
+// TestGhosts: from lists that name servers which do not exist: whether such a one refuses, stays silent or answers with
+// errors, sessions soon pass it by.
+func TestGhosts(t *testing.T) {
+	for _, outcome := range []Outcome{Failed, Unanswered, Unreachable, Full} {
+		r := fleet(6)
+		if outcome == Full { // which after errors proves that it is there
+			r.topServer(1).errors = 2
+		}
+		r.b.opened = 99
+		ghost, tries := r.topServer(1), 0
+		for range 30 {
+			r.now += 50 * ms
+			s := r.arrive(0, 1, 1, 0)
+			for s.dialing != 0 {
+				if s.dialing == ghost.ID {
+					tries++
+					r.settle(s, outcome)
+				} else {
+					r.settle(s, Accepted)
+					break
+				}
+			}
+		}
+		if tries == 0 || (tries > 2) != (outcome == Full) {
+			t.Errorf("outcome %d: tried %d times by 30 sessions in a second and a half", outcome, tries)
+		}
+	}
+}
--- a/internal/store/format.go
+++ b/internal/store/format.go
@@ -24,6 +24,12 @@
 	maxBatchBytes   = 1 << 20           // bytes of a payload
 )
 
+// Kinds of an operation.
+const (
+	opPut    = 0
+	opDelete = 1
+)
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // ErrTooLarge refuses a batch of more than 1 MiB.
@@ -75,9 +81,9 @@
 		payload = append(payload, s...)
 	}
 	for _, op := range ops {
-		kind := byte(0)
+		kind := byte(opPut)
 		if op.Delete {
-			kind = 1
+			kind = opDelete
 		}
 		payload = append(payload, kind)
 		appendString(op.Table)
@@ -117,49 +123,61 @@
 	return seq, ops, size, err
 }
 
+// readOps reads a payload, all of it.
 func readOps(payload []byte) ([]Op, error) {
-	nextNumber := func() (uint64, bool) {
-		v, n := binary.Uvarint(payload)
-		if n <= 0 {
-			return 0, false
-		}
-		payload = payload[n:]
-		return v, true
-	}
-	nextBytes := func() ([]byte, bool) {
-		n, ok := nextNumber()
-		if !ok || n > uint64(len(payload)) {
-			return nil, false
-		}
-		t := payload[:n]
-		payload = payload[n:]
-		return t, true
-	}
-	n, ok := nextNumber()
-	if !ok || n > uint64(len(payload)) {
+	r := opReader{rest: payload}
+	n, ok := r.number()
+	if !ok || n > uint64(len(r.rest)) {
 		return nil, errTorn
 	}
 	ops := make([]Op, 0, n)
 	for range n {
-		if len(payload) == 0 || payload[0] > 1 {
-			return nil, errTorn
-		}
-		op := Op{Delete: payload[0] == 1}
-		payload = payload[1:]
-		table, okTable := nextBytes()
-		key, okKey := nextBytes()
-		op.Table, op.Key = string(table), string(key)
-		if !op.Delete {
-			value, okValue := nextBytes()
-			okKey, op.Value = okKey && okValue, value
-		}
-		if !okTable || !okKey {
+		op, ok := r.op()
+		if !ok {
 			return nil, errTorn
 		}
 		ops = append(ops, op)
 	}
-	if len(payload) > 0 {
+	if len(r.rest) > 0 {
 		return nil, errTorn
 	}
 	return ops, nil
 }
+
+// opReader takes values off a payload; ok is false where there is none.
+type opReader struct{ rest []byte }
+
+func (r *opReader) number() (v uint64, ok bool) {
+	v, n := binary.Uvarint(r.rest)
+	if n <= 0 {
+		return 0, false
+	}
+	r.rest = r.rest[n:]
+	return v, true
+}
+
+func (r *opReader) bytes() (b []byte, ok bool) {
+	n, ok := r.number()
+	if !ok || n > uint64(len(r.rest)) {
+		return nil, false
+	}
+	b = r.rest[:n]
+	r.rest = r.rest[n:]
+	return b, true
+}
+
+func (r *opReader) op() (op Op, ok bool) {
+	if len(r.rest) == 0 || r.rest[0] > opDelete {
+		return op, false
+	}
+	op.Delete = r.rest[0] == opDelete
+	r.rest = r.rest[1:]
+	table, tableOK := r.bytes()
+	key, keyOK := r.bytes()
+	op.Table, op.Key = string(table), string(key)
+	valueOK := true
+	if !op.Delete {
+		op.Value, valueOK = r.bytes()
+	}
+	return op, tableOK && keyOK && valueOK
+}
