--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -208,7 +208,7 @@
 				<-said
 				fmt.Fprint(d.Conn, line)
 				leave(d)
-				time.Sleep(350 * time.Millisecond) // over the term's 0.3 s
+				time.Sleep(350 * time.Millisecond) // over the 0.1 s of the terms
 				release()
 				r.until("the server hears the end", func() bool { _, _, all := s.got(); return all })
 				if text, _, _ := s.got(); strings.Count(text, "\n") != 1 {
@@ -261,7 +261,7 @@
 		defer d.Close()
 	}
 	left := time.Now()
-	time.Sleep(300 * time.Millisecond) // the term's own span: the loop stands still that long
+	time.Sleep(3 * leftSpan) // the loop stands still that long
 	release()
 	r.until("all are gone", func() bool { return r.p.table.Len() == 0 && r.p.connector.Out() == 0 })
 	s.nothing(r, 0)
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -290,7 +290,7 @@
 	})
 	r.until("the proxy's own first connection has ended", func() bool {
 		r.room = r.p.room.Free()
-		return r.room == 256-keptSockets
+		return r.room == r.p.limits.Sockets-keptSockets
 	})
 	return r
 }
