A watch in place of a silent one must bring a byte of its lists in time, too

Seen: TestSilent with a second watch that sends its header and then nothing: 6.08 s until both are known to be dead, in all three cases, where what is missed counts as known 6 s after the first fell silent. Found by reading the way from ErrSilent to the next call.

Cause: Watcher.follow took a header for the beginning of a watch, after which 3 s of silence are let pass, in place of a silent one as well. Ruled out: the pauses between calls, as there is none there.

Change: such a watch has begun with the first byte after its header, which a heartbeat of 2 s brings within its 2.5 s. Others are as before.

Test: TestSilent has "a header alone" as a third kind of second watch; it fails on the code before as told.

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -126,7 +126,7 @@
 			c.chunk("{\"revision\":1}\n{\"revision\":2,")
 		},
 	} {
-		for second, half := range map[string]string{"no word": "", "half a header": head[:20]} {
+		for second, half := range map[string]string{"no word": "", "half a header": head[:20], "a header alone": head} {
 			t.Run(name+", then "+second, func(t *testing.T) {
 				t.Parallel()
 				w, calls, told := watched(t, time.Minute)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -116,14 +116,25 @@
 }
 
 // Watch starts a watch for what changed after a revision, in place of the one before.
-func (w *Watcher) Watch(after uint64) { w.start(after, w.answer, ErrUnanswered) }
+func (w *Watcher) Watch(after uint64) {
+	w.start(after, deadline{within: w.answer, missed: ErrUnanswered})
+}
 
 // Again does so for one that has fallen silent, and fails with ErrUnopened early enough for one more to begin before
 // what is missed counts as told, however long a watch may take otherwise.
-func (w *Watcher) Again(after uint64) { w.start(after, opening, ErrUnopened) }
+func (w *Watcher) Again(after uint64) {
+	w.start(after, deadline{within: opening, body: true, missed: ErrUnopened})
+}
 
-// start starts a watch that fails with late unless it begins within a time.
-func (w *Watcher) start(after uint64, within time.Duration, late error) {
+// deadline is when a watch must have begun.
+type deadline struct {
+	within time.Duration
+	body   bool  // by its first byte after the header: a heartbeat comes well within the opening
+	missed error // what it fails with otherwise
+}
+
+// start starts a watch that fails unless it begins in time.
+func (w *Watcher) start(after uint64, begin deadline) {
 	if w.cancel != nil {
 		w.cancel(nil)
 	}
@@ -142,7 +153,7 @@
 	client := w.client
 	go func() {
 		defer cancel(nil)
-		err := w.follow(ctx, cancel, client, url, within, late, tell)
+		err := w.follow(ctx, cancel, client, url, begin, tell)
 		if why := context.Cause(ctx); why != nil {
 			err = why
 		}
@@ -162,9 +173,9 @@
 }
 
 func (w *Watcher) follow(ctx context.Context, cancel context.CancelCauseFunc, client *http.Client, url string,
-	within time.Duration, late error, tell func(func())) error {
+	begin deadline, tell func(func())) error {
 	// Both guard against a machine that is cut off, or takes calls and says nothing.
-	begins := time.AfterFunc(within, func() { cancel(late) })
+	begins := time.AfterFunc(begin.within, func() { cancel(begin.missed) })
 	defer begins.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -178,10 +189,15 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", answer.Status)
 	}
-	begins.Stop()
+	if !begin.body {
+		begins.Stop()
+	}
 	quiet := time.AfterFunc(silence, func() { cancel(ErrSilent) })
 	defer quiet.Stop()
-	body := &pulse{from: answer.Body, beat: func() { quiet.Reset(silence) }}
+	body := &pulse{from: answer.Body, beat: func() {
+		begins.Stop()
+		quiet.Reset(silence)
+	}}
 	lists := json.NewDecoder(body) // an object may stand on one line or on many, or come in any pieces
 	for {
 		var text json.RawMessage
