proxy.New and start.Module in steps with names

Need: two functions of 55 and 129 lines that did a dozen things each.

Change: New reads its configuration (readStartConfig, parseKnown), makes the parts (connectParts) and leaves the balancer to startBalancer, as before; prepare is a method. Module has a type for the settings, and one step each for listeners, limits, rules on the list and on cold servers, and the checks. What they do is unchanged; a JSON type error names the Go type of the settings before the field now.

`go test -race -count=1` of internal/start, cmd/benchlink and the tests on configurations, reloads and discovery in internal/proxy passes.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -56,8 +56,7 @@
 	room      *socket.Room
 	balancer  *choice.Balancer
 	ready     chan struct{} // closed once the loop runs
-	prepare   func() error  // opens what the loop does not
-	begin     func()        // makes the balancer, once the loop runs
+	begin     func()        // startBalancer with what the configuration says
 	table     *exchange.Table
 	clients   *clients.Clients
 	connector *servers.Connector
@@ -84,58 +83,107 @@
 
 // New makes a proxy from the text of its configuration.
 func New(text []byte, log zerolog.Logger) (*Proxy, error) {
-	var (
-		at     start.Addresses
-		limits start.Limits
-		seed   int64
-	)
-	knownText, settings, err := start.File(text, &at, &limits, &seed)
+	c, err := readStartConfig(text)
 	if err != nil {
 		return nil, err
 	}
-	t, err := read(settings)
+	p := &Proxy{
+		log:         log,
+		start:       time.Now(),
+		at:          c.addresses,
+		limits:      c.limits,
+		terms:       c.terms,
+		text:        text,
+		settings:    c.settings,
+		revision:    c.known.Revision,
+		ready:       make(chan struct{}),
+		left:        make(chan struct{}),
+		reloading:   make(chan struct{}, 1),
+		dialOwn:     net.Dial,
+		unreachable: make(chan error, 1),
+	}
+	p.connectParts()
+	p.begin = func() { p.startBalancer(c.seed, c.known) }
+	return p, nil
+}
+
+// startConfig is a configuration as it is read at the start.
+type startConfig struct {
+	addresses start.Addresses
+	limits    start.Limits
+	settings  []byte
+	terms     *terms
+	seed      int64
+	known     discovery.List // the servers as held last
+}
+
+func readStartConfig(text []byte) (*startConfig, error) {
+	c := &startConfig{}
+	knownText, settings, err := start.File(text, &c.addresses, &c.limits, &c.seed)
 	if err != nil {
 		return nil, err
 	}
-	known := discovery.List{Complete: true}
-	if len(knownText) > 0 {
-		if known, err = discovery.Parse(knownText); err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+	c.settings = settings
+	if c.terms, err = read(settings); err != nil {
+		return nil, err
+	}
+	if c.known, err = parseKnown(knownText); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	return c, nil
+}
+
+// parseKnown reads the list of servers as held last, which stands for a complete one; without any it is empty.
+func parseKnown(text []byte) (discovery.List, error) {
+	var known discovery.List
+	if len(text) > 0 {
+		var err error
+		if known, err = discovery.Parse(text); err != nil {
+			return known, err
 		}
-		known.Complete = true
 	}
-	p := &Proxy{log: log, start: time.Now(), at: at, terms: t, revision: known.Revision,
-		ready: make(chan struct{}), dialOwn: net.Dial, unreachable: make(chan error, 1), left: make(chan struct{}), reloading: make(chan struct{}, 1), limits: limits, text: text, settings: settings}
+	known.Complete = true
+	return known, nil
+}
+
+// connectParts makes all that runs on the event loop, but for the balancer, whose clock starts with the loop.
+func (p *Proxy) connectParts() {
+	t := p.terms
 	p.timers = timers.New(p.now, p.wake)
-	p.room = socket.NewRoom(limits.Sockets - keptSockets)
+	p.room = socket.NewRoom(p.limits.Sockets - keptSockets)
 	p.directory = newDirectory(t.zones, p.start, t.list.DrainsBindAlone, t.models)
 	p.connector = servers.NewConnector(p.execute, p.timers, p.room, p.take, t.connect)
-	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, log)
-	p.table = exchange.NewTable(dialer, p.now, p.later, func(d time.Duration, call func()) { p.timers.After(d, call) },
-		t.connect, t.still, exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay))
+	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, p.log)
+	after := func(d time.Duration, call func()) { p.timers.After(d, call) }
+	delays := exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay)
+	p.table = exchange.NewTable(dialer, p.now, p.later, after, t.connect, t.still, delays)
 	p.clients = clients.New(p.table, p.timers, p.room, p.now, t.hello, p.directory.holder, t.listenerIDs,
-		t.tenantIDs, t.groups, log)
-	p.watcher = discovery.New(at.Discovery, t.ask, t.answer, p.execute, p.listed, p.watchFailed)
-	p.prepare = func() (err error) {
-		p.limitMemory(p.limits)
-		p.peers, err = p.hear(at, t)
-		return err
+		t.tenantIDs, t.groups, p.log)
+	p.watcher = discovery.New(p.at.Discovery, t.ask, t.answer, p.execute, p.listed, p.watchFailed)
+}
+
+// prepare opens what the event loop does not.
+func (p *Proxy) prepare() (err error) {
+	p.limitMemory(p.limits)
+	p.peers, err = p.hear(p.at, p.terms)
+	return err
+}
+
+// startBalancer makes the balancer and begins what is done again and again, once the event loop runs.
+func (p *Proxy) startBalancer(seed int64, known discovery.List) {
+	t := p.terms
+	p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
+		t.list, t.cold, t.words)
+	p.table.Serve(p.balancer)
+	if t.pushed {
+		p.clients.HoldPings()
+		p.timers.After(discovery.Told/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
 	}
-	p.begin = func() {
-		p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
-			t.list, t.cold, t.words)
-		p.table.Serve(p.balancer)
-		if p.terms.pushed {
-			p.clients.HoldPings()
-			p.timers.After(discovery.Told/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
-		}
-		p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
-		p.sweep()
-		if p.share != nil {
-			p.tellFleet()
-		}
+	p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
+	p.sweep()
+	if p.share != nil {
+		p.tellFleet()
 	}
-	return p, nil
 }
 
 // By the protocol page.
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -11,120 +11,181 @@
 	"chalkferry/internal/benchwire"
 )
 
+// moduleSettings is what the module's part of the settings looks like; times are in milliseconds.
+type moduleSettings struct {
+	Discovery string             `json:"discovery"`
+	Listeners []listenerSettings `json:"listeners"`
+	Ceilings  struct {
+		MostDials     int     `json:"mostDials"`
+		MaxRetryAfter float64 `json:"maxRetryAfter"`
+		RetryAfter    bool    `json:"retryAfter"`
+		Peers         bool    `json:"peers"`
+	} `json:"ceilings"`
+	Invariants struct {
+		Cold         float64 `json:"cold"`
+		ColdFrom     float64 `json:"coldFrom"`
+		FallMultiple float64 `json:"fallMultiple"`
+		TipAfter     float64 `json:"tipAfter"`
+		MustAskIn    float64 `json:"mustAskIn"`
+		DrainsAlone  bool    `json:"drainBindsAlone"`
+		StopSending  float64 `json:"stopSendingWithin"`
+
+		FreeResends  *float64 `json:"freeResends"`
+		FurtherRatio *float64 `json:"furtherRatio"`
+		BudgetWindow *float64 `json:"budgetWindow"`
+	} `json:"invariants"`
+	Domain struct {
+		MessageAim []float64 `json:"messageAim"`
+	} `json:"domain"`
+	Penalties struct {
+		Peer float64 `json:"peer"`
+	} `json:"penalties"`
+	GroupSize int `json:"groupSize"`
+	Me        int `json:"me"`
+}
+
+type listenerSettings struct {
+	Name            string  `json:"name"`
+	DialTimeout     float64 `json:"dialTimeout"`
+	HandshakeTarget float64 `json:"handshakeTarget"`
+	RepeatWindow    float64 `json:"repeatWindow"`
+	Effect          string  `json:"effect"`
+	Group           string  `json:"group"`
+	Utility         float64 `json:"utility"`
+}
+
 // Module takes from the text of the settings what the named parts of the module want.
 func Module(text []byte, listeners *[]choice.Listener, dials *choice.DialLimits, budget *choice.DialBudget,
 	list *choice.ListRules, cold *choice.ColdRule, words *choice.WordRule) error {
-	var told struct {
-		Discovery string `json:"discovery"`
-		Listeners []struct {
-			Name            string  `json:"name"`
-			DialTimeout     float64 `json:"dialTimeout"`
-			HandshakeTarget float64 `json:"handshakeTarget"`
-			RepeatWindow    float64 `json:"repeatWindow"`
-			Effect          string  `json:"effect"`
-			Group           string  `json:"group"`
-			Utility         float64 `json:"utility"`
-		} `json:"listeners"`
-		Ceilings struct {
-			MostDials     int     `json:"mostDials"`
-			MaxRetryAfter float64 `json:"maxRetryAfter"`
-			RetryAfter    bool    `json:"retryAfter"`
-			Peers         bool    `json:"peers"`
-		} `json:"ceilings"`
-		Invariants struct {
-			Cold         float64 `json:"cold"`
-			ColdFrom     float64 `json:"coldFrom"`
-			FallMultiple float64 `json:"fallMultiple"`
-			TipAfter     float64 `json:"tipAfter"`
-			MustAskIn    float64 `json:"mustAskIn"`
-			DrainsAlone  bool    `json:"drainBindsAlone"`
-			StopSending  float64 `json:"stopSendingWithin"`
-
-			FreeResends  *float64 `json:"freeResends"`
-			FurtherRatio *float64 `json:"furtherRatio"`
-			BudgetWindow *float64 `json:"budgetWindow"`
-		} `json:"invariants"`
-		Domain struct {
-			MessageAim []float64 `json:"messageAim"`
-		} `json:"domain"`
-		Penalties struct {
-			Peer float64 `json:"peer"`
-		} `json:"penalties"`
-		GroupSize int `json:"groupSize"`
-		Me        int `json:"me"`
-	}
-	if err := json.Unmarshal(text, &told); err != nil {
+	var settings moduleSettings
+	if err := json.Unmarshal(text, &settings); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	var bad error
-	span := func(name string, ms float64) time.Duration {
-		d, err := millis(name, ms)
-		if err != nil && bad == nil {
-			bad = err
-		}
-		return d
-	}
-	switch told.Discovery {
+	switch settings.Discovery {
 	case "", "ask", "push":
 	default:
-		return fmt.Errorf("settings: unknown discovery %q", told.Discovery)
-	}
-	for i, l := range told.Listeners {
-		of := func(name string) string { return fmt.Sprintf("listeners[%d].%s", i, name) }
-		next := choice.Listener{Name: l.Name, HandshakeTarget: span(of("handshakeTarget"), l.HandshakeTarget), DialTimeout: span(of("dialTimeout"), l.DialTimeout),
-			RepeatWindow: span(of("repeatWindow"), l.RepeatWindow), Utility: l.Utility}
-		if i < len(told.Domain.MessageAim) {
-			next.MessageTarget = span(fmt.Sprintf("domain.messageAim[%d]", i), told.Domain.MessageAim[i])
-		}
-		switch l.Effect {
-		case "read_like":
-		case "idempotency_key":
-			next.Effect = choice.Referenced
-		case "non_idempotent":
-			next.Effect = choice.OnceOnly
-		default:
-			return fmt.Errorf("settings: unknown effect %q", l.Effect)
+		return fmt.Errorf("settings: unknown discovery %q", settings.Discovery)
+	}
+	var spans spanReader
+	next, err := settings.listeners(&spans)
+	if err != nil {
+		return err
+	}
+	*listeners = append(*listeners, next...)
+	*dials = settings.dialLimits(&spans)
+	if err := furtherDials(settings.Invariants.FreeResends, settings.Invariants.FurtherRatio,
+		settings.Invariants.BudgetWindow, budget); err != nil {
+		return err
+	}
+	*list = settings.listRules(&spans)
+	*cold = settings.coldRule(&spans)
+	*words = choice.WordRule{Allowed: settings.Ceilings.Peers,
+		Price: settings.Penalties.Peer * benchwire.WordSize / benchwire.FullMessage}
+	if spans.err != nil {
+		return spans.err
+	}
+	return settings.check(*listeners, *list, *cold)
+}
+
+// spanReader reads times and keeps the first error.
+type spanReader struct{ err error }
+
+func (r *spanReader) span(name string, ms float64) time.Duration {
+	d, err := millis(name, ms)
+	if err != nil && r.err == nil {
+		r.err = err
+	}
+	return d
+}
+
+func (s *moduleSettings) listeners(spans *spanReader) ([]choice.Listener, error) {
+	if len(s.Listeners) == 0 {
+		return nil, fmt.Errorf("settings: no listeners")
+	}
+	var listeners []choice.Listener
+	for i, l := range s.Listeners {
+		next, err := l.listener(i, spans)
+		if err != nil {
+			return nil, err
 		}
-		switch l.Group {
-		case "", "all":
-		case "zone":
-			next.Group = choice.GroupZone
-		case "cell":
-			next.Group = choice.GroupCell
-		default:
-			return fmt.Errorf("settings: unknown group %q", l.Group)
+		if i < len(s.Domain.MessageAim) {
+			next.MessageTarget = spans.span(fmt.Sprintf("domain.messageAim[%d]", i), s.Domain.MessageAim[i])
 		}
-		*listeners = append(*listeners, next)
+		listeners = append(listeners, next)
 	}
-	if len(*listeners) == 0 {
-		return fmt.Errorf("settings: no listeners")
+	return listeners, nil
+}
+
+func (l *listenerSettings) listener(number int, spans *spanReader) (choice.Listener, error) {
+	field := func(name string) string { return fmt.Sprintf("listeners[%d].%s", number, name) }
+	listener := choice.Listener{
+		Name:            l.Name,
+		HandshakeTarget: spans.span(field("handshakeTarget"), l.HandshakeTarget),
+		DialTimeout:     spans.span(field("dialTimeout"), l.DialTimeout),
+		RepeatWindow:    spans.span(field("repeatWindow"), l.RepeatWindow),
+		Utility:         l.Utility,
 	}
-	*dials = choice.DialLimits{MostDials: max(told.Ceilings.MostDials, 1)}
-	if told.Ceilings.RetryAfter {
-		dials.MaxComeBack = span("ceilings.maxRetryAfter", told.Ceilings.MaxRetryAfter)
+	switch l.Effect {
+	case "read_like":
+	case "idempotency_key":
+		listener.Effect = choice.Referenced
+	case "non_idempotent":
+		listener.Effect = choice.OnceOnly
+	default:
+		return listener, fmt.Errorf("settings: unknown effect %q", l.Effect)
 	}
-	if err := furtherDials(told.Invariants.FreeResends, told.Invariants.FurtherRatio, told.Invariants.BudgetWindow,
-		budget); err != nil {
-		return err
+	switch l.Group {
+	case "", "all":
+	case "zone":
+		listener.Group = choice.GroupZone
+	case "cell":
+		listener.Group = choice.GroupCell
+	default:
+		return listener, fmt.Errorf("settings: unknown group %q", l.Group)
+	}
+	return listener, nil
+}
+
+func (s *moduleSettings) dialLimits(spans *spanReader) choice.DialLimits {
+	limits := choice.DialLimits{MostDials: max(s.Ceilings.MostDials, 1)}
+	if s.Ceilings.RetryAfter {
+		limits.MaxComeBack = spans.span("ceilings.maxRetryAfter", s.Ceilings.MaxRetryAfter)
 	}
-	*list = choice.ListRules{MustWatch: told.Discovery == "ask", MustAskIn: span("invariants.mustAskIn", told.Invariants.MustAskIn),
-		DrainsBindAlone: told.Invariants.DrainsAlone}
-	if !list.MustWatch { // what is pushed counts as told, whether or not a watch is open: a broken one is back by then
-		list.AskAgainIn = span("invariants.stopSendingWithin", told.Invariants.StopSending) / 2
+	return limits
+}
+
+func (s *moduleSettings) listRules(spans *spanReader) choice.ListRules {
+	rules := choice.ListRules{
+		MustWatch:       s.Discovery == "ask",
+		MustAskIn:       spans.span("invariants.mustAskIn", s.Invariants.MustAskIn),
+		DrainsBindAlone: s.Invariants.DrainsAlone,
 	}
-	*cold = choice.ColdRule{Span: span("invariants.cold", told.Invariants.Cold), From: told.Invariants.ColdFrom,
-		Multiple: told.Invariants.FallMultiple, Window: span("invariants.tipAfter", told.Invariants.TipAfter),
-		Proxies: max(told.GroupSize, 1), Me: told.Me}
-	*words = choice.WordRule{Allowed: told.Ceilings.Peers, Price: told.Penalties.Peer * benchwire.WordSize / benchwire.FullMessage}
+	if !rules.MustWatch { // what is pushed counts as told, whether or not a watch is open: a broken one is back by then
+		rules.AskAgainIn = spans.span("invariants.stopSendingWithin", s.Invariants.StopSending) / 2
+	}
+	return rules
+}
+
+func (s *moduleSettings) coldRule(spans *spanReader) choice.ColdRule {
+	return choice.ColdRule{
+		Span:     spans.span("invariants.cold", s.Invariants.Cold),
+		From:     s.Invariants.ColdFrom,
+		Multiple: s.Invariants.FallMultiple,
+		Window:   spans.span("invariants.tipAfter", s.Invariants.TipAfter),
+		Proxies:  max(s.GroupSize, 1),
+		Me:       s.Me,
+	}
+}
+
+// check refuses values that are out of range or don't go together.
+func (s *moduleSettings) check(listeners []choice.Listener, list choice.ListRules, cold choice.ColdRule) error {
 	switch {
-	case bad != nil:
-		return bad
-	case told.Penalties.Peer < 0:
-		return fmt.Errorf("settings: penalties.peer is %v, below 0", told.Penalties.Peer)
-	case told.GroupSize < 0:
-		return fmt.Errorf("settings: groupSize is %d, below 0", told.GroupSize)
-	case told.Me < 0 || told.Me >= cold.Proxies:
-		return fmt.Errorf("settings: me is %d of %d proxies", told.Me, cold.Proxies)
+	case s.Penalties.Peer < 0:
+		return fmt.Errorf("settings: penalties.peer is %v, below 0", s.Penalties.Peer)
+	case s.GroupSize < 0:
+		return fmt.Errorf("settings: groupSize is %d, below 0", s.GroupSize)
+	case s.Me < 0 || s.Me >= cold.Proxies:
+		return fmt.Errorf("settings: me is %d of %d proxies", s.Me, cold.Proxies)
 	case cold.Multiple < 0:
 		return fmt.Errorf("settings: fallMultiple is %v, below 0", cold.Multiple)
 	case cold.Span > 0 && cold.Window == 0:
@@ -134,7 +195,7 @@
 	case list.MustWatch && list.MustAskIn == 0:
 		return fmt.Errorf("settings: discovery by asking without mustAskIn")
 	}
-	for i, l := range *listeners {
+	for i, l := range listeners {
 		if l.DialTimeout == 0 {
 			return fmt.Errorf("settings: listener %d has no dialTimeout", i)
 		}
