--- a/internal/capacity/failures.go
+++ b/internal/capacity/failures.go
@@ -12,7 +12,7 @@
 // Failures are the roles' rows of days that are not calm, in the order of the page.
 func Failures() []Role {
 	return []Role{
-		comesAgain(lost{"A proxy's machine fails", "15 machines of all kinds fail in a day", func(*Case) float64 { return 1 },
+		comesAgain(lost{"A proxy's machine fails", "on an ordinary day, see the size", func(*Case) float64 { return 1 },
 			"The front deals its clients out to the others once probes have failed. With flat counts its numbers count in full for 5 s and fade over 10 s more; the others do nothing else."}),
 		restarts(),
 		comesAgain(lost{"A rack or a switch", "every week", func(c *Case) float64 { return c.Rack },
@@ -49,8 +49,8 @@
 func restarts() Role {
 	perSecond := func(c *Case) float64 { return c.Restarts / secondsInDay }
 	return Role{
-		Name: "1,300 restarts and replacements a day", Mechanism: "SIGTERM hands sessions on; last known list, whole list by the watch; none for names that go",
-		About: []string{"How often: one each 66 s on the mean.", "Meanwhile: a proxy that starts serves by the list in its configuration and counts from nothing; with flat counts a member is heard of again by its next reports."},
+		Name: "Restarts and replacements on an ordinary day", Mechanism: "SIGTERM hands sessions on; last known list, whole list by the watch; none for names that go",
+		About: []string{"As if all of them were proxies.", "Meanwhile: a proxy that starts serves by the list in its configuration and counts from nothing; with flat counts a member is heard of again by its next reports."},
 		Quantities: []Quantity{
 			{What: "restarts of proxies, if all were", Unit: PerSecond, Worked: perSecond, Note: "restarts a day"},
 			{What: "clients moved, at each other proxy", Unit: PerSecond, Worked: func(c *Case) float64 {
@@ -103,10 +103,11 @@
 		return min(c.Servers, c.ListChanges*hours(c)*time.Hour.Seconds()/listChangesPerRun)
 	}
 	return Role{
-		Name: "Two regions apart for an hour, and their return", Mechanism: "resume by revision; constant-rate reports",
-		About: []string{"How often: now and then.",
-			"Meanwhile: a proxy goes on by its last list and settings. One whose discovery is on the other side asks again with growing pauses, dials servers that have gone since, and does not learn of drains. Counts of the other region are stale by up to the hour: with flat counts they fade to nothing after 15 s, and figures then lack that region, which `of members heard` tells."},
+		Name: "Two regions apart, and their return", Mechanism: "resume by revision; constant-rate reports",
+		About: []string{"How often: now and then; for how long, see the size.",
+			"Meanwhile: a proxy goes on by its last list and settings. One whose discovery is on the other side asks again with growing pauses, dials servers that have gone since, and does not learn of drains. Counts of the other region grow stale: with flat counts they fade to nothing after 15 s, and figures then lack that region, which `of members heard` tells."},
 		Quantities: []Quantity{
+			{What: "for", Unit: Seconds, Worked: func(c *Case) float64 { return c.RegionsApart.D().Seconds() }, Note: "regions_apart"},
 			{What: "changes of configuration missed", Unit: Number, Worked: func(c *Case) float64 { return c.Changes / 24 * hours(c) }, Note: "changes a day x the time apart"},
 			{What: "servers changed that a watch resumes with", Unit: Number, Worked: missedList, Note: "each once, three changes of the list for each"},
 			{What: "bytes to a proxy at the return", Unit: Traffic, Ceiling: withinBytes,
--- a/internal/capacity/quantity.go
+++ b/internal/capacity/quantity.go
@@ -179,11 +179,14 @@
 
 // grouped prints a whole number with commas.
 func grouped(value float64) string {
-	text := fmt.Sprintf("%.0f", value)
+	text, sign := fmt.Sprintf("%.0f", math.Abs(value)), ""
+	if value < 0 {
+		sign = "-"
+	}
 	for at := len(text) - 3; at > 0; at -= 3 {
 		text = text[:at] + "," + text[at:]
 	}
-	return text
+	return sign + text
 }
 
 // sources names the slopes behind a quantity with the values of their variables, by the cases.
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -41,7 +41,7 @@
 	withinTime    = Ceiling{func(c *Case) float64 { return c.ChangedWithin.D().Seconds() }, "the time for a change"}
 	loopCore      = Ceiling{func(*Case) float64 { return eventLoops }, "a core: there is one event loop"}
 	loopStall     = Ceiling{func(c *Case) float64 { return c.DeliveryWithin.D().Seconds() }, "the time for a delivery, which waits as long"}
-	machineBytes  = Ceiling{func(c *Case) float64 { return c.MachineBytes() }, "25 MB/s of each control machine"}
+	machineBytes  = Ceiling{func(c *Case) float64 { return c.MachineBytes() }, "what follows for each control machine"}
 	coldSpanLimit = Ceiling{func(*Case) float64 { return coldSpanSeconds }, "the span in which a server is cold"}
 )
 
@@ -197,7 +197,7 @@
 func flatCounts() Role {
 	return Role{
 		Name: "Counts over the fleet, before: flat", Mechanism: "each member keeps each other's counts; datagrams to four members in turn",
-		About: []string{"The mechanism as it stood when this page was begun; it names no others' work. Its rows stay for comparison."},
+		About: []string{"The mechanism as it stood when this page was begun. Its rows stay for comparison, with the commit at which they were measured."},
 		Quantities: []Quantity{
 			{What: "members", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return flatMaxMembers }, "internal/sharing"},
 				Worked: func(c *Case) float64 { return c.Proxies }, Note: "proxies"},
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -53,8 +53,12 @@
 	R2        float64 `json:"r2"`
 }
 
-// At is the value at x by the fit; it is never below 0.
+// At is the value at x by the fit; it is never below 0. A fit that falls is not carried on beyond the measured range:
+// what costs less and less for each step within it (or is noise) is not free further on.
 func (s *Slope) At(x float64) float64 {
+	if _, most := s.Range(); s.PerUnit < 0 || s.Power < 0 {
+		x = min(x, most)
+	}
 	if s.Power != 0 {
 		return s.Factor * math.Pow(x, s.Power)
 	}
--- a/internal/capacity/slope_test.go
+++ b/internal/capacity/slope_test.go
@@ -52,13 +52,14 @@
 
 // TestFit: a line where a line is good enough, a power law where it is much better.
 func TestFit(t *testing.T) {
-	line, power, flat := &Slope{Name: "line"}, &Slope{Name: "power"}, &Slope{Name: "flat"}
+	line, power, flat, falls := &Slope{Name: "line"}, &Slope{Name: "power"}, &Slope{Name: "flat"}, &Slope{Name: "falls"}
 	for _, x := range []float64{1, 10, 100, 1000, 10000} {
 		line.Points = append(line.Points, Point{x, 50 + 3*x})
 		power.Points = append(power.Points, Point{x, 2 * math.Pow(x, 1.4)})
 		flat.Points = append(flat.Points, Point{x, 7})
+		falls.Points = append(falls.Points, Point{x, 7 - x/10000})
 	}
-	for _, s := range []*Slope{line, power, flat} {
+	for _, s := range []*Slope{line, power, flat, falls} {
 		if err := s.Fit(); err != nil {
 			t.Fatal(err)
 		}
@@ -69,6 +70,9 @@
 	if math.Abs(power.Power-1.4) > 0.01 || math.Abs(power.Factor-2) > 0.01 || power.Spread > 0.01 {
 		t.Errorf("power: %+v", power)
 	}
+	if falls.At(100) < falls.At(10000) || falls.At(1e9) != falls.At(10000) {
+		t.Errorf("a falling line is carried on: %v, %v, %v", falls.At(100), falls.At(10000), falls.At(1e9))
+	}
 	if flat.Power != 0 || math.Abs(flat.At(1e6)-7) > 0.01 || flat.R2 != 1 {
 		t.Errorf("flat: %+v", flat)
 	}
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -53,6 +53,8 @@
 		significant(size.ControlMemoryMB), grouped(size.ControlBytes), Traffic.format(size.BytesWithin()), size.ChangedWithin)
 	p.line("| %s machines for control | %s proxies to each; %s out of each if they alone feed the proxies all they may take |", significant(size.ControlMachines),
 		significant(size.ProxiesToMachine()), TrafficPerSecond.format(size.MachineBytes()))
+	p.line("| %s machines fail, %s are restarted or replaced in a day; regions are apart for %v now and then | one fails in %s, one is restarted in %s |", significant(size.MachinesFail),
+		grouped(size.Restarts), size.RegionsApart, Seconds.format(secondsInDay/size.MachinesFail), Seconds.format(secondsInDay/size.Restarts))
 	p.line("| %s regions, %s zones | %s proxies in a zone, %s in a region, %s connections in a zone |", significant(size.Regions), significant(size.Zones),
 		significant(size.Proxies/size.Zones), significant(size.Proxies/size.Regions), significant(size.Connections/size.Zones))
 	p.line("")
@@ -176,7 +178,7 @@
 // runs lists the slopes in use with the runs that they are from.
 func (p *printer) runs() {
 	p.line("## The runs\n")
-	p.line("Least of several repetitions for each point. *Spread* is the root mean square of the points' distance from the fit, as a share of it. Points and machine: [capacity/slopes.json](capacity/slopes.json).\n")
+	p.line("Least of several repetitions for each point. *Spread* is the root mean square of the points' distance from the fit, as a share of it. A fit that falls is not carried on beyond what was measured. Points and machine: [capacity/slopes.json](capacity/slopes.json).\n")
 	p.line("| slope | fit | measured | spread | repetitions | run |\n| --- | --- | --- | --- | --- | --- |")
 	var origins []Origin
 	for _, name := range UsedSlopes(p.cases[0].Size) {
