--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -41,7 +41,7 @@
 	withinTime    = Ceiling{func(c *Case) float64 { return c.ChangedWithin.D().Seconds() }, "the time for a change"}
 	loopCore      = Ceiling{func(*Case) float64 { return eventLoops }, "a core: there is one event loop"}
 	loopStall     = Ceiling{func(c *Case) float64 { return c.DeliveryWithin.D().Seconds() }, "the time for a delivery, which waits as long"}
-	machineBytes  = Ceiling{func(c *Case) float64 { return c.MachineBytes() }, "25 MB/s of each control machine"}
+	machineBytes  = Ceiling{func(c *Case) float64 { return c.MachineBytes() }, "what follows for each control machine"}
 	coldSpanLimit = Ceiling{func(*Case) float64 { return coldSpanSeconds }, "the span in which a server is cold"}
 )
 
@@ -197,7 +197,7 @@
 func flatCounts() Role {
 	return Role{
 		Name: "Counts over the fleet, before: flat", Mechanism: "each member keeps each other's counts; datagrams to four members in turn",
-		About: []string{"The mechanism as it stood when this page was begun; it names no others' work. Its rows stay for comparison."},
+		About: []string{"The mechanism as it stood when this page was begun. Its rows stay for comparison, with the commit at which they were measured."},
 		Quantities: []Quantity{
 			{What: "members", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return flatMaxMembers }, "internal/sharing"},
 				Worked: func(c *Case) float64 { return c.Proxies }, Note: "proxies"},
@@ -231,14 +231,23 @@
 
 func ownSum() Role {
 	return Role{
-		Name: "The sum over a proxy's own sessions", Mechanism: "all open sessions gone through once a second, on the event loop (with `--fleet` only)",
+		Name: "The sum over a proxy's own sessions", Mechanism: "a walk over all open sessions once a second, on the event loop, that counts anew only what has changed (with `--fleet` only)",
+		About: []string{"*Before* is the walk that counted all sessions anew each second; its rows stay for comparison."},
 		Quantities: []Quantity{
-			{What: "processor time", Unit: Cores, Ceiling: controlCore, Part: controlCores,
+			{What: "processor time, before", Unit: Cores, Ceiling: controlCore, Before: true,
 				Terms: terms(func(c *Case) []Term {
 					return []Term{timed("SumOfSessions.ns/op", c.ConnectionsEach(), sumsPerSecond)}
 				})},
-			{What: "loop held by it", Unit: Seconds, Ceiling: loopStall,
+			{What: "loop held by it, before", Unit: Seconds, Ceiling: loopStall, Before: true,
 				Terms: terms(func(c *Case) []Term { return []Term{timed("SumOfSessions.ns/op", c.ConnectionsEach(), 1)} })},
+			{What: "processor time, nothing has changed", Unit: Cores, Ceiling: controlCore, Part: controlCores,
+				Terms: terms(func(c *Case) []Term {
+					return []Term{timed("TallyWalk.ns/op", c.ConnectionsEach(), sumsPerSecond)}
+				})},
+			{What: "loop held by it, all sessions are new", Unit: Seconds, Ceiling: loopStall,
+				Terms: terms(func(c *Case) []Term { return []Term{timed("TallyFirstWalk.ns/op", c.ConnectionsEach(), 1)} })},
+			{What: "state", Unit: Bytes, Ceiling: controlMem, Part: controlMemory,
+				Terms: terms(func(c *Case) []Term { return []Term{at("TallyWalk.held-B", c.ConnectionsEach())} })},
 		},
 	}
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -53,6 +53,8 @@
 		significant(size.ControlMemoryMB), grouped(size.ControlBytes), Traffic.format(size.BytesWithin()), size.ChangedWithin)
 	p.line("| %s machines for control | %s proxies to each; %s out of each if they alone feed the proxies all they may take |", significant(size.ControlMachines),
 		significant(size.ProxiesToMachine()), TrafficPerSecond.format(size.MachineBytes()))
+	p.line("| %s machines fail, %s are restarted or replaced in a day; regions are apart for %v now and then | one fails in %s, one is restarted in %s |", significant(size.MachinesFail),
+		grouped(size.Restarts), size.RegionsApart, Seconds.format(secondsInDay/size.MachinesFail), Seconds.format(secondsInDay/size.Restarts))
 	p.line("| %s regions, %s zones | %s proxies in a zone, %s in a region, %s connections in a zone |", significant(size.Regions), significant(size.Zones),
 		significant(size.Proxies/size.Zones), significant(size.Proxies/size.Regions), significant(size.Connections/size.Zones))
 	p.line("")
@@ -68,7 +70,8 @@
 	p.line("")
 }
 
-// summary names for each role the figure that is the nearest to its ceiling, or the furthest beyond.
+// summary names for each role the figure that is the nearest to its ceiling, or the furthest beyond. What stands for
+// comparison only is passed over.
 func (p *printer) summary() {
 	p.line("## Roles\n")
 	p.line("By its figure that is nearest to its ceiling or furthest beyond, in each column.\n")
@@ -83,6 +86,9 @@
 func (p *printer) binding(role Role, c *Case) string {
 	most, text, missing := 0.0, "no ceiling given", 0
 	for _, q := range role.Quantities {
+		if q.Before {
+			continue
+		}
 		f := q.at(c, p.slopes)
 		if !f.known {
 			missing++
@@ -176,7 +182,7 @@
 // runs lists the slopes in use with the runs that they are from.
 func (p *printer) runs() {
 	p.line("## The runs\n")
-	p.line("Least of several repetitions for each point. *Spread* is the root mean square of the points' distance from the fit, as a share of it. Points and machine: [capacity/slopes.json](capacity/slopes.json).\n")
+	p.line("Least of several repetitions for each point. *Spread* is the root mean square of the points' distance from the fit, as a share of it. A fit that falls is not carried on beyond what was measured. Points and machine: [capacity/slopes.json](capacity/slopes.json).\n")
 	p.line("| slope | fit | measured | spread | repetitions | run |\n| --- | --- | --- | --- | --- | --- |")
 	var origins []Origin
 	for _, name := range UsedSlopes(p.cases[0].Size) {
