--- a/cmd/chalkferry/rehearse_test.go
+++ b/cmd/chalkferry/rehearse_test.go
@@ -19,7 +19,7 @@
 	os.Exit(m.Run())
 }
 
-func rehearsed(t *testing.T, name, logs string) *rehearse.Report {
+func runScenario(t *testing.T, name, logs string) *rehearse.Report {
 	t.Helper()
 	s, err := rehearse.Load(name)
 	if err != nil {
@@ -43,20 +43,20 @@
 		t.Errorf("%d of %d sessions were sent", r.Sessions, r.Scheduled)
 	}
 	c := r.Clients
-	if sum := c.Accepted + c.Refused + c.TornDown + c.Broken + c.Unanswered + c.NoProxy + c.Stopped; sum != c.Tries {
-		t.Errorf("%d tries, %d endings", c.Tries, sum)
+	if sum := c.Accepted + c.Refused + c.Failed + c.ConnectionLost + c.Unanswered + c.NoProxy + c.Interrupted; sum != c.Attempts {
+		t.Errorf("%d tries, %d endings", c.Attempts, sum)
 	}
 	return r
 }
 
-// Three nights with seeded schedules; the verdict is by rules and counts alone.
+// Three scenarios with seeded schedules; the verdict is by rules and counts alone.
 
 // A stall of 200 ms is in the p99 of the second it lies in, and the hang and the slow node break no rule. The proxies'
 // own logs give back the sessions.
 func TestStallNight(t *testing.T) {
 	t.Parallel()
 	logs := t.TempDir()
-	r := rehearsed(t, "stall", logs)
+	r := runScenario(t, "stall", logs)
 	for _, w := range r.MessageBy {
 		if w.FromMs == 2000 && w.P99 < 100 {
 			t.Errorf("the stall of 200 ms is not seen in %+v", w)
@@ -81,26 +81,26 @@
 			refused++
 		}
 	}
-	if c := r.Clients; len(all) > int(c.Tries) || int64(len(all)) < c.Tries-int64(r.OpenAtEnd) ||
-		int64(refused) < c.Refused || int64(refused) > c.Refused+c.Stopped {
+	if c := r.Clients; len(all) > int(c.Attempts) || int64(len(all)) < c.Attempts-int64(r.OpenAtEnd) ||
+		int64(refused) < c.Refused || int64(refused) > c.Refused+c.Interrupted {
 		t.Errorf("%d sessions in the logs, %d refused; %d tries, %d refused, %d open when the proxies were killed", len(all), refused,
-			c.Tries, c.Refused, r.OpenAtEnd)
+			c.Attempts, c.Refused, r.OpenAtEnd)
 	}
 }
 
 // Bad clients by thousands cost no usual one anything, and the proxies keep to their descriptors.
 func TestBadClientsNight(t *testing.T) {
 	t.Parallel()
-	if r := rehearsed(t, "bad-clients", ""); r.Bad.Sent < 4000 {
-		t.Errorf("only %+v", r.Bad)
+	if r := runScenario(t, "bad-clients", ""); r.BadClients.Sent < 4000 {
+		t.Errorf("only %+v", r.BadClients)
 	}
 }
 
 // Nodes are added, others drain, and a proxy is killed as it leaves.
 func TestSurgeAndDrainNight(t *testing.T) {
 	t.Parallel()
-	r := rehearsed(t, "surge-and-drain", "")
-	if r.Proxies[0].Starts != 2 || r.Clients.Moved == 0 {
-		t.Errorf("%d starts of the proxy that is killed, %d moves", r.Proxies[0].Starts, r.Clients.Moved)
+	r := runScenario(t, "surge-and-drain", "")
+	if r.Proxies[0].Starts != 2 || r.Clients.Migrated == 0 {
+		t.Errorf("%d starts of the proxy that is killed, %d moves", r.Proxies[0].Starts, r.Clients.Migrated)
 	}
 }
--- a/internal/counts/counts_test.go
+++ b/internal/counts/counts_test.go
@@ -27,20 +27,20 @@
 		dials[int(at-0.25)]++
 		f.Add(fmt.Sprint("n", proxy), strings.NewReader(log))
 	}
-	if !slices.Equal(f.Seconds("refused"), refused[:]) || !slices.Equal(f.Dials("s-1"), dials[:]) || f.Skipped != 400 {
-		t.Errorf("%v %v %d, want %v %v 400", f.Seconds("refused"), f.Dials("s-1"), f.Skipped, refused, dials)
+	if !slices.Equal(f.PerSecond("refused"), refused[:]) || !slices.Equal(f.DialsPerSecond("s-1"), dials[:]) || f.Skipped != 400 {
+		t.Errorf("%v %v %d, want %v %v 400", f.PerSecond("refused"), f.DialsPerSecond("s-1"), f.Skipped, refused, dials)
 	}
 }
 
-// TestLearnt: a proxy that skips a revision has learnt of it with the next; one that has neither is told.
+// TestLearnt: a proxy that skips a revision has learnt of it with the next; one that has neither is counted.
 func TestLearnt(t *testing.T) {
 	f := New()
 	for proxy, log := range map[string]string{"n0": line(0, `"message":"list","revision":4`) + line(2, `"message":"list","revision":5`),
 		"n1": line(3, `"message":"list","revision":5`), "n2": line(1, `"message":"list","revision":4`)} {
 		f.Add(proxy, strings.NewReader(log))
 	}
-	want := []Lateness{{4, 0, time.Second, 3 * time.Second, 0}, {5, 2 * time.Second, time.Second, -1, 1}}
-	if got := f.Learnt(); !slices.Equal(got, want) {
+	want := []RevisionLateness{{4, 0, time.Second, 3 * time.Second, 0}, {5, 2 * time.Second, time.Second, -1, 1}}
+	if got := f.ListLateness(); !slices.Equal(got, want) {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"math/rand"
 	"net"
-	"os"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -37,6 +36,12 @@
 	sweeps      = 10 // in a note's span
 )
 
+// The proxy connects to its own listener at its start. A listener that can't be reached for so long is none.
+const (
+	ownConnectAttempts = 40
+	ownConnectPause    = 50 * time.Millisecond // after each that failed
+)
+
 // Proxy is one proxy.
 type Proxy struct {
 	gnet.BuiltinEventEngine
@@ -51,8 +56,7 @@
 	room      *socket.Room
 	balancer  *choice.Balancer
 	ready     chan struct{} // closed once the loop runs
-	prepare   func() error  // opens what the loop does not
-	begin     func()        // makes the balancer, once the loop runs
+	begin     func()        // startBalancer with what the configuration says
 	table     *exchange.Table
 	clients   *clients.Clients
 	connector *servers.Connector
@@ -72,62 +76,114 @@
 	terms     *terms          // the same
 	text      []byte          // that configuration
 	settings  []byte          // and its settings
+
+	dialOwn     func(network, address string) (net.Conn, error) // net.Dial; a test may put its own here before Run
+	unreachable chan error                                      // why the proxy's own listener can't be reached
 }
 
 // New makes a proxy from the text of its configuration.
 func New(text []byte, log zerolog.Logger) (*Proxy, error) {
-	var (
-		at     start.Addresses
-		limits start.Limits
-		seed   int64
-	)
-	knownText, settings, err := start.File(text, &at, &limits, &seed)
+	c, err := readStartConfig(text)
 	if err != nil {
 		return nil, err
 	}
-	t, err := read(settings)
+	p := &Proxy{
+		log:         log,
+		start:       time.Now(),
+		at:          c.addresses,
+		limits:      c.limits,
+		terms:       c.terms,
+		text:        text,
+		settings:    c.settings,
+		revision:    c.known.Revision,
+		ready:       make(chan struct{}),
+		left:        make(chan struct{}),
+		reloading:   make(chan struct{}, 1),
+		dialOwn:     net.Dial,
+		unreachable: make(chan error, 1),
+	}
+	p.connectParts()
+	p.begin = func() { p.startBalancer(c.seed, c.known) }
+	return p, nil
+}
+
+// startConfig is a configuration as it is read at the start.
+type startConfig struct {
+	addresses start.Addresses
+	limits    start.Limits
+	settings  []byte
+	terms     *terms
+	seed      int64
+	known     discovery.List // the servers as held last
+}
+
+func readStartConfig(text []byte) (*startConfig, error) {
+	c := &startConfig{}
+	knownText, settings, err := start.File(text, &c.addresses, &c.limits, &c.seed)
 	if err != nil {
 		return nil, err
 	}
-	known := discovery.List{Complete: true}
-	if len(knownText) > 0 {
-		if known, err = discovery.Parse(knownText); err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+	c.settings = settings
+	if c.terms, err = read(settings); err != nil {
+		return nil, err
+	}
+	if c.known, err = parseKnown(knownText); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	return c, nil
+}
+
+// parseKnown reads the list of servers as held last, which stands for a complete one; without any it is empty.
+func parseKnown(text []byte) (discovery.List, error) {
+	var known discovery.List
+	if len(text) > 0 {
+		var err error
+		if known, err = discovery.Parse(text); err != nil {
+			return known, err
 		}
-		known.Complete = true
 	}
-	p := &Proxy{log: log, start: time.Now(), at: at, terms: t, revision: known.Revision,
-		ready: make(chan struct{}), left: make(chan struct{}), reloading: make(chan struct{}, 1), limits: limits, text: text, settings: settings}
+	known.Complete = true
+	return known, nil
+}
+
+// connectParts makes all that runs on the event loop, but for the balancer, whose clock starts with the loop.
+func (p *Proxy) connectParts() {
+	t := p.terms
 	p.timers = timers.New(p.now, p.wake)
-	p.room = socket.NewRoom(limits.Sockets - keptSockets)
+	p.room = socket.NewRoom(p.limits.Sockets - keptSockets)
 	p.directory = newDirectory(t.zones, p.start, t.list.DrainsBindAlone, t.models)
 	p.connector = servers.NewConnector(p.execute, p.timers, p.room, p.take, t.connect)
-	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, log)
-	p.table = exchange.NewTable(dialer, p.now, p.later, func(d time.Duration, call func()) { p.timers.After(d, call) },
-		t.connect, t.still, exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay))
+	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, p.log)
+	after := func(d time.Duration, call func()) { p.timers.After(d, call) }
+	delays := exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay)
+	p.table = exchange.NewTable(dialer, p.now, p.later, after, t.connect, t.still, delays)
 	p.clients = clients.New(p.table, p.timers, p.room, p.now, t.hello, p.directory.holder, t.listenerIDs,
-		t.tenantIDs, t.groups, log)
-	p.watcher = discovery.New(at.Discovery, t.connect*2, t.answer, p.execute, p.listed, p.watchFailed)
-	p.prepare = func() (err error) {
-		p.limitMemory(p.limits)
-		p.peers, err = p.hear(at, t)
-		return err
+		t.tenantIDs, t.groups, p.log)
+	p.watcher = discovery.New(p.at.Discovery, t.ask, t.answer, p.execute, p.listed, p.watchFailed)
+}
+
+// prepare opens what the event loop does not.
+func (p *Proxy) prepare() (err error) {
+	p.limitMemory(p.limits)
+	p.peers, err = p.hear(p.at, p.terms)
+	return err
+}
+
+// startBalancer makes the balancer and begins what is done again and again, once the event loop runs.
+func (p *Proxy) startBalancer(seed int64, known discovery.List) {
+	t := p.terms
+	p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
+		t.list, t.cold, t.words)
+	p.table.Serve(p.balancer)
+	if t.pushed {
+		p.clients.HoldPings()
+		p.timers.After(discovery.Told/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
 	}
-	p.begin = func() {
-		p.balancer = choice.New(front{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
-			t.list, t.cold, t.words)
-		p.table.Serve(p.balancer)
-		if p.terms.pushed {
-			p.clients.HoldPings()
-			p.timers.After(discovery.Told/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
-		}
-		p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
-		p.sweep()
-		if p.share != nil {
-			p.tellFleet()
-		}
+	p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
+	p.sweep()
+	if p.share != nil {
+		p.tellFleet()
 	}
-	return p, nil
 }
 
 // By the protocol page.
@@ -162,11 +218,23 @@
 	select {
 	case err := <-served:
 		return err
+	case err := <-p.unreachable:
+		p.stopEngine()
+		return err
 	case <-p.left:
 		return nil
 	}
 }
 
+// stopEngine ends the event loop and what is open there.
+func (p *Proxy) stopEngine() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := p.engine.Stop(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("the event loop has not stopped in time")
+	}
+}
+
 func (p *Proxy) now() time.Duration { return time.Since(p.start) }
 
 // linger is how long a connection with a last line waits for its peer's end.
@@ -176,18 +244,35 @@
 
 func (p *Proxy) OnBoot(engine gnet.Engine) gnet.Action {
 	p.engine = engine
-	listen := p.at.Listen
-	go func() { // the first connection brings the loop's handle; with no limit, as only this process's time counts here
-		conn, err := net.Dial("tcp", listen)
-		if err != nil {
-			p.log.Error().Err(err).Msg("the proxy can't reach its own listener")
-			os.Exit(1)
+	address := p.at.Listen
+	go func() {
+		if err := p.reachLoop(address); err != nil {
+			p.unreachable <- err
 		}
-		conn.Close()
 	}()
 	return gnet.None
 }
 
+// reachLoop connects to the proxy's own listener, as the first connection brings the event loop's handle. A connect has
+// no time limit: only this process's own time counts here. One that fails is no error if the loop runs by then: the
+// proxy may have accepted that connection and closed it before the connecting side looked at it.
+func (p *Proxy) reachLoop(address string) error {
+	var err error
+	for range ownConnectAttempts {
+		var conn net.Conn
+		if conn, err = p.dialOwn("tcp", address); err == nil {
+			conn.Close()
+			return nil
+		}
+		select {
+		case <-p.ready:
+			return nil
+		case <-time.After(ownConnectPause):
+		}
+	}
+	return fmt.Errorf("the proxy can't reach its own listener: %w", err)
+}
+
 func (p *Proxy) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
 	if p.loop == nil {
 		p.loop = conn.EventLoop()
@@ -310,6 +395,8 @@
 		p.watcher.Again(p.revision)
 	case errors.Is(err, discovery.ErrUnopened):
 		p.watcher.Watch(p.revision)
+	case errors.Is(err, discovery.ErrUnanswered): // it has waited long enough
+		p.balancer.Afresh(p.now())
 	default:
 		p.balancer.List(p.now(), choice.ListFailed, nil)
 	}
--- /dev/null
+++ b/internal/proxy/slopes_test.go
@@ -0,0 +1,380 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chalkferry/choice"
+	"chalkferry/internal/capacity/heap"
+	"chalkferry/internal/discovery"
+	"chalkferry/internal/exchange"
+	"chalkferry/internal/sharing"
+	"chalkferry/internal/socket"
+	"chalkferry/internal/timers"
+)
+
+// Benchmarks behind docs/CAPACITY.md: the list on a proxy, its settings, and the sum over its open sessions.
+// `chalkferry capacity fit` reads their output.
+
+const (
+	slopeSumServers = 500 // that the sessions are spread over
+	slopeTenants    = 64
+)
+
+var slopeServers = []int{100, 1000, 3000, 10000, 20000}
+
+func slopeList(servers int) discovery.List {
+	list := discovery.List{Revision: 1, Complete: true}
+	for i := range servers {
+		list.Servers = append(list.Servers, discovery.Server{ID: fmt.Sprintf("push-%05d.zone-%d", i, i%10),
+			HostPort: fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255), Zone: fmt.Sprintf("zone-%d", i%10), Model: "m2",
+			Phase: discovery.Ready, Size: 16, UpSinceMs: 1796169145525})
+	}
+	return list
+}
+
+func slopeDirectory(list discovery.List) *directory {
+	d := newDirectory(nil, time.Now(), false, false)
+	d.entriesOf(list)
+	return d
+}
+
+// BenchmarkSlopeDirectoryDelta is what a change of one server costs besides the module: the entries, the servers that
+// have gone, and the count for the log.
+func BenchmarkSlopeDirectoryDelta(b *testing.B) {
+	for _, n := range slopeServers {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			d := slopeDirectory(slopeList(n))
+			delta := discovery.List{Revision: 2, Servers: slopeList(1).Servers}
+			for b.Loop() {
+				d.entriesOf(delta)
+				d.eachGone(func(choice.ServerID) {})
+				d.count()
+			}
+		})
+	}
+}
+
+func BenchmarkSlopeDirectoryWholeList(b *testing.B) {
+	for _, n := range slopeServers {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			list := slopeList(n)
+			d, held := heap.Held(func() *directory { return slopeDirectory(list) })
+			for b.Loop() {
+				d.entriesOf(list)
+				d.eachGone(func(choice.ServerID) {})
+				d.count()
+			}
+			b.ReportMetric(held, "held-B")
+		})
+	}
+}
+
+// BenchmarkSlopeConfiguration reads a whole configuration as a SIGHUP does, by the servers in its known list.
+func BenchmarkSlopeConfiguration(b *testing.B) {
+	for _, n := range slopeServers {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			text := slopeConfiguration(n)
+			for b.Loop() {
+				if _, err := New(text, zerolog.Nop()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "text-B")
+		})
+	}
+}
+
+func slopeConfiguration(servers int) []byte {
+	text := fmt.Sprintf(configuration, "127.0.0.1:1", "127.0.0.1:2", 4096)
+	var known strings.Builder
+	for i, s := range slopeList(servers).Servers {
+		if i > 0 {
+			known.WriteByte(',')
+		}
+		fmt.Fprintf(&known, `{"id":%q,"host_port":%q,"locality":%q,"flavor":"m2","cell":1,"phase":"ready","size":16,"up_since_ms":1796169145525}`, s.ID, s.HostPort, s.Zone)
+	}
+	return []byte(strings.Replace(text, `"limits":`, `"known":{"revision":1,"complete":true,"members":[`+known.String()+`]},"limits":`, 1))
+}
+
+// silentSide is a client or a server that takes all and says nothing.
+type silentSide struct{}
+
+func (silentSide) Write([]byte)           {}
+func (silentSide) Up()                    {}
+func (silentSide) Answer([]byte, string)  {}
+func (silentSide) End(socket.End, string) {}
+func (silentSide) Waits() bool            { return true }
+func (silentSide) Gone() bool             { return false }
+
+// silentDialer has each dial come up at once, by call of the test.
+type silentDialer struct{ latest *exchange.Exchange }
+
+func (d *silentDialer) Dial(_ choice.ServerID, _ time.Duration, ex *exchange.Exchange) exchange.Server {
+	d.latest = ex
+	return silentSide{}
+}
+
+// slopeProxy is a proxy with open sessions and no sockets.
+func slopeProxy(b *testing.B, servers, sessions int) *Proxy {
+	p, err := New(slopeConfiguration(servers), zerolog.Nop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	dialer := &silentDialer{}
+	clock := func() time.Duration { return 0 }
+	p.timers = timers.New(clock, func(time.Duration) {})
+	p.table = exchange.NewTable(dialer, clock, func(func()) {}, func(time.Duration, func()) {}, time.Second, time.Second,
+		exchange.NewDelays(time.Second, noteSpan, false, false))
+	p.balancer = choice.New(slopeFront{front{p.table, p}}, rand.New(rand.NewSource(1)), p.terms.listeners, p.terms.dials, p.terms.budget,
+		p.terms.list, p.terms.cold, p.terms.words)
+	p.table.Serve(p.balancer)
+	p.balancer.List(0, choice.ListFull, p.directory.entriesOf(slopeList(servers)))
+	for i := range sessions {
+		text := fmt.Appendf(nil, "OPEN s%d k%d c=chat,t=topic-%d,d=800", i, i, i%slopeTenants)
+		p.table.Begin(silentSide{}, choice.Arrival{Client: choice.Key(i + 1), Group: choice.Key(i/4 + 1), Left: time.Second}, text, 0)
+		dialer.latest.Opened([]byte("UP 1\r\n"))
+	}
+	if p.table.Open() != sessions {
+		b.Fatalf("%d of %d sessions are open", p.table.Open(), sessions)
+	}
+	return p
+}
+
+// slopeFront is the proxy's without its watch and timers, which would need the loop.
+type slopeFront struct{ front }
+
+func (slopeFront) Watch()                            {}
+func (slopeFront) Timer(time.Duration, choice.Token) {}
+
+var slopeOpen = []int{1000, 5000, 20000, 50000, 85500}
+
+// BenchmarkSlopeTallyWalk is what the proxy does once a second where it shares counts, when no session has come or gone.
+func BenchmarkSlopeTallyWalk(b *testing.B) {
+	for _, n := range slopeOpen {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			p, facts := slopeProxy(b, slopeSumServers, n), 0
+			p.Share(func(held []sharing.Fact) { facts = len(held) })
+			tally, held := heap.Held(func() *sharing.Tally {
+				tally := sharing.NewTally()
+				walk(p, tally)
+				return tally
+			})
+			for b.Loop() {
+				walk(p, tally)
+			}
+			b.ReportMetric(float64(facts), "facts")
+			b.ReportMetric(held, "held-B")
+		})
+	}
+}
+
+// BenchmarkSlopeTallyFirstWalk is the same with all sessions new, as at the first second or once a mass of clients came.
+func BenchmarkSlopeTallyFirstWalk(b *testing.B) {
+	for _, n := range slopeOpen {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			p := slopeProxy(b, slopeSumServers, n)
+			p.Share(func([]sharing.Fact) {})
+			for b.Loop() {
+				walk(p, sharing.NewTally())
+			}
+		})
+	}
+}
+
+// walk is one walk of the tally; the timer that it sets is forgotten.
+func walk(p *Proxy, tally *sharing.Tally) {
+	p.timers = timers.New(p.now, func(time.Duration) {})
+	p.publishHeld(tally)
+}
+
+// BenchmarkSlopeDirectoryGone is what servers cost that have left the list: their names stay known.
+func BenchmarkSlopeDirectoryGone(b *testing.B) {
+	for _, gone := range []int{1300, 3900, 13000, 39000} {
+		b.Run(fmt.Sprintf("gone=%d", gone), func(b *testing.B) {
+			all := slopeList(goneBeside + gone)
+			listed := discovery.List{Revision: 2, Complete: true, Servers: all.Servers[:goneBeside]}
+			d, held := heap.Held(func() *directory {
+				d := slopeDirectory(all)
+				d.entriesOf(listed)
+				return d
+			})
+			delta := discovery.List{Revision: 3, Servers: all.Servers[:1]}
+			for b.Loop() {
+				d.entriesOf(delta)
+				d.eachGone(func(choice.ServerID) {})
+				d.count()
+			}
+			b.ReportMetric(held, "held-B")
+		})
+	}
+}
+
+// goneBeside is how many servers are still listed beside those that have gone.
+const goneBeside = 2000
+
+// countingLog counts the bytes that a proxy logs.
+type countingLog struct{ bytes atomic.Int64 }
+
+func (l *countingLog) Write(text []byte) (int, error) {
+	l.bytes.Add(int64(len(text)))
+	return len(text), nil
+}
+
+// serveForSlopes runs a whole proxy on loopback with one server that greets and echoes; it is ready when this returns.
+func serveForSlopes(b *testing.B, log *countingLog) (address string) {
+	processors, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1) // a proxy sets both for its process
+	b.Cleanup(func() {
+		runtime.GOMAXPROCS(processors)
+		debug.SetMemoryLimit(memory)
+	})
+	server, listener := listenForSlopes(b), listenForSlopes(b)
+	address = listener.Addr().String()
+	listener.Close() // the proxy listens there
+	go acceptForSlopes(server)
+	list := fmt.Sprintf(`{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":%q,"locality":"a","phase":"ready","size":1}]}`, server.Addr())
+	found := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, list)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	p, err := New(fmt.Appendf(nil, configuration, address, found.Listener.Addr(), 4096), zerolog.New(log))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run() }()
+	<-p.ready
+	b.Cleanup(func() {
+		p.engine.Stop(context.Background())
+		<-ended
+		found.CloseClientConnections()
+		found.Close()
+		server.Close()
+	})
+	for known := uint64(0); known == 0; time.Sleep(time.Millisecond) {
+		revision := make(chan uint64)
+		p.execute(func() { revision <- p.revision })
+		known = <-revision
+	}
+	return address
+}
+
+func listenForSlopes(b *testing.B) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return l
+}
+
+// acceptForSlopes answers each first line, ends after BYE, and echoes all else.
+func acceptForSlopes(server net.Listener) {
+	for {
+		conn, err := server.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			lines := bufio.NewScanner(conn)
+			for lines.Scan() {
+				switch text := lines.Text(); {
+				case strings.HasPrefix(text, "OPEN"):
+					fmt.Fprint(conn, "UP 1\r\n")
+				case text == "BYE":
+					fmt.Fprint(conn, "BYE\r\n")
+					return
+				default:
+					fmt.Fprint(conn, text, "\r\n")
+				}
+			}
+		}()
+	}
+}
+
+// ask sends a line on a connection of its own and waits for the answer.
+func ask(b *testing.B, address string, lines ...string) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+	for _, line := range lines {
+		fmt.Fprint(conn, line, "\r\n")
+		if _, err := answers.ReadString('\n'); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// processTime is what this process has used of the processors.
+func processTime() time.Duration {
+	var use syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
+		panic(err) // constant arguments
+	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+// BenchmarkSlopeProbes is the processor time of so many probes of the front, each a connection with a PING. Both ends
+// are in this process, so the proxy's own part is less.
+func BenchmarkSlopeProbes(b *testing.B) {
+	for _, n := range []int{100, 500, 2000} {
+		b.Run(fmt.Sprintf("probes=%d", n), func(b *testing.B) {
+			address := serveForSlopes(b, &countingLog{})
+			least := time.Duration(math.MaxInt64)
+			for b.Loop() {
+				before := processTime()
+				for range n {
+					ask(b, address, "PING")
+				}
+				least = min(least, processTime()-before)
+			}
+			b.ReportMetric(0, "ns/op") // the testing package leaves it out then
+			b.ReportMetric(float64(least.Nanoseconds()), "cpu-ns")
+		})
+	}
+}
+
+// BenchmarkSlopeSessionLog is what a proxy logs of so many sessions that begin and end, at its usual level.
+func BenchmarkSlopeSessionLog(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			log := &countingLog{}
+			address := serveForSlopes(b, log)
+			for b.Loop() {
+				log.bytes.Store(0)
+				for i := range n {
+					ask(b, address, fmt.Sprintf("OPEN s%08d k%08d c=chat,d=800,g=%d", i, i, i/4), "BYE")
+				}
+				waitForLines(log)
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(log.bytes.Load()), "log-B")
+		})
+	}
+}
+
+// waitForLines waits until nothing more has been logged for a while: a session's line is written once both ends closed.
+func waitForLines(log *countingLog) {
+	for last := int64(-1); last != log.bytes.Load(); time.Sleep(50 * time.Millisecond) {
+		last = log.bytes.Load()
+	}
+}
