--- a/internal/aggregation/scenario_test.go
+++ b/internal/aggregation/scenario_test.go
@@ -86,6 +86,7 @@
 	t.Parallel()
 	keys := someKeys(150)
 	s := calmFleet(t, layout{regions: 3, zones: 2, membersInZone: 3}, keys)
+	s.tick = 50 * time.Millisecond
 	restarted := s.aggregators[0]
 	if state := s.aggregators[2].Regions(s.now)[0]; state.Source != restarted.config.ID {
 		t.Fatalf("the test restarts %s, but in use is %d", restarted.name, state.Source)
@@ -151,6 +152,7 @@
 	t.Parallel()
 	keys := someKeys(20)
 	s := calmFleet(t, layout{regions: 3, zones: 2, membersInZone: 3}, keys)
+	s.tick = 50 * time.Millisecond
 	frozen := s.aggregators[0]
 	frozen.frozen = true
 	s.run(time.Second, nil)
