--- a/internal/sharing/tally_test.go
+++ b/internal/sharing/tally_test.go
@@ -13,10 +13,10 @@
 
 // session is one that a proxy holds, as large as there.
 type session struct {
-	before  [12]uint64
+	_       [12]uint64
 	opening line.Open
 	at      choice.ServerID
-	after   [10]uint64
+	_       [10]uint64
 }
 
 func newSession(t testing.TB, number, server, tenants int) *session {
