--- a/internal/aggregation/slopes_test.go
+++ b/internal/aggregation/capacity_test.go
@@ -105,7 +105,7 @@
 	return m
 }
 
-func BenchmarkSlopeMemberState(b *testing.B) {
+func BenchmarkSlopeSumsMemberState(b *testing.B) {
 	for _, keys := range slopeKeys {
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			_, bytes := heap.Held(func() *aggregation.Member { return informedMember(b, keys) })
@@ -114,7 +114,7 @@
 	}
 }
 
-func BenchmarkSlopeMemberReport(b *testing.B) {
+func BenchmarkSlopeSumsMemberReport(b *testing.B) {
 	for _, keys := range slopeKeys {
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			reports := reportsOfTurn(b, keys)
@@ -132,7 +132,7 @@
 	}
 }
 
-func BenchmarkSlopeMemberDigest(b *testing.B) {
+func BenchmarkSlopeSumsMemberDigest(b *testing.B) {
 	for _, keys := range slopeKeys {
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			const entries = 50
@@ -153,7 +153,7 @@
 	}
 }
 
-func BenchmarkSlopeMemberFigure(b *testing.B) {
+func BenchmarkSlopeSumsMemberFigure(b *testing.B) {
 	for _, keys := range slopeKeys {
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			m, n := informedMember(b, keys), 0
@@ -167,7 +167,7 @@
 
 var slopeMembers = []int{100, 300, 1000, 2533}
 
-func BenchmarkSlopeAggregatorState(b *testing.B) {
+func BenchmarkSlopeSumsAggregatorState(b *testing.B) {
 	reports := reportsOfTurn(b, slopeMemberKeys)
 	for _, members := range slopeMembers {
 		b.Run(fmt.Sprintf("counts=%d", members*slopeMemberKeys), func(b *testing.B) {
@@ -177,8 +177,8 @@
 	}
 }
 
-// BenchmarkSlopeAggregatorReport takes one report of a full datagram in which each value has changed.
-func BenchmarkSlopeAggregatorReport(b *testing.B) {
+// BenchmarkSlopeSumsAggregatorReport takes one report of a full datagram in which each value has changed.
+func BenchmarkSlopeSumsAggregatorReport(b *testing.B) {
 	reports := reportsOfTurn(b, slopeMemberKeys)
 	for _, members := range slopeMembers {
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
@@ -203,7 +203,7 @@
 	}
 }
 
-func BenchmarkSlopeAggregatorDigest(b *testing.B) {
+func BenchmarkSlopeSumsAggregatorDigest(b *testing.B) {
 	for _, keys := range slopeKeys {
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			a := aggregatorOf(b, 10, keys, reportsOfTurn(b, keys))
@@ -226,7 +226,7 @@
 	}
 }
 
-func BenchmarkSlopeAggregatorRegionSum(b *testing.B) {
+func BenchmarkSlopeSumsAggregatorRegionSum(b *testing.B) {
 	for _, keys := range slopeKeys {
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			a := aggregatorOf(b, 10, keys, reportsOfTurn(b, keys))
--- a/internal/capacity/aggregation.go
+++ b/internal/capacity/aggregation.go
@@ -2,19 +2,19 @@
 
 // Names of the benchmarks' slopes of sums by aggregators. What whole processes use is measured by the scale run.
 const (
-	slopeMemberState         = "MemberState.held-B"        // by keys
-	slopeMemberReport        = "MemberReport.ns/op"        // by keys: one report made
-	slopeReportBytes         = "MemberReport.report-B"     // by keys
-	slopeReportTurn          = "MemberReport.reports/turn" // by keys: until each was sent
-	slopeMemberDigest        = "MemberDigest.ns/op"        // by keys: one digest taken
-	slopeMemberFigure        = "MemberFigure.ns/op"        // by keys
-	slopeAggregatorState     = "AggregatorState.held-B"    // by counts: members x their own keys
-	slopeAggregatorReport    = "AggregatorReport.ns/op"    // by members: one report taken
-	slopeAggregatorDigest    = "AggregatorDigest.ns/op"    // by keys: one digest made
-	slopeDigestBytes         = "AggregatorDigest.digest-B" // by keys
-	slopeDigestTurn          = "AggregatorDigest.digests/turn"
-	slopeAggregatorRegionSum = "AggregatorRegionSum.ns/op" // by keys: one region sum made
-	slopeRegionSumTurn       = "AggregatorRegionSum.sums/turn"
+	slopeMemberState         = "SumsMemberState.held-B"        // by keys
+	slopeMemberReport        = "SumsMemberReport.ns/op"        // by keys: one report made
+	slopeReportBytes         = "SumsMemberReport.report-B"     // by keys
+	slopeReportTurn          = "SumsMemberReport.reports/turn" // by keys: until each was sent
+	slopeMemberDigest        = "SumsMemberDigest.ns/op"        // by keys: one digest taken
+	slopeMemberFigure        = "SumsMemberFigure.ns/op"        // by keys
+	slopeAggregatorState     = "SumsAggregatorState.held-B"    // by counts: members x their own keys
+	slopeAggregatorReport    = "SumsAggregatorReport.ns/op"    // by members: one report taken
+	slopeAggregatorDigest    = "SumsAggregatorDigest.ns/op"    // by keys: one digest made
+	slopeDigestBytes         = "SumsAggregatorDigest.digest-B" // by keys
+	slopeDigestTurn          = "SumsAggregatorDigest.digests/turn"
+	slopeAggregatorRegionSum = "SumsAggregatorRegionSum.ns/op" // by keys: one region sum made
+	slopeRegionSumTurn       = "SumsAggregatorRegionSum.sums/turn"
 )
 
 // What the files of members and aggregators leave out stands at these values (internal/sharing).
