--- a/internal/capacity/benchmarks.go
+++ b/internal/capacity/benchmarks.go
@@ -19,10 +19,13 @@
 }
 
 // FromBenchmarks reads the output of `go test -bench`, takes the least value of each step over its repetitions, and
-// fits a slope for each benchmark and unit. Other lines are ignored; "cpu:" lines name the machine.
+// fits a slope for each benchmark and unit. Of several variables in a name the last is the slope's, and the others are
+// part of its name; such a combination with too few steps has no slope. Other lines are ignored; "cpu:" lines name the
+// machine.
 func FromBenchmarks(output io.Reader, origin Origin) ([]*Slope, error) {
 	byName := map[string]*Slope{}
 	repetitions := map[string]map[float64]int{}
+	combined := map[string]bool{} // names with other variables in them
 	var order []string
 	lines := bufio.NewScanner(output)
 	for lines.Scan() {
@@ -42,6 +45,7 @@
 				byName[name] = &Slope{Name: name, Unit: unit, Variable: s.variable}
 				repetitions[name] = map[float64]int{}
 				order = append(order, name)
+				combined[name] = strings.Contains(s.benchmark, "/")
 			}
 			byName[name].keepLeast(s.x, y)
 			repetitions[name][s.x]++
@@ -57,6 +61,9 @@
 		for _, n := range repetitions[name] {
 			s.Runs = max(s.Runs, n)
 		}
+		if len(s.Points) < leastPoints && combined[name] {
+			continue
+		}
 		if err := s.Fit(); err != nil {
 			return nil, err
 		}
@@ -85,6 +92,9 @@
 	if !found {
 		return s, false, nil
 	}
+	if last := strings.LastIndexByte(rest, '/'); last >= 0 {
+		benchmark, rest = benchmark+"/"+rest[:last], rest[last+1:]
+	}
 	variable, number, found := strings.Cut(rest, "=")
 	if at := strings.LastIndexByte(number, '-'); at > 0 { // the number of processors
 		number = number[:at]
--- a/internal/capacity/slope_test.go
+++ b/internal/capacity/slope_test.go
@@ -18,16 +18,23 @@
 BenchmarkSlopeList/servers=10-8   	     100	     1000 ns/op	      200.0 held-B
 BenchmarkSlopeList/servers=20-8   	     100	     2000 ns/op	      400.0 held-B
 BenchmarkSlopeList/servers=40-8   	     100	     4000 ns/op	      800.0 held-B
+BenchmarkSlopeTwo/members=3/keys=10-8   	     100	     1000 ns/op
+BenchmarkSlopeTwo/members=3/keys=20-8   	     100	     2000 ns/op
+BenchmarkSlopeTwo/members=3/keys=30-8   	     100	     3000 ns/op
+BenchmarkSlopeTwo/members=9/keys=30-8   	     100	     9000 ns/op
 PASS
 `
 	slopes, err := FromBenchmarks(strings.NewReader(output), someOrigin)
-	if err != nil || len(slopes) != 2 {
+	if err != nil || len(slopes) != 3 {
 		t.Fatalf("%d slopes, %v", len(slopes), err)
 	}
 	all := &Slopes{}
 	for _, s := range slopes {
 		all.Put(s)
 	}
+	if s := all.Get("Two/members=3.ns/op"); s == nil || s.Variable != "keys" || len(s.Points) != 3 {
+		t.Errorf("of two variables: %+v", s)
+	}
 	name := filepath.Join(t.TempDir(), "slopes.json")
 	if err := all.Write(name); err != nil {
 		t.Fatal(err)
