Scale run: hollow members in worker processes measure the flat counts

Change: internal/scale starts worker processes of hollow members (real shared counts, watch of the list, reading of settings), a stand-in discovery service, changes a count and the list, and reports processor time, memory, traffic and the time until a change is known. sharing.Sharing gets Traffic and Figure for it. Refused before the start over half of the memory, 200 processes or the descriptor limit.

--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -14,16 +14,18 @@
 
 func main() {
 	var commands struct {
-		Serve    serveCmd    `cmd:"" help:"Run the proxy."`
-		Check    checkCmd    `cmd:"" help:"Read a configuration and say what is wrong with it."`
-		Rehearse rehearseCmd `cmd:"" help:"Rehearse a night: real proxies on a stand-in platform."`
-		Compare  compareCmd  `cmd:"" help:"Rehearse by two builds in turn and say how they differ."`
-		Load     loadCmd     `cmd:"" help:"Send sessions on a fixed schedule at any address."`
-		Trace    traceCmd    `cmd:"" help:"Record, check, cut, scale and merge traces."`
-		Count    countCmd    `cmd:"" help:"Add up the logs of a fleet, by second, by server and by list."`
-		Fleet    fleetCmd    `cmd:"" help:"Ask a proxy what it believes of its fleet."`
-		Store    storeCmd    `cmd:"" help:"Look into a store's folder."`
-		Version  versionCmd  `cmd:"" help:"Print the version."`
+		Serve       serveCmd       `cmd:"" help:"Run the proxy."`
+		Check       checkCmd       `cmd:"" help:"Read a configuration and say what is wrong with it."`
+		Rehearse    rehearseCmd    `cmd:"" help:"Rehearse a night: real proxies on a stand-in platform."`
+		Compare     compareCmd     `cmd:"" help:"Rehearse by two builds in turn and say how they differ."`
+		Load        loadCmd        `cmd:"" help:"Send sessions on a fixed schedule at any address."`
+		Trace       traceCmd       `cmd:"" help:"Record, check, cut, scale and merge traces."`
+		Count       countCmd       `cmd:"" help:"Add up the logs of a fleet, by second, by server and by list."`
+		Fleet       fleetCmd       `cmd:"" help:"Ask a proxy what it believes of its fleet."`
+		Scale       scaleCmd       `cmd:"" help:"Measure the control work of a large fleet: hollow members beside real proxies."`
+		ScaleWorker scaleWorkerCmd `cmd:"" hidden:""`
+		Store       storeCmd       `cmd:"" help:"Look into a store's folder."`
+		Version     versionCmd     `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&commands, kong.Name("chalkferry"),
 		kong.Description("A balancer for long-lived connections."))
--- /dev/null
+++ b/cmd/chalkferry/scale.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chalkferry/internal/scale"
+	"chalkferry/internal/strict"
+)
+
+type scaleCmd struct {
+	Scenario string      `arg:"" optional:"" help:"A TOML file; the default run without. Flags take precedence." type:"existingfile"`
+	Hollow   int         `help:"Members without clients and servers."`
+	Steps    []int       `help:"Numbers of hollow members, one run after the other."`
+	Real     int         `default:"-1" help:"Proxies with all parts."`
+	Regions  int         `help:"Regions of the fleet."`
+	Zones    int         `help:"Zones of the fleet."`
+	Servers  int         `help:"Servers in the list."`
+	Keys     int         `help:"Counts that each member holds."`
+	Workers  int         `help:"Processes that hold the hollow members."`
+	Settle   strict.Span `help:"From the last start to the first measurement."`
+	For      strict.Span `name:"for" help:"How long to measure without changes."`
+	Trials   int         `default:"-1" help:"Changes of a count, and of the list."`
+	Timeout  strict.Span `help:"For a change to be known to all."`
+	Seed     int64       `help:"Of what is drawn."`
+	JSON     string      `name:"json" help:"A file for the whole report."`
+	Check    bool        `help:"Say what is wrong with the scenario and what it would take, and start nothing."`
+}
+
+// scaleWorkerCmd is a child process of scale.
+type scaleWorkerCmd struct{}
+
+func (c *scaleWorkerCmd) Run() error { return scale.Serve(os.Stdin, os.Stdout) }
+
+func (c *scaleCmd) Run() error {
+	p, err := c.plan()
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		return c.check(p)
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	r, err := scale.Run(ctx, p, scale.Options{Program: program, Worker: []string{"scale-worker"}, Progress: progress()})
+	clearProgress()
+	if err != nil {
+		return err
+	}
+	r.Print(os.Stdout)
+	if c.JSON != "" {
+		if err := r.WriteJSON(c.JSON); err != nil {
+			return err
+		}
+	}
+	if !r.OK() {
+		return errVerdict
+	}
+	return nil
+}
+
+// plan reads the scenario and puts the flags in place of its values.
+func (c *scaleCmd) plan() (*scale.Plan, error) {
+	p := scale.DefaultPlan()
+	if c.Scenario != "" {
+		var err error
+		if p, err = scale.LoadPlan(c.Scenario); err != nil {
+			return nil, err
+		}
+	}
+	for _, flag := range []struct {
+		value int
+		to    *int
+	}{{c.Hollow, &p.Hollow}, {c.Regions, &p.Regions}, {c.Zones, &p.Zones}, {c.Servers, &p.Servers}, {c.Keys, &p.Keys}, {c.Workers, &p.Workers}} {
+		if flag.value != 0 {
+			*flag.to = flag.value
+		}
+	}
+	for _, flag := range []struct {
+		value strict.Span
+		to    *strict.Span
+	}{{c.Settle, &p.Settle}, {c.For, &p.For}, {c.Timeout, &p.Timeout}} {
+		if flag.value != 0 {
+			*flag.to = flag.value
+		}
+	}
+	if c.Hollow != 0 {
+		p.Steps = []int{c.Hollow}
+	}
+	if len(c.Steps) > 0 {
+		p.Steps = c.Steps
+	}
+	if c.Real >= 0 {
+		p.Real = c.Real
+	}
+	if c.Trials >= 0 {
+		p.Trials = c.Trials
+	}
+	if c.Seed != 0 {
+		p.Seed = c.Seed
+	}
+	return p, p.Check(&strict.File{Name: p.Name})
+}
+
+func (c *scaleCmd) check(p *scale.Plan) error {
+	machine, err := scale.ThisMachine()
+	if err != nil {
+		return err
+	}
+	for _, hollow := range p.Steps {
+		if err := p.Fits(hollow, machine); err != nil {
+			return err
+		}
+		need := p.Need(hollow)
+		fmt.Printf("%d hollow members: some %d MB, %d processes, %d descriptors in the largest\n", hollow, need.Memory>>20, need.Processes, need.Descriptors)
+	}
+	fmt.Println("the scenario is good")
+	return nil
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,370 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Options say how a run is done.
+type Options struct {
+	Program  string    // this program, started again for each child process
+	Worker   []string  // arguments of its hidden subcommand
+	Progress io.Writer // a line that is written over, nil for none
+}
+
+// Run runs all steps of a plan. An error tells that nothing could be measured; what was measured and found wrong is
+// in the report. A run that is interrupted reports the steps until then.
+func Run(ctx context.Context, p *Plan, o Options) (*Report, error) {
+	machine, err := ThisMachine()
+	if err != nil {
+		return nil, err
+	}
+	for _, hollow := range p.Steps {
+		if err := p.Fits(hollow, machine); err != nil {
+			return nil, err
+		}
+	}
+	r := newReport(p)
+	for _, hollow := range p.Steps {
+		step, err := runStep(ctx, p, o, hollow)
+		if step != nil {
+			r.Steps = append(r.Steps, step)
+		}
+		switch {
+		case ctx.Err() != nil:
+			r.Interrupted = true
+			r.finish()
+			return r, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+	r.finish()
+	return r, nil
+}
+
+// run is one step while it goes on.
+type run struct {
+	plan     *Plan
+	options  Options
+	hollow   int
+	folder   string
+	rng      *rand.Rand
+	list     *child
+	workers  []*child
+	sizes    []int
+	first    []int // member of each worker
+	address  string
+	revision uint64
+	marker   int
+	marked   uint32
+	report   *StepReport
+}
+
+func runStep(ctx context.Context, p *Plan, o Options, hollow int) (report *StepReport, err error) {
+	r := &run{plan: p, options: o, hollow: hollow, rng: rand.New(rand.NewSource(p.Seed)), revision: 1,
+		report: &StepReport{Hollow: hollow, Real: p.Real, Estimate: p.Need(hollow)}}
+	if r.folder, err = os.MkdirTemp("", "chalkferry-scale-"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(r.folder)
+	defer r.stop()
+	stopped := context.AfterFunc(ctx, r.interrupt)
+	defer stopped()
+	for _, phase := range []struct {
+		name string
+		do   func(context.Context) error
+	}{
+		{"starts processes", r.startProcesses},
+		{"starts members", r.startMembers},
+		{"settles", func(ctx context.Context) error { return sleep(ctx, p.Settle.D()) }},
+		{"measures without changes", r.measureCalm},
+		{"changes counts", r.changeCounts},
+		{"changes the list", r.changeList},
+		{"reads settings", r.applySettings},
+		{"looks at its own lateness", r.measureLateness},
+	} {
+		if o.Progress != nil {
+			fmt.Fprintf(o.Progress, "\r%s  %d hollow members  %s \x1b[K", p.Name, hollow, phase.name)
+		}
+		if err := phase.do(ctx); err != nil {
+			if ctx.Err() != nil {
+				r.report.Interrupted = phase.name
+			}
+			return r.report, err
+		}
+	}
+	r.report.judge(p)
+	return r.report, nil
+}
+
+// interrupt ends all child processes, so that whoever waits for a reply gets an error.
+func (r *run) interrupt() {
+	for _, c := range r.workers {
+		c.cmd.Process.Kill()
+	}
+	if r.list != nil {
+		r.list.cmd.Process.Kill()
+	}
+}
+
+func (r *run) stop() {
+	done := make(chan struct{})
+	for _, c := range r.workers {
+		go func() { c.stop(); done <- struct{}{} }()
+	}
+	for range r.workers {
+		<-done
+	}
+	if r.list != nil {
+		r.list.stop()
+	}
+}
+
+func sleep(ctx context.Context, span time.Duration) error {
+	select {
+	case <-time.After(span):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *run) startProcesses(ctx context.Context) (err error) {
+	command := append([]string{r.options.Program}, r.options.Worker...)
+	if r.list, err = startChild(command, r.folder, "list"); err != nil {
+		return err
+	}
+	reply, err := r.list.ask(Request{Serve: &ServeList{Servers: r.plan.Servers, Zones: r.plan.Zones}})
+	if err != nil {
+		return err
+	}
+	r.address = reply.Address
+	r.sizes = r.plan.split(r.hollow)
+	next := 0
+	for i, size := range r.sizes {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		c, err := startChild(command, r.folder, fmt.Sprintf("worker-%d", i))
+		if err != nil {
+			return err
+		}
+		r.workers = append(r.workers, c)
+		r.first = append(r.first, next)
+		next += size
+	}
+	return nil
+}
+
+func (r *run) startMembers(context.Context) error {
+	base, err := r.measure()
+	if err != nil {
+		return err
+	}
+	specs, err := r.memberSpecs()
+	if err != nil {
+		return err
+	}
+	settings, err := memberSettings(r.hollow, r.plan.Zones)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	_, err = askAll(r.workers, func(i int) Request {
+		return Request{Start: &StartMembers{Members: specs[r.first[i] : r.first[i]+r.sizes[i]], Keys: r.plan.Keys, Servers: r.plan.Servers,
+			Seed: r.plan.Seed, Ramp: r.plan.Ramp.D(), Discovery: r.address, Revision: r.revision, Settings: settings,
+			LateBound: r.plan.LateBound.D()}}
+	})
+	if err != nil {
+		return err
+	}
+	r.report.StartedIn = seconds(time.Since(began))
+	r.report.base = base
+	return nil
+}
+
+// memberSpecs writes the members' files.
+func (r *run) memberSpecs() ([]MemberSpec, error) {
+	addresses := flatAddresses(r.hollow)
+	specs := make([]MemberSpec, r.hollow)
+	for i := range specs {
+		file := filepath.Join(r.folder, fmt.Sprintf("member-%d.toml", i))
+		if err := os.WriteFile(file, flatFile(i, addresses), 0o600); err != nil {
+			return nil, err
+		}
+		specs[i] = MemberSpec{ID: i, Fleet: file}
+	}
+	for _, id := range r.plan.Mute {
+		specs[id].Mute = true
+	}
+	return specs, nil
+}
+
+// memberSettings is a proxy's settings text, of the size that real ones have.
+func memberSettings(members, zones int) ([]byte, error) {
+	areas := make([]string, zones)
+	for i := range areas {
+		areas[i] = zoneName(i)
+	}
+	listener := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "dialTimeout": 800, "handshakeTarget": 200, "effect": effect, "utility": 1}
+	}
+	return json.Marshal(map[string]any{"areas": areas, "discovery": "ask", "groupSize": members, "me": 0,
+		"ceilings":   map[string]any{"connectTimeout": 150, "connIdle": 10000, "mostDials": 4, "probes": true},
+		"domain":     map[string]any{"mode": "proxy", "messageAim": []int{100, 100}, "tellsLoad": true},
+		"invariants": map[string]any{"mustAskIn": 4000, "cold": 15000, "coldFrom": 0.2, "fallMultiple": 3, "tipAfter": 3000},
+		"listeners":  []map[string]any{listener("chat", "read_like"), listener("feed", "non_idempotent")},
+		"tenants":    []map[string]any{{"name": "north"}, {"name": "south"}}})
+}
+
+func (r *run) measure() ([]*Usage, error) {
+	replies, err := askAll(append([]*child{r.list}, r.workers...), func(int) Request { return Request{Measure: &Measure{}} })
+	if err != nil {
+		return nil, err
+	}
+	usages := make([]*Usage, len(replies))
+	for i, reply := range replies {
+		if usages[i] = reply.Usage; usages[i] == nil {
+			return nil, errors.New("a process did not say what it uses")
+		}
+	}
+	return usages, nil
+}
+
+func (r *run) measureCalm(ctx context.Context) error {
+	before, err := r.measure()
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, r.plan.For.D()); err != nil {
+		return err
+	}
+	after, err := r.measure()
+	if err != nil {
+		return err
+	}
+	r.report.calm(before, after)
+	replies, err := askAll(r.workers, func(int) Request { return Request{Sums: &ReadSums{}} })
+	if err != nil {
+		return err
+	}
+	var sums []sharedFigure
+	for _, reply := range replies {
+		sums = append(sums, reply.Sums...)
+	}
+	r.report.Sum = readSums(sums, float64(r.hollow)*commonHeld)
+	return nil
+}
+
+// workerOf returns the process that has a member.
+func (r *run) workerOf(member int) *child {
+	at := 0
+	for i, first := range r.first {
+		if member >= first {
+			at = i
+		}
+	}
+	return r.workers[at]
+}
+
+// await has all workers wait for a change, and makes the change once they do.
+func (r *run) await(request AwaitChange, change func() (at int64, err error)) (Spread, error) {
+	at, err := change()
+	if err != nil {
+		return Spread{}, err
+	}
+	request.Timeout = r.plan.Timeout.D()
+	replies, err := askAll(r.workers, func(int) Request { return Request{Await: &request} })
+	if err != nil {
+		return Spread{}, err
+	}
+	var known []int64
+	for _, reply := range replies {
+		known = append(known, reply.Known...)
+	}
+	return newSpread(at, known), nil
+}
+
+// markGrowth is the factor between the values of the marked count: a change of nearly all that it is.
+const markGrowth = 100
+
+func (r *run) changeCounts(ctx context.Context) error {
+	r.marker = r.rng.Intn(r.hollow)
+	for range r.plan.Trials {
+		was := r.marked
+		r.marked = max(markGrowth, was*markGrowth)
+		request := AwaitChange{Threshold: (float64(was) + float64(r.marked)) / 2}
+		spread, err := r.await(request, func() (int64, error) {
+			reply, err := r.workerOf(r.marker).ask(Request{Publish: &PublishMark{Member: r.marker, Value: r.marked}})
+			return reply.At, err
+		})
+		if err != nil {
+			return err
+		}
+		r.report.CountChanges = append(r.report.CountChanges, spread)
+		if err := sleep(ctx, time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) changeList(ctx context.Context) error {
+	for n := range r.plan.Trials {
+		r.revision++
+		phase := "draining"
+		if n%2 == 1 {
+			phase = "ready"
+		}
+		spread, err := r.await(AwaitChange{Revision: r.revision}, func() (int64, error) {
+			reply, err := r.list.ask(Request{Change: &ChangeList{Server: 0, Phase: phase}})
+			return reply.At, err
+		})
+		if err != nil {
+			return err
+		}
+		r.report.ListChanges = append(r.report.ListChanges, spread)
+		if err := sleep(ctx, time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) applySettings(context.Context) error {
+	settings, err := memberSettings(r.hollow, r.plan.Zones)
+	if err != nil {
+		return err
+	}
+	replies, err := askAll(r.workers, func(int) Request { return Request{Apply: &ApplySettings{Settings: settings}} })
+	if err != nil {
+		return err
+	}
+	var all time.Duration
+	for _, reply := range replies {
+		for _, took := range reply.Took {
+			all += took
+		}
+	}
+	r.report.SettingsMicroseconds = float64(all.Nanoseconds()) / 1e3 / float64(r.hollow)
+	return nil
+}
+
+func (r *run) measureLateness(context.Context) error {
+	usages, err := r.measure()
+	if err != nil {
+		return err
+	}
+	r.report.lateness(usages[1:])
+	return nil
+}
+
+func seconds(span time.Duration) float64 { return span.Round(time.Millisecond).Seconds() }
--- /dev/null
+++ b/internal/scale/worker.go
@@ -0,0 +1,291 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/prometheus/procfs"
+	"golang.org/x/sys/unix"
+
+	"chalkferry/internal/fleet"
+	"chalkferry/internal/load"
+	"chalkferry/internal/sharing"
+)
+
+const (
+	scheduleTick  = 20 * time.Millisecond // of the generator's schedule, whose lateness is measured
+	pollInterval  = 100 * time.Millisecond
+	profileCount  = 16   // different sets of servers that members of a process hold sessions of
+	variantCount  = 4    // of each set, published in turn
+	variantChange = 0.01 // share of counts in which two variants differ
+)
+
+// errNoRequest is returned for a request without a known field.
+var errNoRequest = errors.New("a request of no known kind")
+
+// Serve runs a child process of a scale run: it answers requests until its input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	w := &worker{}
+	defer w.close()
+	requests, replies := json.NewDecoder(in), json.NewEncoder(out)
+	for {
+		var request Request
+		if err := requests.Decode(&request); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		reply, err := w.answer(&request)
+		if err != nil {
+			reply = Reply{Error: err.Error()}
+		}
+		if err := replies.Encode(reply); err != nil {
+			return err
+		}
+	}
+}
+
+// worker is a child process: it holds hollow members, or the stand-in discovery service.
+type worker struct {
+	members  []*member
+	byID     map[int]*member
+	profiles [][][]sharing.Fact
+	list     *listService
+	lateness *load.Lateness
+	running  sync.WaitGroup
+	done     chan struct{}
+}
+
+func (w *worker) answer(request *Request) (Reply, error) {
+	switch {
+	case request.Start != nil:
+		return Reply{}, w.start(request.Start)
+	case request.Serve != nil:
+		return w.serveList(request.Serve)
+	case request.Publish != nil:
+		return w.publishMark(request.Publish)
+	case request.Await != nil:
+		return w.await(request.Await), nil
+	case request.Change != nil:
+		return w.changeList(request.Change)
+	case request.Apply != nil:
+		return w.apply(request.Apply)
+	case request.Measure != nil:
+		usage, err := w.usage()
+		return Reply{Usage: usage}, err
+	case request.Sums != nil:
+		return w.sums()
+	}
+	return Reply{}, errNoRequest
+}
+
+func (w *worker) start(request *StartMembers) error {
+	if w.done == nil {
+		w.done = make(chan struct{})
+		w.byID = map[int]*member{}
+		w.lateness = load.NewLateness(request.LateBound)
+		w.profiles = serverProfiles(request)
+		w.running.Go(w.keepSchedule)
+	}
+	began := time.Now()
+	for i, spec := range request.Members {
+		at := request.Ramp * time.Duration(i) / time.Duration(len(request.Members))
+		time.Sleep(time.Until(began.Add(at)))
+		m, err := startMember(spec, request)
+		if err != nil {
+			return fmt.Errorf("member %d: %w", spec.ID, err)
+		}
+		w.members = append(w.members, m)
+		w.byID[spec.ID] = m
+		profile := w.profiles[len(w.members)%len(w.profiles)]
+		w.running.Go(func() { w.publishing(m, profile) })
+	}
+	return nil
+}
+
+// serverProfiles draws sets of servers that members hold sessions of, each in some variants that differ a little, so
+// that members of a set can share the memory of the generator.
+func serverProfiles(request *StartMembers) [][][]sharing.Fact {
+	rng := rand.New(rand.NewSource(request.Seed))
+	names := make([]string, request.Servers)
+	for i := range names {
+		names[i] = serverName(i)
+	}
+	own := max(request.Keys-1, 0) // the last is the common one
+	profiles := make([][][]sharing.Fact, profileCount)
+	for p := range profiles {
+		held := rng.Perm(request.Servers)[:own]
+		for range variantCount {
+			facts := make([]sharing.Fact, 0, request.Keys)
+			for _, server := range held {
+				sessions := uint32(10 + server%50)
+				if rng.Float64() < variantChange {
+					sessions *= 2
+				}
+				facts = append(facts, sharing.Fact{Kind: fleet.ByServer, Name: names[server], Held: sessions})
+			}
+			facts = append(facts, sharing.Fact{Kind: fleet.ByListener, Name: commonName, Held: commonHeld})
+			profiles[p] = append(profiles[p], facts)
+		}
+	}
+	return profiles
+}
+
+func serverName(i int) string { return fmt.Sprintf("push-%d", i) }
+
+// publishing publishes a member's counts at an offset of its own within the interval.
+func (w *worker) publishing(m *member, variants [][]sharing.Fact) {
+	first := time.NewTimer(time.Duration(rand.Int63n(int64(publishInterval))))
+	defer first.Stop()
+	select {
+	case <-first.C:
+	case <-w.done:
+		return
+	}
+	ticker := time.NewTicker(publishInterval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		m.publish(variants[n%len(variants)])
+		select {
+		case <-ticker.C:
+		case <-w.done:
+			return
+		}
+	}
+}
+
+// keepSchedule measures how late this process comes to its own ticks: what members do late for want of a processor
+// must not be reported as the mechanism's delay.
+func (w *worker) keepSchedule() {
+	next := time.Now()
+	for {
+		next = next.Add(scheduleTick)
+		select {
+		case <-time.After(time.Until(next)):
+			w.lateness.Sent(max(time.Since(next), 0))
+		case <-w.done:
+			return
+		}
+		if behind := time.Since(next); behind > scheduleTick { // each tick that was missed is late
+			next = next.Add(behind.Truncate(scheduleTick))
+		}
+	}
+}
+
+func (w *worker) publishMark(request *PublishMark) (Reply, error) {
+	m := w.byID[request.Member]
+	if m == nil {
+		return Reply{}, fmt.Errorf("no member %d here", request.Member)
+	}
+	at := time.Now().UnixNano()
+	m.publishMark(request.Value)
+	return Reply{At: at}, nil
+}
+
+func (w *worker) await(request *AwaitChange) Reply {
+	known := make([]int64, len(w.members))
+	missing := len(known)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for limit := time.Now().Add(request.Timeout); missing > 0 && time.Now().Before(limit); <-ticker.C {
+		for i, m := range w.members {
+			if known[i] == 0 && m.knows(request) {
+				known[i] = time.Now().UnixNano()
+				missing--
+			}
+		}
+	}
+	return Reply{Known: known}
+}
+
+func (m *member) knows(request *AwaitChange) bool {
+	if request.Revision > 0 {
+		revision, _ := m.list()
+		return revision >= request.Revision
+	}
+	figure, ok := m.sharer.Figure(fleet.ByListener, markedName)
+	return ok && figure.Value >= request.Threshold
+}
+
+func (w *worker) apply(request *ApplySettings) (Reply, error) {
+	took := make([]time.Duration, len(w.members))
+	for i := range w.members {
+		began := time.Now()
+		if err := readSettings(request.Settings); err != nil {
+			return Reply{}, err
+		}
+		took[i] = time.Since(began)
+	}
+	return Reply{Took: took}, nil
+}
+
+func (w *worker) sums() (Reply, error) {
+	var sums []sharedFigure
+	for _, m := range w.members {
+		figure, ok := m.sharer.Figure(fleet.ByListener, commonName)
+		if !ok {
+			return Reply{}, fmt.Errorf("member %d is closed", m.spec.ID)
+		}
+		sums = append(sums, figure)
+	}
+	return Reply{Sums: sums}, nil
+}
+
+func (w *worker) usage() (*Usage, error) {
+	u := &Usage{At: time.Now().UnixNano(), Members: len(w.members)}
+	var used unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &used); err != nil {
+		return nil, err
+	}
+	u.CPU = time.Duration(used.Utime.Nano() + used.Stime.Nano())
+	self, err := procfs.Self()
+	if err != nil {
+		return nil, err
+	}
+	status, err := self.NewStatus()
+	if err != nil {
+		return nil, err
+	}
+	u.Resident = status.VmRSS
+	for _, m := range w.members {
+		traffic := m.sharer.Traffic()
+		u.Sharing = add(u.Sharing, traffic)
+		if traffic.PacketsOut == 0 {
+			u.Silent++
+		}
+		if _, watching := m.list(); watching {
+			u.Watching++
+		}
+	}
+	if w.list != nil {
+		u.List = w.list.traffic()
+	}
+	if w.lateness != nil {
+		late, tooMany, all := w.lateness.Late()
+		u.Ticks, u.Late, u.TooLate, u.LateP99, u.LateMax = all.N, late, tooMany, all.P99, all.Max
+	}
+	return u, nil
+}
+
+func add(a, b sharing.Traffic) sharing.Traffic {
+	return sharing.Traffic{BytesIn: a.BytesIn + b.BytesIn, BytesOut: a.BytesOut + b.BytesOut,
+		PacketsIn: a.PacketsIn + b.PacketsIn, PacketsOut: a.PacketsOut + b.PacketsOut}
+}
+
+func (w *worker) close() {
+	if w.done != nil {
+		close(w.done)
+	}
+	w.running.Wait()
+	for _, m := range w.members {
+		m.close()
+	}
+	if w.list != nil {
+		w.list.close()
+	}
+}
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -39,6 +39,7 @@
 	facts  chan []Fact
 	heard  chan []byte
 	asks   chan chan Status
+	calls  chan func() // run by the goroutine that has the state
 	ends   chan struct{}
 	counts *fleet.Counts
 	names  map[fleet.CountKey]string
@@ -49,6 +50,7 @@
 	warned map[string]time.Duration
 
 	crowded atomic.Int64 // words passed over as too many came at once
+	traffic traffic
 }
 
 // Start opens the socket, and the status where the file names an address, and begins to tell and hear. Errors are
@@ -59,7 +61,7 @@
 		return nil, err
 	}
 	s := &Sharing{terms: t, log: log, conn: conn, facts: make(chan []Fact, 1), heard: make(chan []byte, waitingMost),
-		asks: make(chan chan Status), ends: make(chan struct{}), names: map[fleet.CountKey]string{},
+		asks: make(chan chan Status), calls: make(chan func()), ends: make(chan struct{}), names: map[fleet.CountKey]string{},
 		from: make([]int, len(t.members)), words: map[string]int{}, warned: map[string]time.Duration{}}
 	// A later start has a later time of day; one that does not, as a clock was set back, is not heard until it has.
 	s.counts, err = fleet.NewCounts(boot(), t.me, len(t.members), fleet.Incarnation(time.Now().UnixNano()), t.lately, t.fade, t.keys)
@@ -117,6 +119,7 @@
 		if err != nil {
 			continue // of a peer that is not there: its next word says more
 		}
+		s.traffic.received(n)
 		select {
 		case s.heard <- text[:n]:
 		default: // a flood costs what waits and no more
@@ -140,6 +143,8 @@
 			s.tell(boot())
 		case ask := <-s.asks:
 			ask <- s.status(boot())
+		case call := <-s.calls:
+			call()
 		}
 	}
 }
@@ -223,6 +228,7 @@
 			continue
 		}
 		s.words["sent"]++
+		s.traffic.sent(len(text))
 	}
 }
 
