Scale run: the commit of a program built in a worktree is set by the linker

Need: go build stamps no commit in a git worktree, and a result must name its commit. Change: -ldflags -X main.commit.

--- a/cmd/chalkferry/scale.go
+++ b/cmd/chalkferry/scale.go
@@ -11,6 +11,10 @@
 	"chalkferry/internal/strict"
 )
 
+// commit is set by a build with -ldflags "-X main.commit=...": go build stamps no commit into a program that is built in
+// a git worktree.
+var commit string
+
 type scaleCmd struct {
 	Scenario string      `arg:"" optional:"" help:"A TOML file; the default run without. Flags take precedence." type:"existingfile"`
 	Hollow   int         `help:"Members without clients and servers."`
@@ -49,7 +53,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	r, err := scale.Run(ctx, p, scale.Options{Program: program, Worker: []string{"scale-worker"}, Progress: progress()})
+	r, err := scale.Run(ctx, p, scale.Options{Program: program, Worker: []string{"scale-worker"}, Commit: commit, Progress: progress()})
 	clearProgress()
 	if err != nil {
 		return err
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -125,26 +125,26 @@
 	To        int     `json:"to_members"`
 }
 
-func newReport(p *Plan) *Report {
-	return &Report{Name: p.Name, Command: strings.Join(append([]string{"chalkferry"}, os.Args[1:]...), " "), Commit: commit(), Go: runtime.Version(),
+func newReport(p *Plan, commit string) *Report {
+	if commit == "" {
+		commit = builtFrom()
+	}
+	return &Report{Name: p.Name, Command: strings.Join(append([]string{"chalkferry"}, os.Args[1:]...), " "), Commit: commit, Go: runtime.Version(),
 		Cores: runtime.NumCPU(), At: time.Now().UTC().Format(time.RFC3339), Mechanism: mechanism, Plan: p}
 }
 
-func commit() string {
+// builtFrom returns the commit that is stamped into the program, where the build has no name for it.
+func builtFrom() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
 	}
-	revision, modified := "unknown", ""
 	for _, setting := range info.Settings {
-		switch {
-		case setting.Key == "vcs.revision":
-			revision = setting.Value
-		case setting.Key == "vcs.modified" && setting.Value == "true":
-			modified = " with changes"
+		if setting.Key == "vcs.revision" {
+			return setting.Value
 		}
 	}
-	return revision + modified
+	return "unknown"
 }
 
 func newSpread(at int64, known []int64) Spread {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -16,6 +16,7 @@
 type Options struct {
 	Program  string    // this program, started again for each child process
 	Worker   []string  // arguments of its hidden subcommand
+	Commit   string    // that the program was built from, "" for what the build has stamped into it
 	Progress io.Writer // a line that is written over, nil for none
 }
 
@@ -31,7 +32,7 @@
 			return nil, err
 		}
 	}
-	r := newReport(p)
+	r := newReport(p, o.Commit)
 	for _, hollow := range p.Steps {
 		step, err := runStep(ctx, p, o, hollow)
 		if step != nil {
