Scale run: real proxies beside the hollow members, and tests that it can fail

Measured: go test -race ./internal/scale, go test -race -run Scale ./cmd/chalkferry passed (TestScaleRunFails after its bound was set to 1%, as 7 of 140 is just 5%).

--- /dev/null
+++ b/cmd/chalkferry/scale_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"chalkferry/internal/scale"
+	"chalkferry/internal/strict"
+)
+
+// smallPlan is a run of a few seconds; the verdict is by counts and bounds, never by how long things took.
+func smallPlan(t *testing.T) *scale.Plan {
+	t.Helper()
+	p := scale.DefaultPlan()
+	p.Hollow, p.Real, p.Servers, p.Keys, p.Workers = 20, 0, 50, 20, 2
+	p.Ramp, p.Settle, p.For, p.Trials = strict.Span(time.Second), strict.Span(5*time.Second), strict.Span(2*time.Second), 1
+	p.LateBound = strict.Span(time.Hour) // a busy machine's lateness is judged by tests of its own
+	p.Expect.Known99, p.Expect.CPUShare, p.Expect.SumError = 0, 0, 0.01
+	return p
+}
+
+// scaled runs a plan by the test's own program, and checks that nothing is left behind.
+func scaled(ctx context.Context, t *testing.T, p *scale.Plan) *scale.Report {
+	t.Helper()
+	if err := p.Check(&strict.File{Name: t.Name()}); err != nil {
+		t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := t.TempDir()
+	t.Setenv("TMPDIR", folder)
+	r, err := scale.Run(ctx, p, scale.Options{Program: self, Worker: []string{"scale-worker"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left, err := os.ReadDir(folder); err != nil || len(left) > 0 {
+		t.Errorf("files are left: %v, %v", left, err)
+	}
+	for _, process := range children(t) {
+		t.Errorf("process %d is left", process)
+	}
+	return r
+}
+
+// children are the processes that a scale run has started.
+func children(t *testing.T) (pids []int) {
+	t.Helper()
+	all, err := procfs.AllProcs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, process := range all {
+		stat, err := process.Stat()
+		if err != nil || stat.PPID != os.Getpid() {
+			continue
+		}
+		command, _ := process.CmdLine() // none: it has just ended
+		if len(command) > 1 && (command[1] == "scale-worker" || command[1] == "aggregate") {
+			pids = append(pids, process.PID)
+		}
+	}
+	return pids
+}
+
+// TestScaleRun: all hollow members run, watch the list and know of each change.
+func TestScaleRun(t *testing.T) {
+	r := scaled(t.Context(), t, smallPlan(t))
+	for _, text := range r.Steps[0].Failed {
+		t.Error(text)
+	}
+	s := r.Steps[0]
+	if s.Member.PacketsOut <= 0 || s.Member.MemoryBytes <= 0 || s.Lateness.Ticks == 0 || !s.Member.SlopeOverMembers {
+		t.Errorf("not measured: %+v, lateness %+v", s.Member, s.Lateness)
+	}
+}
+
+// TestScaleRunFails: one member that reports nothing fails the run, by the sum that all have.
+func TestScaleRunFails(t *testing.T) {
+	p := smallPlan(t)
+	p.Mute, p.Trials = []int{3}, 0
+	r := scaled(t.Context(), t, p)
+	if r.OK() || !strings.Contains(strings.Join(r.Steps[0].Failed, "; "), "sums are 133 to 133 where 140 is held") {
+		t.Errorf("a member that reports nothing: %q", r.Steps[0].Failed)
+	}
+}
+
+// TestScaleInterrupted: a run that is interrupted reports so, and leaves nothing.
+func TestScaleInterrupted(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	p := smallPlan(t)
+	p.Settle = strict.Span(time.Minute)
+	if r := scaled(ctx, t, p); !r.Interrupted || r.OK() || r.Steps[0].Interrupted != "settles" {
+		t.Errorf("interrupted %t, %+v", r.Interrupted, r.Steps[0])
+	}
+}
+
+// TestScaleCheck: flags take the place of a scenario's values, and what does not fit is refused.
+func TestScaleCheck(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "s.toml")
+	if err := os.WriteFile(file, []byte("hollow = 30\nkeys = 10\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := scaleCmd{Scenario: file, Real: -1, Trials: -1, Check: true}
+	if err := c.Run(); err != nil {
+		t.Error(err)
+	}
+	p, err := c.plan()
+	if err != nil || p.Steps[0] != 30 || p.Keys != 10 {
+		t.Errorf("%+v, %v", p, err)
+	}
+	c.Steps, c.Real, c.Zones = []int{40, 50}, 1, 5
+	if p, err = c.plan(); err != nil || len(p.Steps) != 2 || p.Real != 1 || p.Zones != 5 || p.Keys != 10 {
+		t.Errorf("%+v, %v", p, err)
+	}
+	c.Keys, c.Servers, c.Steps = 100000, 100000, []int{20000}
+	if err := c.Run(); err == nil || !strings.Contains(err.Error(), scale.ErrMemory.Error()) {
+		t.Errorf("too much memory: %v", err)
+	}
+	c.Regions = 9
+	if err := c.Run(); err == nil || !strings.Contains(err.Error(), "regions") {
+		t.Errorf("nine regions: %v", err)
+	}
+}
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -41,6 +41,8 @@
 	sockets int
 	profile string // a file for a profile of its CPU, "" for none
 
+	arguments []string // further ones of its command
+
 	mu      sync.Mutex
 	state   processState
 	cmd     *exec.Cmd
@@ -87,7 +89,7 @@
 	if p.profile != "" {
 		args = append(args, "--profile", p.profile)
 	}
-	cmd := exec.Command(p.binary, args...)
+	cmd := exec.Command(p.binary, append(args, p.arguments...)...)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+file, "TMPDIR="+p.folder)
 	cmd.Stdout, cmd.Stderr = log, log
 	// Of a group of its own, so that Ctrl-C at the terminal is the rehearsal's alone; and gone with the rehearsal.
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -63,6 +63,8 @@
 	Logs     string    // a folder that keeps the proxies' logs, "" for none
 	Profiles string    // a folder for profiles of the proxies' CPU, "" for none
 	Direct   bool      // clients connect to the nodes, with no proxy between
+
+	Arguments func(proxy int) []string // further ones of each proxy's command, nil for none
 }
 
 // Run runs a scenario to its end, or to the context's, and reports what was seen. An error tells that nothing could be
@@ -189,6 +191,9 @@
 	if o.Profiles != "" {
 		p.profile = filepath.Join(o.Profiles, fmt.Sprintf("n%d.prof", i))
 	}
+	if o.Arguments != nil {
+		p.arguments = o.Arguments(i)
+	}
 	if s.Proxies.Pin {
 		p.cpu = runtime.NumCPU() - 1 - i%runtime.NumCPU()
 	}
--- a/internal/scale/flat.go
+++ b/internal/scale/flat.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"hash/fnv"
 	"os"
+
+	"chalkferry/internal/fleet"
 )
 
 // flatPort is where members receive datagrams, each on a loopback address of its own: nothing that connects out from
@@ -20,8 +23,11 @@
 }
 
 // flatFile is the file of one member that knows all others.
-func flatFile(me int, addresses []string) []byte {
+func flatFile(me int, addresses []string, status string) []byte {
 	var b bytes.Buffer
+	if status != "" {
+		fmt.Fprintf(&b, "status = \"%s\"\n", status)
+	}
 	fmt.Fprintf(&b, "me = %d\nmembers = [\n", me)
 	for _, address := range addresses {
 		fmt.Fprintf(&b, "\"%s\",\n", address)
@@ -32,3 +38,10 @@
 
 // mechanism names what carries the shared counts in a report.
 const mechanism = "flat counts: each member keeps every other's"
+
+// listenerKey is what a status shows for a name that its proxy has not published itself.
+func listenerKey(name string) string {
+	h := fnv.New64a()
+	h.Write([]byte(name)) // returns no error
+	return fleet.CountKey{Kind: fleet.ByListener, ID: h.Sum64()}.String()
+}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -40,10 +40,12 @@
 
 	Member      MemberUsage `json:"hollow_member"` // one of them, by the slope over members of a process
 	Discovery   RoleUsage   `json:"stand_in_discovery"`
+	RealProxy   *RealUsage  `json:"real_proxy,omitempty"`
 	WorkerBytes uint64      `json:"workers_resident_bytes"` // all together
 
 	Sum                  Sums     `json:"sum"` // of the count that all members hold
 	CountChanges         []Spread `json:"count_changes"`
+	RealChanges          []Spread `json:"count_changes_at_real_proxies,omitempty"`
 	ListChanges          []Spread `json:"list_changes"`
 	SettingsMicroseconds float64  `json:"settings_read_microseconds"` // one member's reading, without any way of them to it
 
@@ -259,12 +261,16 @@
 	fail(e.MemoryMB > 0 && m.MemoryBytes > e.MemoryMB*(1<<20), "a hollow member takes %.1f MB, %.1f are allowed", m.MemoryBytes/(1<<20), e.MemoryMB)
 	bytes := m.BytesIn + m.BytesOut + m.ListBytesIn
 	fail(e.BytesPerSecond > 0 && bytes > e.BytesPerSecond, "a hollow member has %.0f bytes a second, %.0f are allowed", bytes, e.BytesPerSecond)
+	if u := s.RealProxy; u != nil {
+		fail(u.RulesBroken > 0, "the real proxies broke %d rules", u.RulesBroken)
+		fail(e.MemoryMB > 0 && u.MemoryMB > e.MemoryMB, "a real proxy takes %.1f MB for its shared state, %.1f are allowed", u.MemoryMB, e.MemoryMB)
+	}
 	fail(e.SumError > 0 && (s.Sum.Least < s.Sum.True*(1-e.SumError) || s.Sum.Most > s.Sum.True*(1+e.SumError)),
 		"members' sums are %.0f to %.0f where %.0f is held", s.Sum.Least, s.Sum.Most, s.Sum.True)
 	for _, kind := range []struct {
 		name    string
 		spreads []Spread
-	}{{"count", s.CountChanges}, {"list", s.ListChanges}} {
+	}{{"count", s.CountChanges}, {"count at real proxies", s.RealChanges}, {"list", s.ListChanges}} {
 		for i, spread := range kind.spreads {
 			fail(spread.Known < spread.Members, "change %d of the %s: known to %d of %d members", i+1, kind.name, spread.Known, spread.Members)
 			fail(e.Known99 > 0 && (spread.P99 < 0 || spread.P99 > e.Known99.D().Seconds()),
@@ -353,11 +359,18 @@
 	fmt.Fprintf(to, "  hollow member       %.3f%% of a core  %.2f MB  in %.0f B/s %.1f packets/s  out %.0f B/s %.1f packets/s  list %.0f B/s\n",
 		100*m.CPUShare, m.MemoryBytes/(1<<20), m.BytesIn, m.PacketsIn, m.BytesOut, m.PacketsOut, m.ListBytesIn)
 	fmt.Fprintf(to, "  stand-in discovery  %.1f%% of a core  %.1f MB  out %.0f B/s\n", 100*s.Discovery.CPUShare, s.Discovery.MemoryMB, s.Discovery.BytesOut)
+	if u := s.RealProxy; u != nil {
+		fmt.Fprintf(to, "  real proxy          %+.3f%% of a core  %+.1f MB by sharing (%d with it: %.2f%%, %.1f MB; %d without: %.2f%%, %.1f MB); %d sessions, %d rules broken\n",
+			100*u.CPUShare, u.MemoryMB, u.With, 100*u.CPUWith, u.MBWith, u.Without, 100*u.CPUWithout, u.MBWithout, u.Sessions, u.RulesBroken)
+	}
 	fmt.Fprintf(to, "  sum over the fleet  %.0f held, members say %.0f to %.0f, median %.0f; age to %.1f s, heard from %.0f%%\n",
 		s.Sum.True, s.Sum.Least, s.Sum.Most, s.Sum.Median, s.Sum.MostAge, 100*s.Sum.LeastHeard)
 	for i, c := range s.CountChanges {
 		fmt.Fprintf(to, "  change %d of a count  %v\n", i+1, c)
 	}
+	for i, c := range s.RealChanges {
+		fmt.Fprintf(to, "  change %d, real proxies %v\n", i+1, c)
+	}
 	for i, c := range s.ListChanges {
 		fmt.Fprintf(to, "  change %d of the list %v\n", i+1, c)
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 )
 
@@ -58,6 +60,7 @@
 	hollow   int
 	folder   string
 	rng      *rand.Rand
+	mu       sync.Mutex // of the processes' names: an interrupt ends those that are there
 	list     *child
 	workers  []*child
 	sizes    []int
@@ -67,6 +70,10 @@
 	marker   int
 	marked   uint32
 	report   *StepReport
+
+	real         *realProxies // nil without
+	realFiles    []string
+	realStatuses []string
 }
 
 func runStep(ctx context.Context, p *Plan, o Options, hollow int) (report *StepReport, err error) {
@@ -85,11 +92,13 @@
 	}{
 		{"starts processes", r.startProcesses},
 		{"starts members", r.startMembers},
+		{"starts real proxies", r.startReal},
 		{"settles", func(ctx context.Context) error { return sleep(ctx, p.Settle.D()) }},
 		{"measures without changes", r.measureCalm},
 		{"changes counts", r.changeCounts},
 		{"changes the list", r.changeList},
 		{"reads settings", r.applySettings},
+		{"ends real proxies", r.endReal},
 		{"looks at its own lateness", r.measureLateness},
 	} {
 		if o.Progress != nil {
@@ -108,6 +117,8 @@
 
 // interrupt ends all child processes, so that whoever waits for a reply gets an error.
 func (r *run) interrupt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, c := range r.workers {
 		c.cmd.Process.Kill()
 	}
@@ -124,6 +135,9 @@
 	for range r.workers {
 		<-done
 	}
+	if r.real != nil {
+		r.real.stop()
+	}
 	if r.list != nil {
 		r.list.stop()
 	}
@@ -140,9 +154,13 @@
 
 func (r *run) startProcesses(ctx context.Context) (err error) {
 	command := append([]string{r.options.Program}, r.options.Worker...)
-	if r.list, err = startChild(command, r.folder, "list"); err != nil {
+	list, err := startChild(command, r.folder, "list")
+	if err != nil {
 		return err
 	}
+	r.mu.Lock()
+	r.list = list
+	r.mu.Unlock()
 	reply, err := r.list.ask(Request{Serve: &ServeList{Servers: r.plan.Servers, Zones: r.plan.Zones}})
 	if err != nil {
 		return err
@@ -158,7 +176,9 @@
 		if err != nil {
 			return err
 		}
+		r.mu.Lock()
 		r.workers = append(r.workers, c)
+		r.mu.Unlock()
 		r.first = append(r.first, next)
 		next += size
 	}
@@ -194,11 +214,11 @@
 
 // memberSpecs writes the members' files.
 func (r *run) memberSpecs() ([]MemberSpec, error) {
-	addresses := flatAddresses(r.hollow)
+	addresses := flatAddresses(r.hollow + r.plan.Real)
 	specs := make([]MemberSpec, r.hollow)
 	for i := range specs {
 		file := filepath.Join(r.folder, fmt.Sprintf("member-%d.toml", i))
-		if err := os.WriteFile(file, flatFile(i, addresses), 0o600); err != nil {
+		if err := os.WriteFile(file, flatFile(i, addresses, ""), 0o600); err != nil {
 			return nil, err
 		}
 		specs[i] = MemberSpec{ID: i, Fleet: file}
@@ -206,9 +226,52 @@
 	for _, id := range r.plan.Mute {
 		specs[id].Mute = true
 	}
+	for i := range r.plan.Real {
+		status, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		file := filepath.Join(r.folder, fmt.Sprintf("real-%d.toml", i))
+		if err := os.WriteFile(file, flatFile(r.hollow+i, addresses, status), 0o600); err != nil {
+			return nil, err
+		}
+		r.realFiles, r.realStatuses = append(r.realFiles, file), append(r.realStatuses, status)
+	}
 	return specs, nil
 }
 
+// freeAddress finds a port that nothing listens at.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (r *run) startReal(ctx context.Context) (err error) {
+	if r.plan.Real > 0 {
+		r.real, err = startReal(ctx, r.options.Program, r.realFiles, r.realStatuses, r.plan.Seed)
+	}
+	return err
+}
+
+// endReal ends the real proxies and takes what their clients saw.
+func (r *run) endReal(context.Context) error {
+	if r.real == nil {
+		return nil
+	}
+	report, err := r.real.stop()
+	r.real = nil
+	if err != nil {
+		return err
+	}
+	r.report.RealProxy.Sessions = report.Sessions
+	r.report.RealProxy.RulesBroken = len(report.Rules)
+	return nil
+}
+
 // memberSettings is a proxy's settings text, of the size that real ones have.
 func memberSettings(members, zones int) ([]byte, error) {
 	areas := make([]string, zones)
@@ -245,6 +308,10 @@
 	if err != nil {
 		return err
 	}
+	realBefore, err := r.measureReal()
+	if err != nil {
+		return err
+	}
 	if err := sleep(ctx, r.plan.For.D()); err != nil {
 		return err
 	}
@@ -252,6 +319,14 @@
 	if err != nil {
 		return err
 	}
+	realAfter, err := r.measureReal()
+	if err != nil {
+		return err
+	}
+	if r.real != nil {
+		r.report.RealProxy = &RealUsage{}
+		r.report.RealProxy.measure(realBefore, realAfter)
+	}
 	r.report.calm(before, after)
 	replies, err := askAll(r.workers, func(int) Request { return Request{Sums: &ReadSums{}} })
 	if err != nil {
@@ -265,6 +340,13 @@
 	return nil
 }
 
+func (r *run) measureReal() (realUsage, error) {
+	if r.real == nil {
+		return realUsage{}, nil
+	}
+	return r.real.usage()
+}
+
 // workerOf returns the process that has a member.
 func (r *run) workerOf(member int) *child {
 	at := 0
@@ -277,21 +359,30 @@
 }
 
 // await has all workers wait for a change, and makes the change once they do.
-func (r *run) await(request AwaitChange, change func() (at int64, err error)) (Spread, error) {
+func (r *run) await(ctx context.Context, request AwaitChange, change func() (at int64, err error)) (hollow, real Spread, err error) {
 	at, err := change()
 	if err != nil {
-		return Spread{}, err
+		return hollow, real, err
 	}
 	request.Timeout = r.plan.Timeout.D()
+	knownReal := make(chan []int64, 1)
+	go func() {
+		if r.real == nil || request.Revision > 0 { // real ones watch a list of their own
+			knownReal <- nil
+			return
+		}
+		knownReal <- r.real.await(ctx, request.Threshold, request.Timeout)
+	}()
 	replies, err := askAll(r.workers, func(int) Request { return Request{Await: &request} })
+	real = newSpread(at, <-knownReal)
 	if err != nil {
-		return Spread{}, err
+		return hollow, real, err
 	}
 	var known []int64
 	for _, reply := range replies {
 		known = append(known, reply.Known...)
 	}
-	return newSpread(at, known), nil
+	return newSpread(at, known), real, nil
 }
 
 // markGrowth is the factor between the values of the marked count: a change of nearly all that it is.
@@ -303,7 +394,7 @@
 		was := r.marked
 		r.marked = max(markGrowth, was*markGrowth)
 		request := AwaitChange{Threshold: (float64(was) + float64(r.marked)) / 2}
-		spread, err := r.await(request, func() (int64, error) {
+		spread, real, err := r.await(ctx, request, func() (int64, error) {
 			reply, err := r.workerOf(r.marker).ask(Request{Publish: &PublishMark{Member: r.marker, Value: r.marked}})
 			return reply.At, err
 		})
@@ -311,6 +402,9 @@
 			return err
 		}
 		r.report.CountChanges = append(r.report.CountChanges, spread)
+		if r.real != nil {
+			r.report.RealChanges = append(r.report.RealChanges, real)
+		}
 		if err := sleep(ctx, time.Second); err != nil {
 			return err
 		}
@@ -325,7 +419,7 @@
 		if n%2 == 1 {
 			phase = "ready"
 		}
-		spread, err := r.await(AwaitChange{Revision: r.revision}, func() (int64, error) {
+		spread, _, err := r.await(ctx, AwaitChange{Revision: r.revision}, func() (int64, error) {
 			reply, err := r.list.ask(Request{Change: &ChangeList{Server: 0, Phase: phase}})
 			return reply.At, err
 		})
