--- a/cmd/chalkferry/rehearse_test.go
+++ b/cmd/chalkferry/rehearse_test.go
@@ -4,15 +4,17 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"chalkferry/internal/rehearse"
 	"chalkferry/internal/trace"
 )
 
-// TestMain is also the proxy under test and the child process of a scale run: both start the test's own program.
+// TestMain is also the proxy under test, and the aggregators and child processes of a scale run: they are the test's own
+// program.
 func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && (os.Args[1] == "serve" || os.Args[1] == "scale-worker") {
+	if len(os.Args) > 1 && slices.Contains([]string{"serve", "aggregate", "scale-worker"}, os.Args[1]) {
 		main()
 		return
 	}
--- a/cmd/chalkferry/scale.go
+++ b/cmd/chalkferry/scale.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"chalkferry/internal/scale"
@@ -29,6 +30,8 @@
 	For      strict.Span `name:"for" help:"How long to measure without changes."`
 	Trials   int         `default:"-1" help:"Changes of a count, and of the list."`
 	Timeout  strict.Span `help:"For a change to be known to all."`
+	Fault    []string    `help:"Kinds of faults, one after the other, in place of the scenario's."`
+	Ramp     strict.Span `help:"In which the members start."`
 	Seed     int64       `help:"Of what is drawn."`
 	JSON     string      `name:"json" help:"A file for the whole report."`
 	Check    bool        `help:"Say what is wrong with the scenario and what it would take, and start nothing."`
@@ -90,7 +93,7 @@
 	for _, flag := range []struct {
 		value strict.Span
 		to    *strict.Span
-	}{{c.Settle, &p.Settle}, {c.For, &p.For}, {c.Timeout, &p.Timeout}} {
+	}{{c.Ramp, &p.Ramp}, {c.Settle, &p.Settle}, {c.For, &p.For}, {c.Timeout, &p.Timeout}} {
 		if flag.value != 0 {
 			*flag.to = flag.value
 		}
@@ -110,6 +113,16 @@
 	if c.Seed != 0 {
 		p.Seed = c.Seed
 	}
+	if len(c.Fault) > 0 {
+		p.Faults = nil
+	}
+	for _, kind := range c.Fault {
+		fault, ok := p.NamedFault(kind)
+		if !ok {
+			return nil, fmt.Errorf("there is no fault %q, but %s", kind, strings.Join(scale.FaultKinds(), ", "))
+		}
+		p.Faults = append(p.Faults, fault)
+	}
 	return p, p.Check(&strict.File{Name: p.Name})
 }
 
--- a/cmd/chalkferry/scale_test.go
+++ b/cmd/chalkferry/scale_test.go
@@ -14,14 +14,14 @@
 	"chalkferry/internal/strict"
 )
 
-// smallPlan is a run of a few seconds; the verdict is by counts and bounds, never by how long things took.
+// smallPlan is a run of some seconds; the verdict is by counts and bounds, never by how long things took.
 func smallPlan(t *testing.T) *scale.Plan {
 	t.Helper()
 	p := scale.DefaultPlan()
-	p.Hollow, p.Real, p.Servers, p.Keys, p.Workers = 20, 0, 50, 20, 2
+	p.Hollow, p.Real, p.Servers, p.Keys, p.Workers = 200, 0, 100, 50, 2
 	p.Ramp, p.Settle, p.For, p.Trials = strict.Span(time.Second), strict.Span(5*time.Second), strict.Span(2*time.Second), 1
 	p.LateBound = strict.Span(time.Hour) // a busy machine's lateness is judged by tests of its own
-	p.Expect.Known99, p.Expect.CPUShare, p.Expect.SumError = 0, 0, 0.01
+	p.Expect.Known99, p.Expect.CPUShare, p.Expect.SumError = 0, 0, 0.001
 	return p
 }
 
@@ -70,28 +70,73 @@
 	return pids
 }
 
-// TestScaleRun: all hollow members run, watch the list and know of each change.
+// TestScaleRun: 200 hollow members beside three real proxies run, watch the list, agree on the sums and know of each
+// change, within the bounds on memory and bytes.
 func TestScaleRun(t *testing.T) {
-	r := scaled(t.Context(), t, smallPlan(t))
-	for _, text := range r.Steps[0].Failed {
+	p := smallPlan(t)
+	p.Real = 3
+	r := scaled(t.Context(), t, p)
+	s := r.Steps[0]
+	for _, text := range s.Failed {
 		t.Error(text)
 	}
-	s := r.Steps[0]
 	if s.Member.PacketsOut <= 0 || s.Member.MemoryBytes <= 0 || s.Lateness.Ticks == 0 || !s.Member.SlopeOverMembers {
 		t.Errorf("not measured: %+v, lateness %+v", s.Member, s.Lateness)
 	}
+	if len(s.Aggregators) != 6 || s.RealProxy == nil || s.RealProxy.With != 3 || s.RealProxy.Without != 3 || s.RealProxy.Sessions == 0 {
+		t.Errorf("%d aggregators, real proxies %+v", len(s.Aggregators), s.RealProxy)
+	}
+	if len(s.RealChanges) != 1 || s.RealChanges[0].Known != 3 || len(s.ListChanges) != 1 || s.ListChanges[0].Known != 200 {
+		t.Errorf("real proxies knew as %v, the list as %v", s.RealChanges, s.ListChanges)
+	}
 }
 
 // TestScaleRunFails: one member that reports nothing fails the run, by the sum that all have.
 func TestScaleRunFails(t *testing.T) {
 	p := smallPlan(t)
-	p.Mute, p.Trials = []int{3}, 0
+	p.Mute, p.Trials, p.Settle = []int{3}, 0, strict.Span(3*time.Second)
 	r := scaled(t.Context(), t, p)
-	if r.OK() || !strings.Contains(strings.Join(r.Steps[0].Failed, "; "), "sums are 133 to 133 where 140 is held") {
+	if r.OK() || !strings.Contains(strings.Join(r.Steps[0].Failed, "; "), "sums are 1393 to 1393 where 1400 is held") {
 		t.Errorf("a member that reports nothing: %q", r.Steps[0].Failed)
 	}
 }
 
+// TestScaleFaults: members are restarted, a zone is cut off and an aggregator is killed and started again; all sums are
+// right afterwards.
+func TestScaleFaults(t *testing.T) {
+	p := smallPlan(t)
+	p.Hollow, p.Trials, p.Settle, p.For = 30, 0, strict.Span(2*time.Second), strict.Span(time.Second)
+	for _, kind := range []scale.FaultKind{scale.FaultRestart, scale.FaultZoneCut, scale.FaultAggregatorKill} {
+		fault, ok := p.NamedFault(string(kind))
+		if !ok {
+			t.Fatal(kind)
+		}
+		fault.For = strict.Span(2 * time.Second)
+		if kind == scale.FaultRestart {
+			fault.Share = 0.5
+		}
+		p.Faults = append(p.Faults, fault)
+	}
+	s := scaled(t.Context(), t, p).Steps[0]
+	if len(s.Faults) != 3 {
+		t.Fatalf("%d of 3 faults: %q", len(s.Faults), s.Failed)
+	}
+	for _, f := range s.Faults {
+		if f.Recovery.Known != 30 {
+			t.Errorf("%s: the sums of %d of 30 members are right after it", f.Kind, f.Recovery.Known)
+		}
+	}
+	if n := s.Faults[0].Restarts; n < 3 || n > 27 {
+		t.Errorf("%d of 30 members were restarted, half were to be", n)
+	}
+	if n := s.Faults[1].CutOff; n != 3 {
+		t.Errorf("%d of 30 members were cut off in one zone of ten", n)
+	}
+	if n := len(s.Faults[2].Aggregators); n != 5 {
+		t.Errorf("%d aggregators ran on beside the one that was killed", n)
+	}
+}
+
 // TestScaleInterrupted: a run that is interrupted reports so, and leaves nothing.
 func TestScaleInterrupted(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
@@ -125,7 +170,12 @@
 	if err := c.Run(); err == nil || !strings.Contains(err.Error(), scale.ErrMemory.Error()) {
 		t.Errorf("too much memory: %v", err)
 	}
-	c.Regions = 9
+	c.Regions = 0
+	c.Fault = []string{"flood"}
+	if err := c.Run(); err == nil || !strings.Contains(err.Error(), "there is no fault") {
+		t.Errorf("a fault of no known kind: %v", err)
+	}
+	c.Regions, c.Fault = 9, nil
 	if err := c.Run(); err == nil || !strings.Contains(err.Error(), "regions") {
 		t.Errorf("nine regions: %v", err)
 	}
--- a/internal/scale/limits.go
+++ b/internal/scale/limits.go
@@ -25,7 +25,8 @@
 	bytesWorker       = 32 << 20
 	bytesHollow       = 256 << 10 // without keys
 	bytesHollowKey    = 64        // of its own
-	bytesFlatKey      = 40        // of every other member
+	bytesSum          = 96        // of each sum, at members and aggregators
+	bytesMemberKey    = 32        // of a member, at each aggregator of its region
 	bytesReal         = 96 << 20  // two proxies, one with shared state and one without
 	bytesCoordinator  = 128 << 20
 	socketsHollow     = 2 // shared state, and the watch of the list
@@ -75,8 +76,9 @@
 	members := uint64(hollow)
 	return Need{
 		Memory: bytesCoordinator + uint64(len(sizes)+1)*bytesWorker + uint64(p.Real)*bytesReal +
-			members*(bytesHollow+uint64(p.Keys)*bytesHollowKey+members*uint64(p.Keys)*bytesFlatKey),
-		Processes:   1 + len(sizes) + 1 + 2*p.Real,
+			uint64(p.Regions*aggregatorsPerRegion)*(bytesWorker+uint64(p.Servers)*bytesSum) +
+			members*(bytesHollow+uint64(p.Keys)*bytesHollowKey+uint64(p.Servers)*bytesSum+aggregatorsPerRegion*uint64(p.Keys)*bytesMemberKey),
+		Processes:   1 + len(sizes) + 1 + 2*p.Real + p.Regions*aggregatorsPerRegion,
 		Descriptors: max(largest*socketsHollow, hollow) + socketsOfAProcess, // the list service has a connection of each
 	}
 }
--- a/internal/scale/listservice.go
+++ b/internal/scale/listservice.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"chalkferry/internal/discovery"
-	"chalkferry/internal/sharing"
 )
 
 // listService is the stand-in discovery service of all hollow members: one address, each change encoded once for
@@ -51,8 +50,6 @@
 	return s, nil
 }
 
-func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
-
 // change changes the phase of one server and returns the new revision.
 func (s *listService) change(server int, phase string) (revision uint64, err error) {
 	s.mu.Lock()
@@ -139,9 +136,9 @@
 	return true
 }
 
-func (s *listService) traffic() sharing.Traffic {
+func (s *listService) traffic() Traffic {
 	l := s.listener
-	return sharing.Traffic{BytesIn: l.bytesIn.Load(), BytesOut: l.bytesOut.Load(), PacketsIn: l.reads.Load(), PacketsOut: l.writes.Load()}
+	return Traffic{BytesIn: l.bytesIn.Load(), BytesOut: l.bytesOut.Load(), PacketsIn: l.reads.Load(), PacketsOut: l.writes.Load()}
 }
 
 func (s *listService) close() { s.server.Close() }
--- a/internal/scale/member.go
+++ b/internal/scale/member.go
@@ -6,11 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"chalkferry/choice"
+	"chalkferry/internal/aggregation"
 	"chalkferry/internal/discovery"
-	"chalkferry/internal/fleet"
 	"chalkferry/internal/sharing"
 	"chalkferry/internal/start"
 )
@@ -33,32 +31,30 @@
 // member is one hollow member.
 type member struct {
 	spec    MemberSpec
+	link    *link
 	sharer  sharer
 	watcher *discovery.Watcher
 	mark    atomic.Uint32
 	servers atomic.Pointer[[]sharing.Fact] // as published last
+	ended   chan struct{}                  // closed by close
+	ends    sync.Once
 
 	mu       sync.Mutex // the member's event loop: one call at a time
 	closed   bool
 	revision uint64
-	known    chan struct{} // closed and made anew at each list
 	lists    int
 }
 
 // startMember starts the member's parts. The order is that of a proxy: settings, shared state, list.
-func startMember(spec MemberSpec, request *StartMembers) (*member, error) {
+func startMember(spec MemberSpec, request *StartMembers, n *network) (*member, error) {
 	if err := readSettings(request.Settings); err != nil {
 		return nil, err
 	}
-	terms, err := sharing.Read(spec.Fleet)
-	if err != nil {
-		return nil, err
-	}
-	shared, err := sharing.Start(terms, zerolog.Nop())
-	if err != nil {
+	m := &member{spec: spec, link: &link{network: n, zone: spec.Zone}, revision: request.Revision, ended: make(chan struct{})}
+	var err error
+	if m.sharer, err = startSharer(&spec, m.link); err != nil {
 		return nil, err
 	}
-	m := &member{spec: spec, sharer: flatSharer{shared}, revision: request.Revision}
 	m.watcher = discovery.New(request.Discovery, connectTimeout, answerTimeout, m.execute, m.listed, m.watchFailed)
 	m.execute(func() { m.watcher.Watch(m.revision) })
 	return m, nil
@@ -102,7 +98,7 @@
 	}
 	facts := make([]sharing.Fact, len(servers), len(servers)+1)
 	copy(facts, servers)
-	m.sharer.Publish(append(facts, sharing.Fact{Kind: fleet.ByListener, Name: markedName, Held: mark}))
+	m.sharer.Publish(append(facts, sharing.Fact{Kind: aggregation.ByListener, Name: markedName, Held: mark}))
 }
 
 // publishMark publishes another value of the marked count at once, beside what was published last.
@@ -118,7 +114,10 @@
 		m.closed = true
 		m.watcher.Drop()
 	})
-	m.sharer.Close()
+	m.ends.Do(func() {
+		close(m.ended)
+		m.sharer.Close()
+	})
 }
 
 // readSettings reads settings as a proxy does at its start and at SIGHUP.
--- a/internal/scale/messages.go
+++ b/internal/scale/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chalkferry/internal/aggregation"
 	"chalkferry/internal/sharing"
 )
 
@@ -17,6 +18,8 @@
 	Apply   *ApplySettings `json:",omitempty"`
 	Measure *Measure       `json:",omitempty"`
 	Sums    *ReadSums      `json:",omitempty"`
+	Impair  *Impairment    `json:",omitempty"`
+	Restart *Restart       `json:",omitempty"`
 }
 
 // StartMembers starts hollow members, spread over a time.
@@ -34,9 +37,12 @@
 
 // MemberSpec is one hollow member.
 type MemberSpec struct {
-	ID    int
-	Fleet string // path of the file of the sharing part
-	Mute  bool   // broken on purpose: it never publishes anything
+	ID          int
+	Name        string
+	Region      int
+	Zone        int
+	Aggregators []sharing.AggregatorAddress
+	Mute        bool // broken on purpose: it never publishes anything
 }
 
 // ServeList starts the stand-in discovery service.
@@ -51,14 +57,31 @@
 	Value  uint32
 }
 
-// AwaitChange waits until all members of a process know of a change, or for a time at most. A change of a count is
-// known once the figure of the marked key is Threshold or more; a change of the list once Revision has come.
+// AwaitChange waits until all members of a process know of a change, or for a time at most: until Revision of the list
+// has come, and their sums lie within bounds.
 type AwaitChange struct {
-	Threshold float64
+	Sums      []SumBound
 	Revision  uint64
+	SkipZones []int // whose members are not waited for
 	Timeout   time.Duration
 }
 
+// SumBound is what the sum of a listener's name is to lie within.
+type SumBound struct {
+	Name    string
+	AtLeast float64
+	AtMost  float64
+}
+
+// Restart ends a share of the members of a process and starts each again at once, at times drawn within a span. It is
+// answered before that is over.
+type Restart struct {
+	Share  float64
+	Within time.Duration
+	Seed   int64
+	Keep   int // a member that is not restarted
+}
+
 // ChangeList has one server change its phase.
 type ChangeList struct {
 	Server int
@@ -78,13 +101,14 @@
 
 // Reply answers one request. Error is set where it could not be done.
 type Reply struct {
-	Error   string          `json:",omitempty"`
-	Address string          `json:",omitempty"` // of ServeList
-	Known   []int64         `json:",omitempty"` // of AwaitChange: Unix times in ns at which members knew, 0 for never
-	At      int64           `json:",omitempty"` // Unix time in ns at which the change was made
-	Usage   *Usage          `json:",omitempty"`
-	Sums    []sharedFigure  `json:",omitempty"`
-	Took    []time.Duration `json:",omitempty"` // of ApplySettings: of each member
+	Error   string               `json:",omitempty"`
+	Address string               `json:",omitempty"` // of ServeList
+	Known   []int64              `json:",omitempty"` // of AwaitChange: Unix times in ns at which members knew, 0 for never
+	Skipped int                  `json:",omitempty"` // members that were not waited for
+	At      int64                `json:",omitempty"` // Unix time in ns at which the change was made
+	Usage   *Usage               `json:",omitempty"`
+	Sums    []aggregation.Figure `json:",omitempty"`
+	Took    []time.Duration      `json:",omitempty"` // of ApplySettings: of each member
 }
 
 // Usage is what a process has used since its start, and what its members have sent and received.
@@ -94,20 +118,13 @@
 	Resident uint64 // bytes
 	Members  int
 	Watching int // members whose list is up to date with a watch that has brought something
-	Sharing  sharing.Traffic
-	Silent   int             // members that have not sent one datagram
-	List     sharing.Traffic // of the stand-in discovery: TCP payload; Packets are reads and writes
-	Ticks    int64           // of the generator's schedule
-	Late     int64           // of them later than the bound
-	LateP99  float64         // ms
-	LateMax  float64         // ms
+	Sharing  Traffic
+	Restarts int     // of members
+	Silent   int     // members that have not sent one datagram
+	List     Traffic // of the stand-in discovery: TCP payload; Packets are reads and writes
+	Ticks    int64   // of the generator's schedule
+	Late     int64   // of them later than the bound
+	LateP99  float64 // ms
+	LateMax  float64 // ms
 	TooLate  bool
 }
-
-// sharedFigure is a sum over the fleet as one member believes it.
-type sharedFigure struct {
-	Value float64
-	Error float64
-	Age   time.Duration
-	Heard float64
-}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -28,6 +29,7 @@
 	Trials    int         // changes of a count, and of the list
 	Timeout   strict.Span // for a change to be known to all
 	LateBound strict.Span `toml:"late_bound"` // beyond which the generator's tick counts as late
+	Faults    []Fault     `toml:"fault"`      // one after the other, after the measurement without them
 	Mute      []int       // members that are broken on purpose: they never publish anything
 	Expect    Expect
 }
@@ -47,10 +49,18 @@
 	maxReal    = 16
 	maxServers = 100000
 	maxTrials  = 4
+	maxFaults  = 12 // with the trials: the marked count triples at each
 	maxWorkers = 64
 	perWorker  = 1000 // hollow members of a process, unless the plan says how many processes there are
 )
 
+// Spans of faults.
+const (
+	minFaultSpan       = strict.Span(time.Second)
+	defaultFaultSpan   = strict.Span(20 * time.Second)
+	defaultRestartSpan = strict.Span(time.Minute)
+)
+
 // DefaultPlan returns a small run; its expectations are the operators' ceilings for one proxy.
 func DefaultPlan() *Plan {
 	return &Plan{Name: "default", Seed: 1, Hollow: 200, Real: 3, Regions: 3, Zones: 10, Servers: 1000, Keys: 100,
@@ -110,9 +120,17 @@
 			return f.Wrong(v.key, "%s", v.text)
 		}
 	}
-	return nil
+	if len(p.Faults) > maxFaults {
+		return f.Wrong(fmt.Sprintf("fault[%d]", maxFaults), "there are more than %d", maxFaults)
+	}
+	return p.checkFaults(f)
 }
 
+// zoneOf and regionOf spread members over zones, and zones over regions.
+func (p *Plan) zoneOf(member int) int { return member % p.Zones }
+
+func (p *Plan) regionOf(zone int) int { return zone % p.Regions }
+
 // split spreads members over worker processes. Where there are several their sizes differ, from half of the mean to
 // one and a half, so that what a member adds is the slope over the members of a process.
 func (p *Plan) split(members int) []int {
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	_ "embed"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -194,8 +191,8 @@
 	return p.report, p.err
 }
 
-// await waits until all sharing proxies show the marked count, and returns the times at which they did.
-func (p *realProxies) await(ctx context.Context, threshold float64, timeout time.Duration) []int64 {
+// await waits until the sums of all sharing proxies lie within bounds, and returns the times at which they did.
+func (p *realProxies) await(ctx context.Context, sums []SumBound, timeout time.Duration) []int64 {
 	known := make([]int64, len(p.statuses))
 	missing := len(known)
 	for limit := time.Now().Add(timeout); missing > 0 && time.Now().Before(limit); {
@@ -204,7 +201,7 @@
 				continue
 			}
 			status, err := readStatus(ctx, address)
-			if err == nil && status.value(markedName) >= threshold {
+			if err == nil && status.isWithin(sums) {
 				known[i] = time.Now().UnixNano()
 				missing--
 			}
@@ -218,37 +215,29 @@
 
 // proxyStatus is the part of a proxy's status that the run reads.
 type proxyStatus struct {
-	Counts []struct {
-		Name string
-		Held float64
+	Sums []struct {
+		Name  string
+		Value float64
 	}
 }
 
-func readStatus(ctx context.Context, address string) (proxyStatus, error) {
-	var status proxyStatus
-	ctx, cancel := context.WithTimeout(ctx, statusWait)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", nil)
-	if err != nil {
-		return status, err
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return status, err
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return status, errors.New(answer.Status)
-	}
-	return status, json.NewDecoder(answer.Body).Decode(&status)
+func readStatus(ctx context.Context, address string) (status proxyStatus, err error) {
+	return status, readJSON(ctx, address, &status)
+}
+
+func (s proxyStatus) isWithin(sums []SumBound) bool {
+	return !slices.ContainsFunc(sums, func(bound SumBound) bool {
+		value := s.value(bound.Name)
+		return value < bound.AtLeast || value > bound.AtMost
+	})
 }
 
 // value returns the sum of a name of a listener, 0 if the proxy has none.
 func (s proxyStatus) value(name string) float64 {
 	key := listenerKey(name)
-	for _, sum := range s.Counts {
+	for _, sum := range s.Sums {
 		if sum.Name == name || sum.Name == key {
-			return sum.Held
+			return sum.Value
 		}
 	}
 	return 0
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gonum.org/v1/gonum/stat"
+
+	"chalkferry/internal/aggregation"
 )
 
 // Report is what a run has measured. Figures of hollow members, of stand-ins and of real processes are kept apart.
@@ -38,16 +40,18 @@
 	StartedIn   float64 `json:"started_in_seconds"`
 	Interrupted string  `json:"interrupted_while,omitempty"`
 
-	Member      MemberUsage `json:"hollow_member"` // one of them, by the slope over members of a process
-	Discovery   RoleUsage   `json:"stand_in_discovery"`
-	RealProxy   *RealUsage  `json:"real_proxy,omitempty"`
-	WorkerBytes uint64      `json:"workers_resident_bytes"` // all together
+	Member      MemberUsage        `json:"hollow_member"` // one of them, by the slope over members of a process
+	Discovery   RoleUsage          `json:"stand_in_discovery"`
+	Aggregators []AggregatorReport `json:"aggregators"`
+	RealProxy   *RealUsage         `json:"real_proxy,omitempty"`
+	WorkerBytes uint64             `json:"workers_resident_bytes"` // all together
 
-	Sum                  Sums     `json:"sum"` // of the count that all members hold
-	CountChanges         []Spread `json:"count_changes"`
-	RealChanges          []Spread `json:"count_changes_at_real_proxies,omitempty"`
-	ListChanges          []Spread `json:"list_changes"`
-	SettingsMicroseconds float64  `json:"settings_read_microseconds"` // one member's reading, without any way of them to it
+	Sum                  Sums          `json:"sum"` // of the count that all members hold
+	CountChanges         []Spread      `json:"count_changes"`
+	RealChanges          []Spread      `json:"count_changes_at_real_proxies,omitempty"`
+	ListChanges          []Spread      `json:"list_changes"`
+	Faults               []FaultReport `json:"faults,omitempty"`
+	SettingsMicroseconds float64       `json:"settings_read_microseconds"` // one member's reading, without any way of them to it
 
 	Lateness Lateness `json:"generator_lateness"`
 	Void     bool     `json:"void"` // the generator was late: no figure of this step counts
@@ -167,7 +171,7 @@
 	return Spread{Members: len(known), Known: len(took), Half: quantile(0.5), P99: quantile(0.99), All: quantile(1)}
 }
 
-func readSums(sums []sharedFigure, truth float64) Sums {
+func newSums(sums []aggregation.Figure, truth float64) Sums {
 	s := Sums{True: truth, Least: math.Inf(1), LeastHeard: 1}
 	values := make([]float64, len(sums))
 	for i, sum := range sums {
@@ -256,6 +260,7 @@
 	fail(s.started != s.Hollow, "%d of %d hollow members run", s.started, s.Hollow)
 	fail(s.watching != s.Hollow, "%d of %d hollow members watch the list", s.watching, s.Hollow)
 	fail(s.silent > 0, "%d hollow members have sent nothing", s.silent)
+	s.judgeFaults(e, fail)
 	m := &s.Member
 	fail(e.CPUShare > 0 && m.CPUShare > e.CPUShare, "a hollow member takes %.2f%% of a core, %.2f%% are allowed", 100*m.CPUShare, 100*e.CPUShare)
 	fail(e.MemoryMB > 0 && m.MemoryBytes > e.MemoryMB*(1<<20), "a hollow member takes %.1f MB, %.1f are allowed", m.MemoryBytes/(1<<20), e.MemoryMB)
@@ -279,6 +284,18 @@
 	}
 }
 
+// judgeFaults judges how far a change was known while a fault lasted, and whether all sums were right after its end.
+func (s *StepReport) judgeFaults(e *Expect, fail func(bad bool, format string, args ...any)) {
+	for _, f := range s.Faults {
+		bound := e.Known99.D().Seconds()
+		fail(bound > 0 && (f.Change.P99 < 0 || f.Change.P99 > bound), "%s: a change of a count known to 99 in 100 after %.1f s, %.1f are allowed",
+			f.Kind, f.Change.P99, bound)
+		fail(f.Recovery.Known < f.Recovery.Members, "%s: the sums of %d of %d members are right after its end", f.Kind, f.Recovery.Known, f.Recovery.Members)
+		bytes := f.Member.BytesIn + f.Member.BytesOut
+		fail(e.BytesPerSecond > 0 && bytes > e.BytesPerSecond, "%s: a hollow member has %.0f bytes a second, %.0f are allowed", f.Kind, bytes, e.BytesPerSecond)
+	}
+}
+
 // finish fits lines over the steps.
 func (r *Report) finish() {
 	var steps []*StepReport
@@ -365,6 +382,7 @@
 	}
 	fmt.Fprintf(to, "  sum over the fleet  %.0f held, members say %.0f to %.0f, median %.0f; age to %.1f s, heard from %.0f%%\n",
 		s.Sum.True, s.Sum.Least, s.Sum.Most, s.Sum.Median, s.Sum.MostAge, 100*s.Sum.LeastHeard)
+	printAggregators(to, "  ", s.Aggregators)
 	for i, c := range s.CountChanges {
 		fmt.Fprintf(to, "  change %d of a count  %v\n", i+1, c)
 	}
@@ -374,6 +392,9 @@
 	for i, c := range s.ListChanges {
 		fmt.Fprintf(to, "  change %d of the list %v\n", i+1, c)
 	}
+	for i := range s.Faults {
+		s.Faults[i].print(to)
+	}
 	fmt.Fprintf(to, "  settings read in %.0f us a member; no mechanism brings them to it\n", s.SettingsMicroseconds)
 	fmt.Fprintf(to, "  generator late at %d of %d ticks, worst p99 %.1f ms, max %.1f ms\n", s.Lateness.Late, s.Lateness.Ticks, s.Lateness.P99, s.Lateness.Max)
 	for _, text := range s.Failed {
@@ -381,6 +402,22 @@
 	}
 }
 
+func printAggregators(to io.Writer, indent string, reports []AggregatorReport) {
+	for _, a := range reports {
+		fmt.Fprintf(to, "%s%s (%s)  %.1f%% of a core  %.1f MB  in %.0f B/s %.0f packets/s  out %.0f B/s %.0f packets/s  %d members, %d fresh, %d keys; dropped %d in its queue, %d in the kernel\n",
+			indent, a.Name, a.Region, 100*a.CPUShare, a.MemoryMB, a.BytesIn, a.PacketsIn, a.BytesOut, a.PacketsOut, a.Members, a.Fresh, a.Keys, a.QueueFull, a.SocketDropped)
+	}
+}
+
+func (f *FaultReport) print(to io.Writer) {
+	fmt.Fprintf(to, "  fault %s, %.1f s\n", f.Kind, f.Seconds)
+	fmt.Fprintf(to, "    change of a count meanwhile %v; %d members cut off\n", f.Change, f.CutOff)
+	fmt.Fprintf(to, "    sums at its end: %.0f held, members say %.0f to %.0f, median %.0f; %d members restarted\n", f.Sum.True, f.Sum.Least, f.Sum.Most, f.Sum.Median, f.Restarts)
+	fmt.Fprintf(to, "    sums right after its end: %v\n", f.Recovery)
+	fmt.Fprintf(to, "    hollow member %.3f%% of a core, in %.0f B/s, out %.0f B/s\n", 100*f.Member.CPUShare, f.Member.BytesIn, f.Member.BytesOut)
+	printAggregators(to, "    ", f.Aggregators)
+}
+
 func (s Spread) String() string {
 	text := func(seconds float64) string {
 		if seconds < 0 {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -6,12 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand"
 	"net"
 	"os"
 	"path/filepath"
 	"sync"
 	"time"
+
+	"chalkferry/internal/aggregation"
 )
 
 // Options say how a run is done.
@@ -67,17 +70,16 @@
 	first    []int // member of each worker
 	address  string
 	revision uint64
-	marker   int
-	marked   uint32
+	marks    map[int]uint32 // what members hold of the marked count
+	marked   uint32         // the sum of it
 	report   *StepReport
 
-	real         *realProxies // nil without
-	realFiles    []string
-	realStatuses []string
+	aggregators *fleetOfAggregators
+	real        *realProxies // nil without
 }
 
 func runStep(ctx context.Context, p *Plan, o Options, hollow int) (report *StepReport, err error) {
-	r := &run{plan: p, options: o, hollow: hollow, rng: rand.New(rand.NewSource(p.Seed)), revision: 1,
+	r := &run{plan: p, options: o, hollow: hollow, rng: rand.New(rand.NewSource(p.Seed)), revision: firstRevision, marks: map[int]uint32{},
 		report: &StepReport{Hollow: hollow, Real: p.Real, Estimate: p.Need(hollow)}}
 	if r.folder, err = os.MkdirTemp("", "chalkferry-scale-"); err != nil {
 		return nil, err
@@ -91,6 +93,7 @@
 		do   func(context.Context) error
 	}{
 		{"starts processes", r.startProcesses},
+		{"starts aggregators", r.startAggregators},
 		{"starts members", r.startMembers},
 		{"starts real proxies", r.startReal},
 		{"settles", func(ctx context.Context) error { return sleep(ctx, p.Settle.D()) }},
@@ -98,6 +101,7 @@
 		{"changes counts", r.changeCounts},
 		{"changes the list", r.changeList},
 		{"reads settings", r.applySettings},
+		{"has faults", r.runFaults},
 		{"ends real proxies", r.endReal},
 		{"looks at its own lateness", r.measureLateness},
 	} {
@@ -141,6 +145,16 @@
 	if r.list != nil {
 		r.list.stop()
 	}
+	if r.aggregators != nil {
+		r.aggregators.close()
+	}
+}
+
+func (r *run) startAggregators(ctx context.Context) (err error) {
+	if r.aggregators, err = prepareAggregators(r.plan, r.options.Program, r.folder); err != nil {
+		return err
+	}
+	return r.aggregators.start(ctx)
 }
 
 func sleep(ctx context.Context, span time.Duration) error {
@@ -190,10 +204,7 @@
 	if err != nil {
 		return err
 	}
-	specs, err := r.memberSpecs()
-	if err != nil {
-		return err
-	}
+	specs := r.memberSpecs()
 	settings, err := memberSettings(r.hollow, r.plan.Zones)
 	if err != nil {
 		return err
@@ -212,32 +223,18 @@
 	return nil
 }
 
-// memberSpecs writes the members' files.
-func (r *run) memberSpecs() ([]MemberSpec, error) {
-	addresses := flatAddresses(r.hollow + r.plan.Real)
+// memberSpecs places the hollow members.
+func (r *run) memberSpecs() []MemberSpec {
 	specs := make([]MemberSpec, r.hollow)
 	for i := range specs {
-		file := filepath.Join(r.folder, fmt.Sprintf("member-%d.toml", i))
-		if err := os.WriteFile(file, flatFile(i, addresses, ""), 0o600); err != nil {
-			return nil, err
-		}
-		specs[i] = MemberSpec{ID: i, Fleet: file}
+		zone := r.plan.zoneOf(i)
+		region := r.plan.regionOf(zone)
+		specs[i] = MemberSpec{ID: i, Name: fmt.Sprintf("hollow-%d", i), Region: region, Zone: zone, Aggregators: r.aggregators.of(region)}
 	}
 	for _, id := range r.plan.Mute {
 		specs[id].Mute = true
 	}
-	for i := range r.plan.Real {
-		status, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		file := filepath.Join(r.folder, fmt.Sprintf("real-%d.toml", i))
-		if err := os.WriteFile(file, flatFile(r.hollow+i, addresses, status), 0o600); err != nil {
-			return nil, err
-		}
-		r.realFiles, r.realStatuses = append(r.realFiles, file), append(r.realStatuses, status)
-	}
-	return specs, nil
+	return specs
 }
 
 // freeAddress finds a port that nothing listens at.
@@ -251,9 +248,24 @@
 }
 
 func (r *run) startReal(ctx context.Context) (err error) {
-	if r.plan.Real > 0 {
-		r.real, err = startReal(ctx, r.options.Program, r.realFiles, r.realStatuses, r.plan.Seed)
+	if r.plan.Real == 0 {
+		return nil
+	}
+	var files, statuses []string
+	for i := range r.plan.Real {
+		status, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		zone := r.plan.zoneOf(i)
+		file := filepath.Join(r.folder, fmt.Sprintf("real-%d.toml", i))
+		text := r.aggregators.memberFile(fmt.Sprintf("real-%d", i), r.plan.regionOf(zone), zone, status)
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			return err
+		}
+		files, statuses = append(files, file), append(statuses, status)
 	}
+	r.real, err = startReal(ctx, r.options.Program, files, statuses, r.plan.Seed)
 	return err
 }
 
@@ -303,8 +315,21 @@
 	return usages, nil
 }
 
+// measureAll measures list service, workers and aggregators on one side of a window.
+func (r *run) measureAll(ctx context.Context, isBefore bool) ([]*Usage, []aggregatorUsage, error) {
+	var aggregators []aggregatorUsage
+	if isBefore {
+		aggregators = r.aggregators.usage(ctx, true)
+	}
+	usages, err := r.measure()
+	if !isBefore {
+		aggregators = r.aggregators.usage(ctx, false)
+	}
+	return usages, aggregators, err
+}
+
 func (r *run) measureCalm(ctx context.Context) error {
-	before, err := r.measure()
+	before, aggregatorsBefore, err := r.measureAll(ctx, true)
 	if err != nil {
 		return err
 	}
@@ -315,11 +340,11 @@
 	if err := sleep(ctx, r.plan.For.D()); err != nil {
 		return err
 	}
-	after, err := r.measure()
+	realAfter, err := r.measureReal()
 	if err != nil {
 		return err
 	}
-	realAfter, err := r.measureReal()
+	after, aggregatorsAfter, err := r.measureAll(ctx, false)
 	if err != nil {
 		return err
 	}
@@ -328,16 +353,21 @@
 		r.report.RealProxy.measure(realBefore, realAfter)
 	}
 	r.report.calm(before, after)
+	r.report.Aggregators = r.aggregators.report(aggregatorsBefore, aggregatorsAfter)
+	r.report.Sum, err = r.readSums()
+	return err
+}
+
+func (r *run) readSums() (Sums, error) {
 	replies, err := askAll(r.workers, func(int) Request { return Request{Sums: &ReadSums{}} })
 	if err != nil {
-		return err
+		return Sums{}, err
 	}
-	var sums []sharedFigure
+	var sums []aggregation.Figure
 	for _, reply := range replies {
 		sums = append(sums, reply.Sums...)
 	}
-	r.report.Sum = readSums(sums, float64(r.hollow)*commonHeld)
-	return nil
+	return newSums(sums, float64(r.hollow)*commonHeld), nil
 }
 
 func (r *run) measureReal() (realUsage, error) {
@@ -358,46 +388,61 @@
 	return r.workers[at]
 }
 
-// await has all workers wait for a change, and makes the change once they do.
-func (r *run) await(ctx context.Context, request AwaitChange, change func() (at int64, err error)) (hollow, real Spread, err error) {
+// await makes a change and has all workers wait until their members know of it, real proxies too where it is a sum's.
+func (r *run) await(ctx context.Context, request AwaitChange, change func() (at int64, err error)) (hollow, real Spread, skipped int, err error) {
 	at, err := change()
 	if err != nil {
-		return hollow, real, err
+		return hollow, real, 0, err
 	}
-	request.Timeout = r.plan.Timeout.D()
 	knownReal := make(chan []int64, 1)
 	go func() {
 		if r.real == nil || request.Revision > 0 { // real ones watch a list of their own
 			knownReal <- nil
 			return
 		}
-		knownReal <- r.real.await(ctx, request.Threshold, request.Timeout)
+		knownReal <- r.real.await(ctx, request.Sums, request.Timeout)
 	}()
 	replies, err := askAll(r.workers, func(int) Request { return Request{Await: &request} })
 	real = newSpread(at, <-knownReal)
 	if err != nil {
-		return hollow, real, err
+		return hollow, real, 0, err
 	}
 	var known []int64
 	for _, reply := range replies {
 		known = append(known, reply.Known...)
+		skipped += reply.Skipped
 	}
-	return newSpread(at, known), real, nil
+	return newSpread(at, known), real, skipped, nil
 }
 
-// markGrowth is the factor between the values of the marked count: a change of nearly all that it is.
-const markGrowth = 100
+// Changes of the marked count: each makes its sum so many times what it was, far beyond the share that aggregators send
+// at once. Half of the members that held some of it before may just be starting again.
+const (
+	firstMark     = 10
+	markGrowth    = 3
+	seenFromShare = 0.4 // of the growth, for the change to be known
+)
+
+// changeCount has a member hold more of the marked count, and waits until all members that are not skipped know.
+func (r *run) changeCount(ctx context.Context, marker int, skipZones []int, timeout time.Duration) (hollow, real Spread, skipped int, err error) {
+	was := r.marked
+	grows := uint32(firstMark)
+	if was > 0 {
+		grows = (markGrowth - 1) * was
+	}
+	r.marked += grows
+	r.marks[marker] += grows
+	bound := SumBound{Name: markedName, AtLeast: float64(was) + seenFromShare*float64(grows), AtMost: math.MaxFloat64}
+	return r.await(ctx, AwaitChange{Sums: []SumBound{bound}, SkipZones: skipZones, Timeout: timeout}, func() (int64, error) {
+		reply, err := r.workerOf(marker).ask(Request{Publish: &PublishMark{Member: marker, Value: r.marks[marker]}})
+		return reply.At, err
+	})
+}
 
 func (r *run) changeCounts(ctx context.Context) error {
-	r.marker = r.rng.Intn(r.hollow)
+	marker := r.markerBeside(Fault{})
 	for range r.plan.Trials {
-		was := r.marked
-		r.marked = max(markGrowth, was*markGrowth)
-		request := AwaitChange{Threshold: (float64(was) + float64(r.marked)) / 2}
-		spread, real, err := r.await(ctx, request, func() (int64, error) {
-			reply, err := r.workerOf(r.marker).ask(Request{Publish: &PublishMark{Member: r.marker, Value: r.marked}})
-			return reply.At, err
-		})
+		spread, real, _, err := r.changeCount(ctx, marker, nil, r.plan.Timeout.D())
 		if err != nil {
 			return err
 		}
@@ -419,7 +464,7 @@
 		if n%2 == 1 {
 			phase = "ready"
 		}
-		spread, _, err := r.await(ctx, AwaitChange{Revision: r.revision}, func() (int64, error) {
+		spread, _, _, err := r.await(ctx, AwaitChange{Revision: r.revision, Timeout: r.plan.Timeout.D()}, func() (int64, error) {
 			reply, err := r.list.ask(Request{Change: &ChangeList{Server: 0, Phase: phase}})
 			return reply.At, err
 		})
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -3,13 +3,17 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"chalkferry/internal/load"
+	"chalkferry/internal/sharing"
 	"chalkferry/internal/strict"
 )
 
@@ -40,6 +44,13 @@
 		"[expect]\nmemory_mb = -1.0\n":     "plan.toml:2: expect.memory_mb",
 		"[expect]\nmemory = 1.0\n":         "plan.toml:2: unknown key",
 		"hollow = 30\n[[fault]]\nat = 3\n": "unknown key",
+		"[[fault]]\nkind = \"lossy\"\nfor = \"5s\"\nshare = 0.05\n":                 "",
+		"[[fault]]\nkind = \"flood\"\nfor = \"5s\"\n":                               "plan.toml:2: fault[0].kind",
+		"[[fault]]\nkind = \"lossy\"\nfor = \"5s\"\n":                               "fault[0].share",
+		"[[fault]]\nkind = \"zone-cut\"\nfor = \"5s\"\nzone = 10\n":                 "plan.toml:4: fault[0].zone",
+		"[[fault]]\nkind = \"start-all\"\nfor = \"5s\"\nregion = 1\n":               "plan.toml:4: fault[0].region",
+		"[[fault]]\nkind = \"aggregator-kill\"\nfor = \"5s\"\naggregator = 6\n":     "plan.toml:4: fault[0].aggregator",
+		"[[fault]]\nkind = \"aggregator-freeze\"\nfor = \"10ms\"\naggregator = 5\n": "plan.toml:3: fault[0].for",
 	} {
 		_, err := LoadPlan(writePlan(t, text))
 		var wrong *strict.Error
@@ -151,6 +162,7 @@
 	all := Spread{Members: 10, Known: 10, Half: 1, P99: 2, All: 3}
 	return &StepReport{Hollow: 10, started: 10, watching: 10, CountChanges: []Spread{all}, ListChanges: []Spread{all},
 		Member: MemberUsage{CPUShare: 0.001, MemoryBytes: 1 << 20, BytesIn: 100, BytesOut: 100},
+		Faults: []FaultReport{{Fault: Fault{Kind: FaultLossy}, Change: all, Recovery: all}},
 		Sum:    Sums{True: 70, Least: 70, Most: 70}, RealProxy: &RealUsage{With: 1, Without: 1}}
 }
 
@@ -158,19 +170,22 @@
 func TestJudge(t *testing.T) {
 	p := DefaultPlan()
 	for name, spoil := range map[string]func(*StepReport){
-		"":                     func(*StepReport) {},
-		"run":                  func(s *StepReport) { s.started = 9 },
-		"watch the list":       func(s *StepReport) { s.watching = 9 },
-		"sent nothing":         func(s *StepReport) { s.silent = 1 },
-		"of a core":            func(s *StepReport) { s.Member.CPUShare = 0.0141 },
-		"MB, 32.0":             func(s *StepReport) { s.Member.MemoryBytes = 33 << 20 },
-		"bytes a second":       func(s *StepReport) { s.Member.BytesIn = 20000 },
-		"sums are":             func(s *StepReport) { s.Sum.Least = 63 },
-		"known to 9 of 10":     func(s *StepReport) { s.CountChanges[0].Known = 9 },
-		"18s is allowed":       func(s *StepReport) { s.ListChanges[0].P99 = 18.1 },
-		"after -1.0 s":         func(s *StepReport) { s.ListChanges[0].P99 = -1 },
-		"broke 2 rules":        func(s *StepReport) { s.RealProxy.RulesBroken = 2 },
-		"for its shared state": func(s *StepReport) { s.RealProxy.MemoryMB = 33 },
+		"":                           func(*StepReport) {},
+		"run":                        func(s *StepReport) { s.started = 9 },
+		"watch the list":             func(s *StepReport) { s.watching = 9 },
+		"sent nothing":               func(s *StepReport) { s.silent = 1 },
+		"of a core":                  func(s *StepReport) { s.Member.CPUShare = 0.0141 },
+		"MB, 32.0":                   func(s *StepReport) { s.Member.MemoryBytes = 33 << 20 },
+		"bytes a second":             func(s *StepReport) { s.Member.BytesIn = 20000 },
+		"sums are":                   func(s *StepReport) { s.Sum.Least = 63 },
+		"known to 9 of 10":           func(s *StepReport) { s.CountChanges[0].Known = 9 },
+		"18s is allowed":             func(s *StepReport) { s.ListChanges[0].P99 = 18.1 },
+		"after -1.0 s":               func(s *StepReport) { s.ListChanges[0].P99 = -1 },
+		"broke 2 rules":              func(s *StepReport) { s.RealProxy.RulesBroken = 2 },
+		"lossy: a change":            func(s *StepReport) { s.Faults[0].Change.P99 = -1 },
+		"lossy: the sums of 9 of 10": func(s *StepReport) { s.Faults[0].Recovery.Known = 9 },
+		"lossy: a hollow member has": func(s *StepReport) { s.Faults[0].Member.BytesIn = 20001 },
+		"for its shared state":       func(s *StepReport) { s.RealProxy.MemoryMB = 33 },
 	} {
 		s := goodStep()
 		spoil(s)
@@ -213,3 +228,100 @@
 		t.Errorf("%+v", f)
 	}
 }
+
+// stuckSocket hands out packets that were put into it.
+type stuckSocket struct {
+	sharing.Socket
+	in  [][]byte
+	mu  sync.Mutex // late datagrams are written by goroutines of their own
+	out [][]byte
+}
+
+func (s *stuckSocket) ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error) {
+	if len(s.in) == 0 {
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+	next := s.in[0]
+	s.in = s.in[1:]
+	return copy(buffer, next), loopback, nil
+}
+
+func (s *stuckSocket) WriteToUDPAddrPort(datagram []byte, _ netip.AddrPort) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out = append(s.out, datagram)
+	return len(datagram), nil
+}
+
+// passed returns how many datagrams of 100 in each direction come through, and whether all that came in are in order.
+func passed(t *testing.T, impairment *Impairment) (in, out int, inOrder bool) {
+	t.Helper()
+	n := &network{}
+	n.impairment.Store(impairment)
+	socket, l := &stuckSocket{}, &link{network: n, zone: 2}
+	for i := range 100 {
+		socket.in = append(socket.in, []byte{byte(i)})
+	}
+	wrapped := l.wrap(socket)
+	for range 100 {
+		if _, err := wrapped.WriteToUDPAddrPort([]byte("x"), loopback); err != nil {
+			t.Fatal(err)
+		}
+	}
+	inOrder = true
+	last := -1
+	for buffer := make([]byte, 8); ; in++ {
+		if _, _, err := wrapped.ReadFromUDPAddrPort(buffer); err != nil {
+			break
+		}
+		inOrder = inOrder && int(buffer[0]) >= last
+		last = int(buffer[0])
+	}
+	if l.traffic() != (Traffic{BytesIn: 100, BytesOut: 100, PacketsIn: 100, PacketsOut: 100}) {
+		t.Errorf("counted %+v", l.traffic())
+	}
+	socket.mu.Lock()
+	defer socket.mu.Unlock()
+	return in, len(socket.out), inOrder
+}
+
+// TestLink: a member's socket counts what passes, and loses, doubles, reorders and cuts as it is told.
+func TestLink(t *testing.T) {
+	for name, c := range map[string]struct {
+		impairment *Impairment
+		in, out    int
+		inOrder    bool
+	}{
+		"none":                                   {nil, 100, 100, true},
+		"cut":                                    {&Impairment{CutIn: []int{2}, CutOut: []int{1, 2}}, 0, 0, true},
+		"cut out":                                {&Impairment{CutOut: []int{2}}, 100, 0, true},
+		"cut elsewhere":                          {&Impairment{CutIn: []int{3}, CutOut: []int{3}}, 100, 100, true},
+		"all are lost":                           {&Impairment{Lost: 1}, 0, 0, true},
+		"all are doubled":                        {&Impairment{Doubled: 1}, 200, 200, true},
+		"each second is overtaken, all are late": {&Impairment{Reordered: 1}, 100, 0, false},
+	} {
+		if in, out, inOrder := passed(t, c.impairment); in != c.in || out != c.out || inOrder != c.inOrder {
+			t.Errorf("%s: %d in, %d out, in order %t", name, in, out, inOrder)
+		}
+	}
+	if in, out, _ := passed(t, &Impairment{Lost: 0.5}); in < 10 || in > 90 || out < 10 || out > 90 {
+		t.Errorf("half are lost: %d in, %d out", in, out)
+	}
+}
+
+// TestPlacesOfFaults: a member that is cut off is not asked for a change, and none whose change can't be known makes it.
+func TestPlacesOfFaults(t *testing.T) {
+	p := DefaultPlan() // zones 0, 3, 6, 9 are in region 0, 1, 4, 7 in 1, 2, 5, 8 in 2
+	for _, c := range []struct {
+		kind         FaultKind
+		cut, unheard string
+	}{
+		{FaultZoneCut, "[9]", "[9]"}, {FaultZoneCutOut, "[9]", "[9]"}, {FaultRegionCut, "[2 5 8]", "[2 5 8]"},
+		{FaultRegionCutOut, "[]", "[2 5 8]"}, {FaultLossy, "[]", "[]"}, {FaultStartAll, "[]", "[]"},
+	} {
+		fault, ok := p.NamedFault(string(c.kind))
+		if cut, unheard := fmt.Sprint(p.cutZones(fault)), fmt.Sprint(p.unheardZones(fault)); !ok || cut != c.cut || unheard != c.unheard {
+			t.Errorf("%s: cut off %s, not heard %s", c.kind, cut, unheard)
+		}
+	}
+}
