--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -38,6 +38,7 @@
 	Real        int     `json:"real_proxies"`
 	Estimate    Need    `json:"estimate"`
 	StartedIn   float64 `json:"started_in_seconds"`
+	Phases      []Phase `json:"phases"`
 	Interrupted string  `json:"interrupted_while,omitempty"`
 
 	Member      MemberUsage        `json:"hollow_member"` // one of them, by the slope over members of a process
@@ -63,6 +64,12 @@
 	silent   int
 }
 
+// Phase is a part of a step, and how long it took.
+type Phase struct {
+	Name    string  `json:"name"`
+	Seconds float64 `json:"seconds"`
+}
+
 // MemberUsage is what one hollow member uses.
 type MemberUsage struct {
 	CPUShare         float64 `json:"cpu_share"` // of a core
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -108,7 +108,10 @@
 		if o.Progress != nil {
 			fmt.Fprintf(o.Progress, "\r%s  %d hollow members  %s \x1b[K", p.Name, hollow, phase.name)
 		}
-		if err := phase.do(ctx); err != nil {
+		began := time.Now()
+		err := phase.do(ctx)
+		r.report.Phases = append(r.report.Phases, Phase{phase.name, seconds(time.Since(began))})
+		if err != nil {
 			if ctx.Err() != nil {
 				r.report.Interrupted = phase.name
 			}
