--- a/internal/scale/limits.go
+++ b/internal/scale/limits.go
@@ -23,9 +23,9 @@
 // What a run takes, for the estimate; rounded up from what runs measured (docs/scale.md).
 const (
 	bytesWorker       = 32 << 20
-	bytesHollow       = 256 << 10 // without keys
-	bytesHollowKey    = 64        // of its own
-	bytesSum          = 96        // of each sum, at members and aggregators
+	bytesHollow       = 128 << 10 // without keys
+	bytesHollowKey    = 512       // of its own
+	bytesSum          = 192       // of each sum, at members and aggregators
 	bytesMemberKey    = 32        // of a member, at each aggregator of its region
 	bytesReal         = 96 << 20  // two proxies, one with shared state and one without
 	bytesCoordinator  = 128 << 20
