--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -51,7 +51,12 @@
 	maxTrials  = 4
 	maxFaults  = 12 // with the trials: the marked count triples at each
 	maxWorkers = 64
-	perWorker  = 1000 // hollow members of a process, unless the plan says how many processes there are
+
+	// Hollow members of a process, and processes at least, unless the plan says how many there are: the slope over
+	// processes needs some.
+	perWorker        = 1000
+	minPerWorker     = 20
+	workersForASlope = 3
 )
 
 // Spans of faults.
@@ -136,7 +141,7 @@
 func (p *Plan) split(members int) []int {
 	workers := p.Workers
 	if workers == 0 {
-		workers = (members + perWorker - 1) / perWorker
+		workers = max((members+perWorker-1)/perWorker, min(workersForASlope, members/minPerWorker), 1)
 	}
 	workers = min(workers, members)
 	sizes, left := make([]int, workers), members
