--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -182,6 +182,7 @@
 		"18s is allowed":             func(s *StepReport) { s.ListChanges[0].P99 = 18.1 },
 		"after -1.0 s":               func(s *StepReport) { s.ListChanges[0].P99 = -1 },
 		"broke 2 rules":              func(s *StepReport) { s.RealProxy.RulesBroken = 2 },
+		"of a core for its":          func(s *StepReport) { s.RealProxy.CPUShare = 0.0141 },
 		"lossy: a change":            func(s *StepReport) { s.Faults[0].Change.P99 = -1 },
 		"lossy: the sums of 9 of 10": func(s *StepReport) { s.Faults[0].Recovery.Known = 9 },
 		"lossy: a hollow member has": func(s *StepReport) { s.Faults[0].Member.BytesIn = 20001 },
