--- a/internal/counts/counts.go
+++ b/internal/counts/counts.go
@@ -1,5 +1,5 @@
-// Package counts adds up the logs of many proxies: what happened in each second, where, and how late each
-// proxy learnt of a list.
+// Package counts aggregates the logs of many proxies, for the count command: events by second, dials by server, and how
+// late each revision of the list reached the proxies. It reads logs after the fact and does not judge what it counts.
 package counts
 
 import (
@@ -15,22 +15,23 @@
 	"time"
 )
 
-// Fleet is what the logs of all proxies say.
+// Fleet aggregates the logs of all proxies.
 type Fleet struct {
 	proxies     int
 	first, last time.Time
-	happened    map[string][]time.Time // by what a row of the table is called
+	events      map[string][]time.Time // by the name of a row in the table
 	dials       map[string][]time.Time // by server, of dials that have ended
-	lists       map[string][]entry     // by proxy, in the order of its log
+	lists       map[string][]logLine   // by proxy, in the order of its log
 	Skipped     int                    // lines that are no log lines
 }
 
-// New makes an empty count.
+// New makes an empty aggregate.
 func New() *Fleet {
-	return &Fleet{happened: map[string][]time.Time{}, dials: map[string][]time.Time{}, lists: map[string][]entry{}}
+	return &Fleet{events: map[string][]time.Time{}, dials: map[string][]time.Time{}, lists: map[string][]logLine{}}
 }
 
-type entry struct {
+// logLine is what is read of a line of a proxy's log.
+type logLine struct {
 	Time     time.Time `json:"time"`
 	Side     string    `json:"side"`
 	Reason   string    `json:"reason"`
@@ -42,19 +43,19 @@
 	Revision uint64    `json:"revision"`
 }
 
-// Add reads one proxy's log. Whatever starts it may stand before a line, as a supervisor's own clock does.
+// Add reads one proxy's log. Each line may have a prefix before its JSON, such as a supervisor's time.
 func (f *Fleet) Add(proxy string, log io.Reader) error {
 	f.proxies++
 	lines := bufio.NewScanner(log)
 	lines.Buffer(make([]byte, 0, 16<<10), 1<<20)
 	for lines.Scan() {
-		var e entry
-		at := bytes.IndexByte(lines.Bytes(), '{')
-		if at < 0 || json.Unmarshal(lines.Bytes()[at:], &e) != nil || e.Time.IsZero() {
+		var e logLine
+		brace := bytes.IndexByte(lines.Bytes(), '{')
+		if brace < 0 || json.Unmarshal(lines.Bytes()[brace:], &e) != nil || e.Time.IsZero() {
 			f.Skipped++
 			continue
 		}
-		f.add(proxy, e)
+		f.addLine(proxy, e)
 	}
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("%s: %w", proxy, err)
@@ -62,42 +63,43 @@
 	return nil
 }
 
-// failed are the reasons of dials that brought no session up; those that did end with their client's reason.
-var failed = []string{"unanswered", "unreachable", "full", "error", "drains"}
+// failedDialReasons are the reasons of dials that established no session; the others end with their client's reason.
+var failedDialReasons = []string{"unanswered", "unreachable", "full", "error", "drains"}
 
-func (f *Fleet) add(proxy string, e entry) {
+// addLine counts one line.
+func (f *Fleet) addLine(proxy string, e logLine) {
 	if f.first.IsZero() || e.Time.Before(f.first) {
 		f.first = e.Time
 	}
 	if e.Time.After(f.last) {
 		f.last = e.Time
 	}
-	began := e.Time.Add(-time.Duration(e.Ms * float64(time.Millisecond)))
-	tell := func(kind string, at time.Time) { f.happened[kind] = append(f.happened[kind], at) }
+	start := e.Time.Add(-time.Duration(e.Ms * float64(time.Millisecond)))
+	count := func(kind string, at time.Time) { f.events[kind] = append(f.events[kind], at) }
 	switch {
 	case e.Side == "client" && e.ID != "":
-		tell("came", began)
+		count("came", start)
 		if e.Returned {
-			tell("returned", began)
+			count("returned", start)
 		}
-		tell(e.Reason, e.Time)
+		count(e.Reason, e.Time)
 	case e.Side == "server":
-		f.dials[e.Server] = append(f.dials[e.Server], began)
-		if slices.Contains(failed, e.Reason) {
-			tell(e.Reason, e.Time)
+		f.dials[e.Server] = append(f.dials[e.Server], start)
+		if slices.Contains(failedDialReasons, e.Reason) {
+			count(e.Reason, e.Time)
 		}
 	case e.Message == "list":
-		tell("list", e.Time)
+		count("list", e.Time)
 		f.lists[proxy] = append(f.lists[proxy], e)
 	case e.Message == "the watch of the list failed":
-		tell("list failed", e.Time)
+		count("list failed", e.Time)
 	case strings.Contains(e.Message, "messages late or sessions dropped"):
-		tell("late", e.Time)
+		count("late", e.Time)
 	}
 }
 
-// Lateness is how a revision came to the proxies.
-type Lateness struct {
+// RevisionLateness is how late a revision of the list reached the proxies.
+type RevisionLateness struct {
 	Revision uint64
 	First    time.Duration // since the first line of any log
 	Half     time.Duration // after the first proxy, until half of them had it or a newer one; -1: never
@@ -105,8 +107,8 @@
 	Never    int // proxies that had neither by the end
 }
 
-// Learnt tells of each revision how late the proxies had it. One that starts again from nothing had it before.
-func (f *Fleet) Learnt() (all []Lateness) {
+// ListLateness returns, by revision, how late the proxies had it. A proxy that restarts from nothing had it before.
+func (f *Fleet) ListLateness() (all []RevisionLateness) {
 	revisions := map[uint64]bool{}
 	for _, lists := range f.lists {
 		for _, e := range lists {
@@ -116,12 +118,12 @@
 	for _, revision := range slices.Sorted(maps.Keys(revisions)) {
 		var times []time.Time
 		for _, lists := range f.lists {
-			if i := slices.IndexFunc(lists, func(e entry) bool { return e.Revision >= revision }); i >= 0 {
+			if i := slices.IndexFunc(lists, func(e logLine) bool { return e.Revision >= revision }); i >= 0 {
 				times = append(times, lists[i].Time)
 			}
 		}
 		slices.SortFunc(times, time.Time.Compare)
-		l := Lateness{Revision: revision, First: times[0].Sub(f.first), Half: -1, All: -1, Never: f.proxies - len(times)}
+		l := RevisionLateness{Revision: revision, First: times[0].Sub(f.first), Half: -1, All: -1, Never: f.proxies - len(times)}
 		if half := (f.proxies + 1) / 2; len(times) >= half {
 			l.Half = times[half-1].Sub(times[0])
 		}
@@ -133,13 +135,13 @@
 	return all
 }
 
-// Seconds are the counts of a kind.
-func (f *Fleet) Seconds(kind string) []int { return f.seconds(f.happened[kind]) }
+// PerSecond are the counts of a kind of event, by second.
+func (f *Fleet) PerSecond(kind string) []int { return f.countPerSecond(f.events[kind]) }
 
-// Dials are those that went to a server, by the second in which they began.
-func (f *Fleet) Dials(server string) []int { return f.seconds(f.dials[server]) }
+// DialsPerSecond are the dials to a server, by the second in which they began.
+func (f *Fleet) DialsPerSecond(server string) []int { return f.countPerSecond(f.dials[server]) }
 
-func (f *Fleet) seconds(times []time.Time) []int {
+func (f *Fleet) countPerSecond(times []time.Time) []int {
 	row := make([]int, int(f.last.Sub(f.first)/time.Second)+1)
 	for _, at := range times {
 		row[max(int(at.Sub(f.first)/time.Second), 0)]++
@@ -154,36 +156,36 @@
 	})
 }
 
-// Write prints the counts.
+// Write prints the aggregate.
 func (f *Fleet) Write(out io.Writer) {
 	fmt.Fprintf(out, "%d proxies, %.1f s, %d lines that are no log lines\n", f.proxies, f.last.Sub(f.first).Seconds(), f.Skipped)
-	row := func(name string, counts []int) {
+	printRow := func(name string, counts []int) {
 		fmt.Fprintf(out, "%-14s", name)
 		for _, n := range counts {
 			fmt.Fprintf(out, " %4d", n)
 		}
 		fmt.Fprintln(out)
 	}
-	seconds := f.seconds(nil)
+	seconds := f.countPerSecond(nil)
 	for i := range seconds {
 		seconds[i] = i
 	}
-	row("second", seconds)
-	for _, kind := range slices.Sorted(maps.Keys(f.happened)) {
-		row(kind, f.Seconds(kind))
+	printRow("second", seconds)
+	for _, kind := range slices.Sorted(maps.Keys(f.events)) {
+		printRow(kind, f.PerSecond(kind))
 	}
 	fmt.Fprintln(out, "\ndials by server, of those that have ended")
 	for _, server := range f.Servers() {
-		row(server, f.Dials(server))
+		printRow(server, f.DialsPerSecond(server))
 	}
 	fmt.Fprintln(out, "\nlists: when the first proxy had it, how much later half and all had it or a newer one")
-	for _, l := range f.Learnt() {
-		fmt.Fprintf(out, "revision %-6d %7.2f s  half %s  all %s  never %d\n", l.Revision, l.First.Seconds(), span(l.Half),
-			span(l.All), l.Never)
+	for _, l := range f.ListLateness() {
+		fmt.Fprintf(out, "revision %-6d %7.2f s  half %s  all %s  never %d\n", l.Revision, l.First.Seconds(), formatDelay(l.Half),
+			formatDelay(l.All), l.Never)
 	}
 }
 
-func span(d time.Duration) string {
+func formatDelay(d time.Duration) string {
 	if d < 0 {
 		return "never"
 	}
--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -126,7 +126,7 @@
 			c.chunk("{\"revision\":1}\n{\"revision\":2,")
 		},
 	} {
-		for second, half := range map[string]string{"no word": "", "half a header": head[:20]} {
+		for second, half := range map[string]string{"no word": "", "half a header": head[:20], "a header alone": head} {
 			t.Run(name+", then "+second, func(t *testing.T) {
 				t.Parallel()
 				w, calls, told := watched(t, time.Minute)
@@ -163,7 +163,7 @@
 	w.Watch(1)
 	<-calls
 	began := time.Now()
-	hear(t, told, "failed: "+errLate.Error(), answer+time.Second)
+	hear(t, told, "failed: "+ErrUnanswered.Error(), answer+time.Second)
 	if took := time.Since(began); took < answer-100*time.Millisecond {
 		t.Errorf("given up after %v", took)
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -15,7 +15,7 @@
 const ms = time.Millisecond
 
 // stalls is a server on a clock of the test's own: it serves one call after another, each in a millisecond, and
-// stands still for a while.
+// stalls for a while.
 type stalls struct {
 	free, from, to time.Duration
 }
@@ -29,7 +29,7 @@
 	return s.free
 }
 
-// A server that stands still for 200 ms is seen in the p99 of each window that the stall reaches into when latencies
+// A server that stalls for 200 ms is seen in the p99 of each window that the stall reaches into when latencies
 // are counted from the schedule. A generator that waits for each answer, and counts from when it sends, hides it.
 func TestStallIsSeen(t *testing.T) {
 	const every, span = 4 * ms, 100 * ms
@@ -52,10 +52,10 @@
 			t.Errorf("window from %v ms: p99 %v ms", w.FromMs, w.P99)
 		}
 	}
-	if f := open.Figures(); f.P90 < 50 || f.Max < 195 {
+	if f := open.Summary(); f.P90 < 50 || f.Max < 195 {
 		t.Errorf("the open loop shows %+v", f)
 	}
-	if f := waiting.Figures(); f.P99 > 5 {
+	if f := waiting.Summary(); f.P99 > 5 {
 		t.Errorf("the waiting generator was to hide the stall, it shows %+v", f)
 	}
 }
@@ -72,9 +72,9 @@
 			if i < c.late {
 				by = 50 * ms
 			}
-			l.Sent(by)
+			l.Record(by)
 		}
-		if n, tooMany, all := l.Late(); int(n) != c.late || tooMany != c.want || all.N != int64(c.of) {
+		if n, tooMany, all := l.Result(); int(n) != c.late || tooMany != c.want || all.N != int64(c.of) {
 			t.Errorf("%+v: %d, %v, %+v", c, n, tooMany, all)
 		}
 	}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -17,17 +17,17 @@
 	"chalkferry/internal/standin/judge"
 )
 
-// TestMain is also the wicked proxy: the test's own program, started as one by a name that says what it does wrong.
+// TestMain is also the faulty proxy: the test's own program, started as one by a name that says what it does wrong.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 2 && os.Args[1] == "serve" {
-		wicked(filepath.Base(os.Args[0]), os.Args[2])
+		faultyProxy(filepath.Base(os.Args[0]), os.Args[2])
 	}
 	os.Exit(m.Run())
 }
 
-// wicked is a proxy that places by no rule and breaks the one that it is named for.
-func wicked(how, file string) {
-	var told struct {
+// faultyProxy is a proxy that places by no rule and breaks the one that it is named for.
+func faultyProxy(how, file string) {
+	var config struct {
 		Listen, Discovery string
 		Known             struct {
 			Members []struct {
@@ -36,16 +36,16 @@
 		}
 	}
 	text, _ := os.ReadFile(file)
-	if json.Unmarshal(text, &told) != nil {
+	if json.Unmarshal(text, &config) != nil {
 		os.Exit(3)
 	}
-	go func() { // it is told of changes, and does nothing about them
-		if answer, err := http.Get("http://" + told.Discovery + "/api/targets?watch=1&after=1"); err == nil {
+	go func() { // it receives changes, and does nothing about them
+		if answer, err := http.Get("http://" + config.Discovery + "/api/targets?watch=1&after=1"); err == nil {
 			for lines := bufio.NewScanner(answer.Body); lines.Scan(); {
 			}
 		}
 	}()
-	l, err := net.Listen("tcp", told.Listen)
+	l, err := net.Listen("tcp", config.Listen)
 	if err != nil {
 		os.Exit(4)
 	}
@@ -54,16 +54,17 @@
 		if err != nil {
 			os.Exit(5)
 		}
-		nodes := told.Known.Members
+		nodes := config.Known.Members
 		at := n
 		if how == "cold" || how == "drain" {
 			at = 0
 		}
-		go mistreat(how, c, nodes[at%len(nodes)].HostPort, nodes[(at+1)%len(nodes)].HostPort)
+		go handleFaulty(how, c, nodes[at%len(nodes)].HostPort, nodes[(at+1)%len(nodes)].HostPort)
 	}
 }
 
-func mistreat(how string, c net.Conn, first, second string) {
+// handleFaulty serves one client of the faulty proxy.
+func handleFaulty(how string, c net.Conn, first, second string) {
 	defer c.Close()
 	lines := bufio.NewReader(c)
 	open, err := lines.ReadString('\n')
@@ -158,7 +159,7 @@
 rate = 20
 %s`
 
-// Each rule broken on the sockets by a wicked proxy is found; the same proxy that breaks none is not blamed.
+// Each rule broken on the sockets by a faulty proxy is found; the same proxy that breaks none is not blamed.
 func TestWickedProxies(t *testing.T) {
 	drain := "[[fault]]\nkind = \"drain\"\nat = \"200ms\"\nfor = \"2s\"\nnodes = [0]\n"
 	restart := "[[fault]]\nkind = \"restart\"\nat = \"100ms\"\nnodes = [0]\n"
@@ -168,16 +169,16 @@
 	}{
 		{"kind", "repeatable", "", "", ""},
 		{"kind", "once-only", "", "", ""},
-		{"silent", "repeatable", "", "", judge.Lost},
-		{"two-answers", "repeatable", "", "", judge.Lost},
-		{"made-up", "repeatable", "", "", judge.Lost},
-		{"gives-up", "repeatable", "", "", judge.Lost},
-		{"cuts-off", "repeatable", "", "", judge.Lost},
-		{"holds-back", "repeatable", "", "", judge.Lost},
-		{"two-dials", "repeatable", "", "", judge.Twice},
-		{"again", "once-only", "", "", judge.Twice},
-		{"drain", "repeatable", drain, "", judge.Drain},
-		{"cold", "repeatable", restart, "sessions_per_core = 4", judge.Cold},
+		{"silent", "repeatable", "", "", judge.SessionLost},
+		{"two-answers", "repeatable", "", "", judge.SessionLost},
+		{"made-up", "repeatable", "", "", judge.SessionLost},
+		{"gives-up", "repeatable", "", "", judge.SessionLost},
+		{"cuts-off", "repeatable", "", "", judge.SessionLost},
+		{"holds-back", "repeatable", "", "", judge.SessionLost},
+		{"two-dials", "repeatable", "", "", judge.DuplicateEffect},
+		{"again", "once-only", "", "", judge.DuplicateEffect},
+		{"drain", "repeatable", drain, "", judge.DrainIgnored},
+		{"cold", "repeatable", restart, "sessions_per_core = 4", judge.ColdNodeOverloaded},
 	} {
 		t.Run(c.how+" "+c.effect, func(t *testing.T) {
 			t.Parallel()
@@ -196,7 +197,7 @@
 				t.Fatalf("%q was not found: %v, %v, %+v, %+v", c.rule, r.RuleCounts, r.Failed, r.Clients, r.Samples)
 			}
 			for _, b := range r.Rules {
-				if b.Rule == c.rule && c.rule != judge.Cold && (b.Session == "" || b.AtMs <= 0) {
+				if b.Rule == c.rule && c.rule != judge.ColdNodeOverloaded && (b.Session == "" || b.AtMs <= 0) {
 					t.Errorf("no session or time: %v", b)
 				}
 			}
@@ -252,7 +253,7 @@
 	}
 }
 
-// A program that does not serve is told with its last words, and nothing is left.
+// A program that does not serve is reported with the end of its log, and no process is left.
 func TestNoProxy(t *testing.T) {
 	s, err := Parse("small.toml", fmt.Appendf(nil, small, "2s", "", "repeatable", ""))
 	if err != nil {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -141,7 +141,7 @@
 			if i < c.late {
 				by = 2 * p.LateBound.D()
 			}
-			lateness.Sent(by)
+			lateness.Record(by)
 		}
 		w := &worker{lateness: lateness}
 		usage, err := w.usage()
--- a/internal/scale/worker.go
+++ b/internal/scale/worker.go
@@ -240,7 +240,7 @@
 		next = next.Add(scheduleTick)
 		select {
 		case <-time.After(time.Until(next)):
-			w.lateness.Sent(max(time.Since(next), 0))
+			w.lateness.Record(max(time.Since(next), 0))
 		case <-w.done:
 			return
 		}
@@ -361,7 +361,7 @@
 		u.List = w.list.traffic()
 	}
 	if w.lateness != nil {
-		late, tooMany, all := w.lateness.Late()
+		late, tooMany, all := w.lateness.Result()
 		u.Ticks, u.Late, u.TooLate, u.LateP99, u.LateMax = all.N, late, tooMany, all.P99, all.Max
 	}
 	return u, nil
