--- a/cmd/chalkferry/main.go
+++ b/cmd/chalkferry/main.go
@@ -27,6 +27,9 @@
 		Version  versionCmd  `cmd:"" help:"Print the version."`
 
 		Aggregate aggregateCmd `cmd:"" help:"Run an aggregator: add up what the proxies of a region hold."`
+		Scale     scaleCmd     `cmd:"" help:"Measure the control work of a large fleet: hollow members beside real proxies."`
+
+		ScaleWorker scaleWorkerCmd `cmd:"" hidden:""`
 	}
 	ctx := kong.Parse(&commands, kong.Name("chalkferry"),
 		kong.Description("A balancer for long-lived connections."))
--- a/internal/rehearse/build.go
+++ b/internal/rehearse/build.go
@@ -155,6 +155,9 @@
 	if o.Profiles != "" {
 		p.profile = filepath.Join(o.Profiles, name+".prof")
 	}
+	if o.Arguments != nil {
+		p.arguments = o.Arguments(i)
+	}
 	if s.Proxies.Pin {
 		p.cpu = runtime.NumCPU() - 1 - i%runtime.NumCPU()
 	}
--- a/internal/sharing/config.go
+++ b/internal/sharing/config.go
@@ -63,6 +63,10 @@
 	Decay          time.Duration // and then less and less, to nothing after it
 	MaxKeys        int           // of each of the two tables: what is sent, and what is received
 	ChangeShare    float64       // a value that changed by more than this share of it is sent ahead of the others
+
+	// WrapSocket, if not nil, returns what is used in place of the member's socket: a run that counts or loses
+	// datagrams sets it, a file can't.
+	WrapSocket func(Socket) Socket
 }
 
 // DefaultMemberConfig has the defaults of all that has one.
--- a/internal/sharing/endpoint.go
+++ b/internal/sharing/endpoint.go
@@ -21,7 +21,7 @@
 
 // endpoint is the UDP socket of a member or aggregator, and what became of its datagrams.
 type endpoint struct {
-	conn     *net.UDPConn
+	conn     Socket
 	received chan datagram
 	counters datagramCounters
 	warnings *warnings
--- a/internal/sharing/member.go
+++ b/internal/sharing/member.go
@@ -25,6 +25,7 @@
 
 	published chan []Fact
 	asks      chan chan MemberStatus
+	figures   chan figureRequest
 	context   context.Context
 	stop      context.CancelFunc
 	done      sync.WaitGroup
@@ -46,8 +47,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.WrapSocket != nil {
+		end.conn = config.WrapSocket(end.conn)
+	}
 	m := &Member{config: config, log: log, state: state, endpoint: end, names: aggregatorNames{},
-		facts: newFactSet(config.MaxKeys), published: make(chan []Fact, 1), asks: make(chan chan MemberStatus)}
+		facts: newFactSet(config.MaxKeys), published: make(chan []Fact, 1), asks: make(chan chan MemberStatus), figures: make(chan figureRequest)}
 	m.context, m.stop = context.WithCancel(context.Background())
 	for _, a := range config.Aggregators {
 		m.names[aggregatorID(a.Name)] = aggregatorName{name: a.Name, address: a.Address.String()}
@@ -126,6 +130,8 @@
 			m.report()
 		case reply := <-m.asks:
 			reply <- m.currentStatus()
+		case request := <-m.figures:
+			request.reply <- m.state.Figure(boot(), request.key)
 		}
 	}
 }
