--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -18,7 +18,7 @@
 const (
 	leastPoints  = 3    // of a fit
 	linearSpread = 0.10 // up to which a straight line is good enough
-	powerGain    = 0.5  // of the line's spread that a power law must come down to, to be taken in its place
+	powerGain    = 0.8  // of the line's spread that a power law must come down to, to be taken in its place
 )
 
 // Point is one step of a run: the variable, and the least value of all runs of that step.
--- a/internal/sharing/socket.go
+++ b/internal/sharing/socket.go
@@ -1,10 +1,25 @@
 package sharing
 
 import (
+	"net"
+	"net/netip"
+	"syscall"
+
 	"github.com/prometheus/procfs"
 	"golang.org/x/sys/unix"
 )
 
+// Socket is what a member or aggregator needs of a *net.UDPConn.
+type Socket interface {
+	ReadFromUDPAddrPort(buffer []byte) (size int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(datagram []byte, to netip.AddrPort) (size int, err error)
+	LocalAddr() net.Addr
+	SetReadBuffer(bytes int) error
+	SetWriteBuffer(bytes int) error
+	SyscallConn() (syscall.RawConn, error)
+	Close() error
+}
+
 // setBuffers asks for socket buffers of so many bytes in each direction. The kernel grants no more than its limits.
 func (e *endpoint) setBuffers(bytes int) error {
 	if err := e.conn.SetReadBuffer(bytes); err != nil {
