--- a/internal/aggregation/slopes_test.go
+++ b/internal/aggregation/slopes_test.go
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 package aggregation
 
 import (
@@ -51,66 +50,12 @@
 		MaxMembers: 6000, MaxKeys: 32_768, MaxMemberKeys: 16_384,
 		ChangeShare: 0.1, Freshness: testFreshness, Decay: testDecay,
 	})
-=======
-package aggregation_test
-
-import (
-	"fmt"
-	"testing"
-	"time"
-
-	"github.com/fxamacker/cbor/v2"
-
-	"chalkferry/internal/aggregation"
-	"chalkferry/internal/capacity/heap"
-)
-
-// Benchmarks behind docs/CAPACITY.md: what the sums over the fleet cost a member and an aggregator, by keys and members.
-// They measure the logic; sockets are not in them. `chalkferry capacity fit` reads their output.
-
-const (
-	slopeAggregator = aggregation.AggregatorID(1)
-	slopePair       = aggregation.AggregatorID(2)
-	slopeRegion     = "region-1"
-	slopeZone       = "zone-01"
-	slopeMaxKeys    = 32768
-	slopeMemberKeys = 2000 // of each member, where members vary
-	slopeValue      = 43   // sessions of a proxy on one of 2,000 servers
-	slopeFleetValue = 325_000
-)
-
-var slopeKeys = []int{500, 2000, 5000, 10000, 20000}
-
-// slopeKey is a key with an ID as long as that of a hashed name.
-func slopeKey(n int) aggregation.Key {
-	return aggregation.Key{Kind: aggregation.ByServer, ID: uint64(n+1) * 0x9e3779b97f4a7c15}
-}
-
-func slopeMember(b *testing.B, keys int) *aggregation.Member {
-	m, err := aggregation.NewMember(0, aggregation.MemberConfig{ID: 1, Region: slopeRegion, Zone: slopeZone, Incarnation: 1,
-		Aggregators: []aggregation.AggregatorID{slopeAggregator, slopePair}, MaxKeys: slopeMaxKeys, ChangeShare: 0.1,
-		Freshness: 5 * time.Second, Decay: 10 * time.Second})
-	if err != nil {
-		b.Fatal(err)
-	}
-	for n := range keys {
-		m.Set(slopeKey(n), slopeValue)
-	}
-	return m
-}
-
-func newSlopeAggregator(b *testing.B) *aggregation.Aggregator {
-	a, err := aggregation.NewAggregator(0, aggregation.AggregatorConfig{ID: slopeAggregator, Region: slopeRegion, Incarnation: 1,
-		Peers: []aggregation.Peer{{ID: slopePair, Region: slopeRegion}}, MaxMembers: 6000, MaxKeys: slopeMaxKeys, MaxMemberKeys: slopeMaxKeys,
-		ChangeShare: 0.1, Freshness: 5 * time.Second, Decay: 10 * time.Second})
->>>>>>> main
 	if err != nil {
 		b.Fatal(err)
 	}
 	return a
 }
 
-<<<<<<< HEAD
 // slopeKeys are like names of servers: their IDs are hashes.
 func slopeKeys(n int) (keys []Key) {
 	random := rand.New(rand.NewSource(1))
@@ -164,68 +109,10 @@
 				a.fleetTable.turn = 0
 			}
 			runtime.KeepAlive(a)
-=======
-// reportsOfTurn are a member's reports until each of its keys has been sent, made once for all members.
-func reportsOfTurn(b *testing.B, keys int) (reports []aggregation.Report) {
-	m, sent := slopeMember(b, keys), map[aggregation.Key]bool{}
-	for len(sent) < keys {
-		r := m.Report(0)
-		reports = append(reports, r)
-		for _, entry := range r.Entries {
-			sent[entry.Key()] = true
-		}
-	}
-	return reports
-}
-
-// aggregatorOf has heard all keys of so many members.
-func aggregatorOf(b *testing.B, members, keys int, reports []aggregation.Report) *aggregation.Aggregator {
-	a := newSlopeAggregator(b)
-	for id := range members {
-		for _, r := range reports {
-			r.Member = aggregation.MemberID(id + 1)
-			if outcome, _ := a.ReceiveReport(0, r); outcome != aggregation.Accepted {
-				b.Fatal(outcome)
-			}
-		}
-	}
-	return a
-}
-
-// digestOf has entries of the fleet's sums from a key on.
-func digestOf(from aggregation.AggregatorID, number uint64, firstKey, entries, keys int) aggregation.Digest {
-	d := aggregation.Digest{Aggregator: from, Region: slopeRegion, Incarnation: 1, Number: number, Since: 1, Heartbeat: number,
-		Keys: uint32(keys), Regions: []aggregation.RegionState{{Region: slopeRegion, Source: from, Members: 2533, Heard: 1, Weight: 1}}}
-	for n := range entries {
-		key := slopeKey((firstKey + n) % keys)
-		d.Entries = append(d.Entries, aggregation.Entry{Kind: key.Kind, ID: key.ID, Value: slopeFleetValue})
-	}
-	return d
-}
-
-// informedMember has its own keys and as many sums of the fleet from both aggregators.
-func informedMember(b *testing.B, keys int) *aggregation.Member {
-	const entries = 50
-	m := slopeMember(b, keys)
-	for _, from := range []aggregation.AggregatorID{slopeAggregator, slopePair} {
-		for first, number := 0, uint64(1); first < keys; first, number = first+entries, number+1 {
-			m.ReceiveDigest(0, digestOf(from, number, first, entries, keys))
-		}
-	}
-	return m
-}
-
-func BenchmarkSlopeMemberState(b *testing.B) {
-	for _, keys := range slopeKeys {
-		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
-			_, bytes := heap.Held(func() *aggregation.Member { return informedMember(b, keys) })
-			reportOnly(b, bytes, "held-B")
->>>>>>> main
 		})
 	}
 }
 
-<<<<<<< HEAD
 // BenchmarkSlopeMemberReport: one report of a member of whose keys one in a hundred changed.
 func BenchmarkSlopeMemberReport(b *testing.B) {
 	for _, n := range keySteps {
@@ -242,27 +129,10 @@
 				entries += len(m.Report(0).Entries)
 			}
 			b.ReportMetric(float64(entries)/float64(b.N), "entries/report")
-=======
-func BenchmarkSlopeMemberReport(b *testing.B) {
-	for _, keys := range slopeKeys {
-		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
-			reports := reportsOfTurn(b, keys)
-			text, err := cbor.Marshal(reports[0])
-			if err != nil {
-				b.Fatal(err)
-			}
-			m := informedMember(b, keys)
-			for b.Loop() {
-				m.Report(0)
-			}
-			b.ReportMetric(float64(len(reports)), "reports/turn")
-			b.ReportMetric(float64(len(text)), "report-B")
->>>>>>> main
 		})
 	}
 }
 
-<<<<<<< HEAD
 // BenchmarkSlopeMemberDigest: one digest received by a member.
 func BenchmarkSlopeMemberDigest(b *testing.B) {
 	for _, n := range keySteps {
@@ -386,22 +256,6 @@
 				sum := sender.RegionSum(0)
 				b.StartTimer()
 				if outcome := receiver.ReceiveRegionSum(0, sum); outcome != Accepted {
-=======
-func BenchmarkSlopeMemberDigest(b *testing.B) {
-	for _, keys := range slopeKeys {
-		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
-			const entries = 50
-			m, number, first := informedMember(b, keys), uint64(slopeMaxKeys), 0
-			digest := digestOf(slopeAggregator, number, 0, entries, keys)
-			for b.Loop() {
-				number++
-				first = (first + entries) % keys
-				digest.Number, digest.Heartbeat = number, number
-				for n := range digest.Entries {
-					digest.Entries[n].ID = slopeKey((first + n) % keys).ID
-				}
-				if outcome := m.ReceiveDigest(0, digest); outcome != aggregation.Accepted {
->>>>>>> main
 					b.Fatal(outcome)
 				}
 			}
@@ -409,7 +263,6 @@
 	}
 }
 
-<<<<<<< HEAD
 // BenchmarkSlopeFading: a member that is no longer heard begins to fade, and counts again.
 func BenchmarkSlopeFading(b *testing.B) {
 	for _, n := range keySteps {
@@ -420,106 +273,7 @@
 			for b.Loop() {
 				a.membership.fade(record)
 				a.membership.refresh(record, time.Second)
-=======
-func BenchmarkSlopeMemberFigure(b *testing.B) {
-	for _, keys := range slopeKeys {
-		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
-			m, n := informedMember(b, keys), 0
-			for b.Loop() {
-				n++
-				m.Figure(0, slopeKey(n%keys))
->>>>>>> main
 			}
 		})
 	}
 }
-<<<<<<< HEAD
-=======
-
-var slopeMembers = []int{100, 300, 1000, 2533}
-
-func BenchmarkSlopeAggregatorState(b *testing.B) {
-	reports := reportsOfTurn(b, slopeMemberKeys)
-	for _, members := range slopeMembers {
-		b.Run(fmt.Sprintf("counts=%d", members*slopeMemberKeys), func(b *testing.B) {
-			_, bytes := heap.Held(func() *aggregation.Aggregator { return aggregatorOf(b, members, slopeMemberKeys, reports) })
-			reportOnly(b, bytes, "held-B")
-		})
-	}
-}
-
-// BenchmarkSlopeAggregatorReport takes one report of a full datagram in which each value has changed.
-func BenchmarkSlopeAggregatorReport(b *testing.B) {
-	reports := reportsOfTurn(b, slopeMemberKeys)
-	for _, members := range slopeMembers {
-		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
-			a, n := aggregatorOf(b, members, slopeMemberKeys, reports), 0
-			number := uint64(len(reports))
-			report := reports[0]
-			report.Entries = append([]aggregation.Entry{}, report.Entries...)
-			for b.Loop() {
-				if n%members == 0 {
-					number++
-				}
-				report.Member, report.Number = aggregation.MemberID(1+n%members), number
-				for i := range report.Entries {
-					report.Entries[i].Value = number % 100
-				}
-				if outcome, _ := a.ReceiveReport(0, report); outcome != aggregation.Accepted {
-					b.Fatal(outcome)
-				}
-				n++
-			}
-		})
-	}
-}
-
-func BenchmarkSlopeAggregatorDigest(b *testing.B) {
-	for _, keys := range slopeKeys {
-		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
-			a := aggregatorOf(b, 10, keys, reportsOfTurn(b, keys))
-			turn, sent := 0, map[aggregation.Key]bool{}
-			for ; len(sent) < keys; turn++ {
-				for _, entry := range a.Digest(0).Entries {
-					sent[entry.Key()] = true
-				}
-			}
-			for b.Loop() {
-				a.Digest(0)
-			}
-			text, err := cbor.Marshal(a.Digest(0))
-			if err != nil {
-				b.Fatal(err)
-			}
-			b.ReportMetric(float64(turn), "digests/turn")
-			b.ReportMetric(float64(len(text)), "digest-B")
-		})
-	}
-}
-
-func BenchmarkSlopeAggregatorRegionSum(b *testing.B) {
-	for _, keys := range slopeKeys {
-		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
-			a := aggregatorOf(b, 10, keys, reportsOfTurn(b, keys))
-			turn, sent := 0, map[aggregation.Key]bool{}
-			for ; len(sent) < keys; turn++ {
-				for _, entry := range a.RegionSum(0).Entries {
-					sent[entry.Key()] = true
-				}
-			}
-			for b.Loop() {
-				a.RegionSum(0)
-			}
-			b.ReportMetric(float64(turn), "sums/turn")
-		})
-	}
-}
-
-// reportOnly reports a value that is not a time, and no time.
-func reportOnly(b *testing.B, value float64, unit string) {
-	for b.Loop() {
-	}
-	b.ReportMetric(0, "ns/op") // the testing package leaves it out then
-	b.ReportMetric(value, unit)
-}
->>>>>>> main
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -181,8 +181,13 @@
 	return nil
 }
 
-// Write writes the file.
+// Write writes the file, with each slope fitted anew to its points.
 func (all *Slopes) Write(name string) error {
+	for _, s := range all.Slopes {
+		if err := s.Fit(); err != nil {
+			return err
+		}
+	}
 	text, err := json.MarshalIndent(all, "", " ")
 	if err != nil {
 		return err
