--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -55,6 +55,8 @@
 	Logs     string    // a folder that keeps the proxies' logs, "" for none
 	Profiles string    // a folder for profiles of the proxies' CPU, "" for none
 	Direct   bool      // clients connect to the nodes, with no proxy between
+
+	Arguments func(proxy int) []string // further ones of each proxy's command, nil for none
 }
 
 // Run runs a scenario to its end, or to the context's, and reports what was seen. An error says that nothing could be
