--- a/internal/capacity/quantity.go
+++ b/internal/capacity/quantity.go
@@ -85,7 +85,7 @@
 	f := figure{known: true}
 	for _, term := range q.Terms(c) {
 		s := slopes.Get(term.Slope)
-		if s == nil {
+		if s == nil || !s.Knows(term.At) || s.Exact && term.PerUnit {
 			return figure{}
 		}
 		f.value += term.Times * cmp.Or(term.Scale, 1) * s.term(term)
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -2,22 +2,23 @@
 
 import "fmt"
 
-// What the code fixes, by the packages that it stands in.
+// What the code fixes, by the packages that it stands in. The flat counts are replaced: theirs is what internal/sharing
+// had at the commits that measured them.
 const (
 	roundsPerSecond   = 0.5         // choice: roundSpan
 	sweepsPerSecond   = 10.0        // internal/proxy: sweeps in a noteSpan
 	sumsPerSecond     = 1.0         // internal/proxy: noteSpan
-	flatInterval      = 0.5         // seconds; internal/sharing: every, as the file leaves it out
-	flatFanOut        = 4.0         // internal/sharing: fanOut
-	flatMaxMembers    = 512.0       // internal/sharing: mostMembers
-	flatEntries       = 24.0        // internal/sharing: countsTold
-	flatMaxDatagram   = 1200.0      // bytes; internal/sharing: mostBytes
+	flatInterval      = 0.5         // seconds between datagrams, as the file left it out
+	flatFanOut        = 4.0         // members told at a time
+	flatMaxMembers    = 512.0       // of a file
+	flatEntries       = 24.0        // counts in a report
+	flatMaxDatagram   = 1200.0      // bytes
 	maxListBytes      = 4 << 20     // internal/discovery: mostList
 	heartbeatSeconds  = 2.0         // internal/discovery: Heartbeat
 	coldSpanSeconds   = 20.0        // of the cold rule in the benchmark
 	nanosecond        = 1e-9        // in seconds
 	listChangesPerRun = 3.0         // drains, gone, ready
-	flatFadeSeconds   = 5.0 + 2*5.0 // internal/sharing: lately and fade, as the file leaves them out
+	flatFadeSeconds   = 5.0 + 2*5.0 // seconds, as the file left them out
 	goneDays          = 30.0        // after which the state of servers that have gone is shown
 	messagesDelivered = 1.0         // lines of a client that are counted for each delivery
 	eventLoops        = 1.0         // of a proxy
@@ -199,7 +200,7 @@
 		Name: "Counts over the fleet, before: flat", Mechanism: "each member keeps each other's counts; datagrams to four members in turn",
 		About: []string{"The mechanism as it stood when this page was begun. Its rows stay for comparison, with the commit at which they were measured."},
 		Quantities: []Quantity{
-			{What: "members", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return flatMaxMembers }, "internal/sharing"},
+			{What: "members", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return flatMaxMembers }, "internal/sharing, as it was"},
 				Worked: func(c *Case) float64 { return c.Proxies }, Note: "proxies"},
 			{What: "state", Unit: Bytes, Ceiling: controlMem,
 				Terms: terms(func(c *Case) []Term { return []Term{at("FlatCountsState.held-B", c.Proxies*c.Keys)} })},
--- a/internal/capacity/runs_test.go
+++ b/internal/capacity/runs_test.go
@@ -53,6 +53,16 @@
 			t.Errorf("%s has a slope: %+v", never, s)
 		}
 	}
+	single := `{"command":"chalkferry scale","commit":"0123456","at":"2026-12-02T04:53:56Z","mechanism":"aggregators","steps":[` + step(7600, 3, false) + `]}`
+	slopes, err = FromScaleRun(writeFile(t, "single.json", single), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range slopes {
+		if s.Name == scaleAggregation+scaleKnown99 && (!s.Knows(7601) || s.At(7601) != 3 || s.Knows(6000)) {
+			t.Errorf("a single step is known at %v", s.Points)
+		}
+	}
 	if slopes, err := FromScaleRun(writeFile(t, "scale.json", fmt.Sprintf(report, "unknown")), "", ""); err == nil {
 		t.Errorf("a run of no commit gives %+v", slopes)
 	}
--- a/internal/capacity/scaleruns.go
+++ b/internal/capacity/scaleruns.go
@@ -70,7 +70,7 @@
 }
 
 // FromScaleRun fits slopes to the steps of a scale run. Steps whose generator was late do not count, and a time that
-// some members never reached is left out of its slope. A figure with fewer than three steps has no slope.
+// some members never reached is left out of its slope. A figure with fewer than three steps is known at these only.
 func FromScaleRun(name string, machine, note string) ([]*Slope, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
@@ -113,9 +113,7 @@
 	var slopes []*Slope
 	for _, name := range names {
 		s := byName[name]
-		if len(s.Points) < leastPoints {
-			continue
-		}
+		s.Exact = len(s.Points) < leastPoints
 		if err := s.Fit(); err != nil {
 			return nil, err
 		}
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -51,11 +51,16 @@
 	Power     float64 `json:"power,omitempty"`
 	Spread    float64 `json:"spread"` // root mean square of the points' distance from the fit, as a share of the fit
 	R2        float64 `json:"r2"`
+	Exact     bool    `json:"exact,omitempty"` // too few points for a fit: only the points themselves are known
 }
 
 // At is the value at x by the fit; it is never below 0. A fit that falls is not carried on beyond the measured range:
 // what costs less and less for each step within it (or is noise) is not free further on.
 func (s *Slope) At(x float64) float64 {
+	if s.Exact {
+		y, _ := s.pointAt(x)
+		return y
+	}
 	if _, most := s.Range(); s.PerUnit < 0 || s.Power < 0 {
 		x = min(x, most)
 	}
@@ -76,10 +81,31 @@
 	return max(1, x/most)
 }
 
+// nearEnough is how far from a point x may be, as a share, for an exact slope to tell its value.
+const nearEnough = 0.01
+
+// Knows tells whether there is a value at x. Only a slope with too few points for a fit does not have one everywhere.
+func (s *Slope) Knows(x float64) bool {
+	_, known := s.pointAt(x)
+	return known || !s.Exact
+}
+
+func (s *Slope) pointAt(x float64) (y float64, known bool) {
+	for _, p := range s.Points {
+		if math.Abs(p.X-x) <= nearEnough*p.X {
+			return p.Y, true
+		}
+	}
+	return 0, false
+}
+
 // Fit fills in the fit to the points, which are sorted by it. Relative distances count, so that the small steps of a
 // range over several orders of magnitude do too.
 func (s *Slope) Fit() error {
 	slices.SortFunc(s.Points, func(a, b Point) int { return cmp.Compare(a.X, b.X) })
+	if s.Exact && len(s.Points) > 0 {
+		return nil
+	}
 	if len(s.Points) < leastPoints {
 		return fmt.Errorf("%s: %d points, at least %d are needed", s.Name, len(s.Points), leastPoints)
 	}
@@ -154,7 +180,7 @@
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
 	for _, s := range all.Slopes {
-		if len(s.Points) < leastPoints {
+		if len(s.Points) < leastPoints && !(s.Exact && len(s.Points) > 0) {
 			return nil, fmt.Errorf("%s: %s has %d points", name, s.Name, len(s.Points))
 		}
 	}
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -212,6 +212,9 @@
 
 // formula prints the fit.
 func (s *Slope) formula() string {
+	if s.Exact {
+		return "none, too few steps"
+	}
 	if s.Power != 0 {
 		return fmt.Sprintf("%s x %s^%.2f", significant(s.Factor), s.Variable, s.Power)
 	}
