--- a/internal/capacity/aggregation.go
+++ b/internal/capacity/aggregation.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "chalkferry/internal/sharing"
+
 // Names of the benchmarks' slopes of sums by aggregators. What whole processes use is measured by the scale run.
 const (
 	slopeMemberState         = "SumsMemberState.held-B"        // by keys
@@ -17,15 +19,19 @@
 	slopeRegionSumTurn       = "SumsAggregatorRegionSum.sums/turn"
 )
 
-// What the files of members and aggregators leave out stands at these values (internal/sharing).
-const (
-	reportInterval       = 0.400 // seconds; to each of the region's aggregators
-	digestInterval       = 0.170 // seconds; to each subscriber
-	exchangeInterval     = 0.050 // seconds; a region sum to each other aggregator
-	aggregatorsPerRegion = 2.0
-	maxMemberKeys        = 16384.0
-	maxFleetKeys         = 32768.0
-	maxAggregatorMembers = 6000.0
+// aggregatorsPerRegion is how many there are in the design; each member reports to all of its region.
+const aggregatorsPerRegion = 2.0
+
+// What files of members and aggregators leave out.
+var (
+	memberDefaults     = sharing.DefaultMemberConfig()
+	aggregatorDefaults = sharing.DefaultAggregatorConfig()
+
+	reportInterval       = memberDefaults.ReportInterval.Seconds()       // to each of the region's aggregators
+	digestInterval       = aggregatorDefaults.DigestInterval.Seconds()   // to each subscriber
+	exchangeInterval     = aggregatorDefaults.ExchangeInterval.Seconds() // a region sum to each other aggregator
+	maxMemberKeys        = float64(memberDefaults.MaxKeys)
+	maxAggregatorMembers = float64(aggregatorDefaults.MaxMembers)
 )
 
 // regionMembers is how many members report to each aggregator, as each reports to both of its region.
@@ -38,39 +44,39 @@
 		Quantities: []Quantity{
 			{What: "keys of a member", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return maxMemberKeys }, "a member's, as its file leaves it out"}, Worked: func(c *Case) float64 { return c.Keys }, Note: "keys"},
 			{What: "state of a member, with both digests", Unit: Bytes, Ceiling: controlMem, Part: controlMemory,
-				Terms: terms(func(c *Case) []Term { return []Term{at(slopeMemberState, c.Keys)} })},
+				Terms: func(c *Case) []Term { return []Term{at(slopeMemberState, c.Keys)} }},
 			{What: "processor time of a member: reports and digests", Unit: Cores, Ceiling: controlCore, Part: controlCores,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{timed(slopeMemberReport, c.Keys, 1/reportInterval), timed(slopeMemberDigest, c.Keys, 1/digestInterval)}
-				})},
+				}},
 			{What: "processor time of a hollow member, its sockets too", Unit: Cores, Ceiling: controlCore, Note: "with as many keys as that run has",
-				Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleCPU, c.Proxies)} })},
+				Terms: func(c *Case) []Term { return []Term{at(scaleAggregation+scaleCPU, c.Proxies)} }},
 			{What: "bytes of a member: reports to both, digests of one", Unit: TrafficPerSecond, Ceiling: controlBytes, Part: controlTraffic, Note: "without envelopes and headers",
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: slopeReportBytes, At: c.Keys, Times: aggregatorsPerRegion / reportInterval}, {Slope: slopeDigestBytes, At: c.Keys, Times: 1 / digestInterval}}
-				})},
+				}},
 			{What: "bytes of a hollow member, in and out", Unit: TrafficPerSecond, Ceiling: controlBytes,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{at(scaleAggregation+scaleBytesIn, c.Proxies), at(scaleAggregation+scaleBytesOut, c.Proxies)}
-				})},
+				}},
 			{What: "a change known to 99 in 100 hollow members", Unit: Seconds, Ceiling: withinTime,
-				Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleKnown99, c.Proxies)} })},
+				Terms: func(c *Case) []Term { return []Term{at(scaleAggregation+scaleKnown99, c.Proxies)} }},
 			{What: "one turn of all keys: report, region sum, digest", Unit: Seconds, Ceiling: withinTime, Note: "as long as a change of less than a tenth, or what a member holds at its start, may take",
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: slopeReportTurn, At: c.Keys, Times: reportInterval}, {Slope: slopeRegionSumTurn, At: c.Keys, Times: exchangeInterval},
 						{Slope: slopeDigestTurn, At: c.Keys, Times: digestInterval}}
-				})},
-			{What: "one key's figure", Unit: Seconds, Terms: terms(func(c *Case) []Term { return []Term{timed(slopeMemberFigure, c.Keys, 1)} })},
+				}},
+			{What: "one key's figure", Unit: Seconds, Terms: func(c *Case) []Term { return []Term{timed(slopeMemberFigure, c.Keys, 1)} }},
 			{What: "members of an aggregator", Unit: Number, Ceiling: Ceiling{func(*Case) float64 { return maxAggregatorMembers }, "an aggregator's, as its file leaves it out"}, Worked: regionMembers, Note: "proxies / regions"},
 			{What: "state of an aggregator", Unit: Bytes,
-				Terms: terms(func(c *Case) []Term { return []Term{at(slopeAggregatorState, regionMembers(c)*c.Keys)} })},
+				Terms: func(c *Case) []Term { return []Term{at(slopeAggregatorState, regionMembers(c)*c.Keys)} }},
 			{What: "processor time of an aggregator: reports, region sums, digests", Unit: Cores, Note: "no ceiling is given for these machines",
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{timed(slopeAggregatorReport, regionMembers(c), regionMembers(c)/reportInterval),
 						timed(slopeAggregatorRegionSum, c.Keys, 1/exchangeInterval), timed(slopeAggregatorDigest, c.Keys, 1/digestInterval)}
-				})},
+				}},
 			{What: "processor time of an aggregator's process", Unit: Cores, Note: "in the scale run, which has the aggregators of all regions",
-				Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleAggregatorCPU, c.Proxies)} })},
+				Terms: func(c *Case) []Term { return []Term{at(scaleAggregation+scaleAggregatorCPU, c.Proxies)} }},
 		},
 	}
 }
@@ -81,23 +87,23 @@
 		Quantities: []Quantity{
 			{What: "proxies to each", Unit: Number, Worked: func(c *Case) float64 { return c.ProxiesToMachine() }, Note: "proxies / machines"},
 			{What: "members that each hears, two in a region", Unit: Number, Worked: regionMembers, Note: "proxies / regions, as each reports to both"},
-			{What: "reports that each takes", Unit: PerSecond, Worked: func(c *Case) float64 { return regionMembers(c) / reportInterval }, Note: "members / 400 ms"},
+			{What: "reports that each takes", Unit: PerSecond, Worked: func(c *Case) float64 { return regionMembers(c) / reportInterval }, Note: "members / the interval of reports"},
 			{What: "bytes in: reports", Unit: TrafficPerSecond,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: slopeReportBytes, At: c.Keys, Times: regionMembers(c) / reportInterval}}
-				})},
+				}},
 			{What: "bytes out: digests to half of the region's members", Unit: TrafficPerSecond, Ceiling: machineBytes,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: slopeDigestBytes, At: c.Keys, Times: regionMembers(c) / aggregatorsPerRegion / digestInterval}}
-				})},
+				}},
 			{What: "the same to all of them, as its pair is down", Unit: TrafficPerSecond, Ceiling: machineBytes,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: slopeDigestBytes, At: c.Keys, Times: regionMembers(c) / digestInterval}}
-				})},
-			{What: "memory of an aggregator's process", Unit: Bytes, Terms: terms(func(c *Case) []Term { return []Term{at(scaleAggregation+scaleAggregatorSize, c.Proxies)} })},
-			{What: "bytes in and out of an aggregator's process", Unit: TrafficPerSecond, Terms: terms(func(c *Case) []Term {
+				}},
+			{What: "memory of an aggregator's process", Unit: Bytes, Terms: func(c *Case) []Term { return []Term{at(scaleAggregation+scaleAggregatorSize, c.Proxies)} }},
+			{What: "bytes in and out of an aggregator's process", Unit: TrafficPerSecond, Terms: func(c *Case) []Term {
 				return []Term{at(scaleAggregation+scaleAggregatorIn, c.Proxies), at(scaleAggregation+scaleAggregatorOut, c.Proxies)}
-			})},
+			}},
 		},
 	}
 }
--- a/internal/capacity/failures.go
+++ b/internal/capacity/failures.go
@@ -36,13 +36,13 @@
 		{What: "at each, while they come", Unit: PerSecond, Worked: func(c *Case) float64 { return each(c) * c.ReturnRate }, Note: "x return_rate"},
 		{What: "for", Unit: Seconds, Worked: func(c *Case) float64 { return 1 / c.ReturnRate }, Note: "1 / return_rate"},
 		{What: "processor time at each: connections, dials, first lines", Unit: Cores, Ceiling: loopCore,
-			Terms: terms(func(c *Case) []Term {
+			Terms: func(c *Case) []Term {
 				return []Term{{Slope: SlopeSessionTime, Times: each(c) * c.ReturnRate, PerUnit: true}}
-			})},
+			}},
 		{What: "processor time at each: placing", Unit: Cores, Ceiling: loopCore,
-			Terms: terms(func(c *Case) []Term {
+			Terms: func(c *Case) []Term {
 				return []Term{timed("ModuleSession.ns/op", c.Servers, each(c)*c.ReturnRate)}
-			})},
+			}},
 	}
 }
 
@@ -58,17 +58,17 @@
 			},
 				Note: "restarts x connections of one, by equal shares"},
 			{What: "processor time at each: connections, dials, first lines", Unit: Cores, Ceiling: loopCore,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: SlopeSessionTime, Times: perSecond(c) * c.ConnectionsEach() / (c.Proxies - 1), PerUnit: true}}
-				})},
+				}},
 			{What: "whole lists out of a control machine", Unit: TrafficPerSecond, Ceiling: machineBytes,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: "DiscoveryWholeList.answer-B", At: c.Servers, Times: perSecond(c) / c.ControlMachines}}
-				})},
+				}},
 			{What: "until a proxy has the whole list at the bytes that control may take", Unit: Seconds, Ceiling: withinTime,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: "DiscoveryWholeList.answer-B", At: c.Servers, Times: 1 / c.ControlBytes}}
-				})},
+				}},
 		},
 	}
 }
@@ -79,28 +79,28 @@
 		"The proxies that are left place what comes by their last list; servers of the zone that the list still has are dialed until it has come or their dials have failed twice. With flat counts a tenth of the members fades over 15 s."})
 	role.Quantities = append(role.Quantities,
 		Quantity{What: "connections on each proxy that is left", Unit: Number, Worked: func(c *Case) float64 { return c.Connections / (c.Proxies - proxies(c)) }, Note: "connections / proxies left"},
-		Quantity{What: "memory of its process", Unit: Bytes, Terms: terms(func(c *Case) []Term {
+		Quantity{What: "memory of its process", Unit: Bytes, Terms: func(c *Case) []Term {
 			return []Term{at(SlopeProcessMemory, c.Connections/(c.Proxies-proxies(c)))}
-		})},
+		}},
 		Quantity{What: "list: bytes to each proxy, the zone's servers in deltas", Unit: Traffic, Ceiling: withinBytes,
-			Terms: terms(func(c *Case) []Term {
+			Terms: func(c *Case) []Term {
 				return []Term{{Slope: "ListParse.list-B", At: c.Servers / c.Zones, Times: c.Servers / c.Zones, PerUnit: true}}
-			})},
+			}},
 		Quantity{What: "loop held by them, one change each", Unit: Seconds, Note: "spread over as many changes; in one change it is held as by a whole list",
-			Terms: terms(func(c *Case) []Term {
+			Terms: func(c *Case) []Term {
 				return []Term{timed("ModuleListDelta.ns/op", c.Servers, c.Servers/c.Zones), timed("DirectoryDelta.ns/op", c.Servers, c.Servers/c.Zones)}
-			})},
+			}},
 		Quantity{What: "bytes out of a control machine for it, within the time for a change", Unit: TrafficPerSecond, Ceiling: machineBytes,
-			Terms: terms(func(c *Case) []Term {
+			Terms: func(c *Case) []Term {
 				return []Term{{Slope: "ListParse.list-B", At: c.Servers / c.Zones, Times: c.Servers / c.Zones * c.ProxiesToMachine() / c.ChangedWithin.D().Seconds(), PerUnit: true}}
-			})})
+			}})
 	return role
 }
 
 func regionsApart() Role {
 	hours := func(c *Case) float64 { return c.RegionsApart.D().Hours() }
 	missedList := func(c *Case) float64 {
-		return min(c.Servers, c.ListChanges*hours(c)*time.Hour.Seconds()/listChangesPerRun)
+		return min(c.Servers, c.ListChanges*hours(c)*time.Hour.Seconds()/listChangesOfRestart)
 	}
 	return Role{
 		Name: "Two regions apart, and their return", Mechanism: "resume by revision; constant-rate reports",
@@ -111,17 +111,17 @@
 			{What: "changes of configuration missed", Unit: Number, Worked: func(c *Case) float64 { return c.Changes / 24 * hours(c) }, Note: "changes a day x the time apart"},
 			{What: "servers changed that a watch resumes with", Unit: Number, Worked: missedList, Note: "each once, three changes of the list for each"},
 			{What: "bytes to a proxy at the return", Unit: Traffic, Ceiling: withinBytes,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: "ListParse.list-B", At: missedList(c), Times: missedList(c), PerUnit: true}}
-				})},
+				}},
 			{What: "bytes out of a control machine, a region at once within the time for a change", Unit: TrafficPerSecond, Ceiling: machineBytes,
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{{Slope: "ListParse.list-B", At: missedList(c), Times: missedList(c) * c.ProxiesToMachine() / c.ChangedWithin.D().Seconds(), PerUnit: true}}
-				})},
+				}},
 			{What: "loop held at the return by one delta with all of it", Unit: Seconds, Ceiling: loopStall, Note: "no more than by a whole list",
-				Terms: terms(func(c *Case) []Term {
+				Terms: func(c *Case) []Term {
 					return []Term{timed("ModuleWholeList.ns/op", c.Servers, 1), timed("DirectoryWholeList.ns/op", c.Servers, 1)}
-				})},
+				}},
 			{What: "staleness of flat counts", Unit: Seconds, Worked: func(c *Case) float64 { return min(flatFadeSeconds, c.RegionsApart.D().Seconds()) }, Note: "fresh for 5 s, faded after 10 s more: then nothing is told of the region"},
 		},
 	}
