--- a/internal/scale/worker.go
+++ b/internal/scale/worker.go
@@ -275,6 +275,9 @@
 	defer ticker.Stop()
 	for limit := time.Now().Add(request.Timeout); missing > 0 && time.Now().Before(limit); <-ticker.C {
 		for i, m := range w.current() {
+			if time.Now().After(limit) { // a machine that is too busy takes long to ask all
+				break
+			}
 			if known[i] == 0 && m.knows(request) {
 				known[i] = time.Now().UnixNano()
 				missing--
