--- a/internal/aggregation/simulation_test.go
+++ b/internal/aggregation/simulation_test.go
@@ -378,19 +378,6 @@
 	}
 }
 
-// runUntil goes on until a condition holds, and fails the test if it does not within a span.
-func (s *simulation) runUntil(within time.Duration, what string, holds func() bool) time.Duration {
-	s.t.Helper()
-	start := s.now
-	for !holds() {
-		if s.now-start > within {
-			s.t.Fatalf("%s: not within %v", what, within)
-		}
-		s.step()
-	}
-	return s.now - start
-}
-
 // checkNoDoubleCount fails the test if any figure is above what members have held since its age and its error, or below
 // it though all were heard. Datagrams of up to three hops may have been on their way for the delay each, which ages do
 // not count.
