The proxy connects to its own listener until its event loop runs

Seen: go test ./internal/proxy hung for ten minutes once, in the cleanup of TestRestartedAtOnce, which waits for the event loop of each proxy. Cause: the port can be shared (SO_REUSEPORT), and free returned an address anew once it was closed, so that two proxies of tests beside one another could listen at one; the own connection of one then goes to the other, reachLoop takes it for its own and the loop has no handle until some client's connection comes. The same holds in service where an old process still listens at a new one's address. That this was what hung is inferred from the code and the stack; the order is forced by a test.

Change: reachLoop goes on, a second after a connect that succeeded, until the loop runs. In the tests free returns no address twice, and the cleanup fails in place of waiting for ever.

Tests: TestOwnConnectGoesElsewhere, new, fails on the code before (the loop does not run within 10 s).

--- a/internal/proxy/boot_test.go
+++ b/internal/proxy/boot_test.go
@@ -98,3 +98,29 @@
 		conn.Close()
 	}
 }
+
+// TestOwnConnectGoesElsewhere: the port can be shared, so the proxy's first connection may go to another process that
+// still listens there. The event loop runs all the same, without a client.
+func TestOwnConnectGoesElsewhere(t *testing.T) {
+	other, err := net.Listen("tcp", free(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { other.Close() })
+	attempts := 0
+	p, address, ended := bootedWith(t, func(_ *Proxy, address string) (net.Conn, error) {
+		if attempts++; attempts <= 2 {
+			return net.Dial("tcp", other.Addr().String())
+		}
+		return net.Dial("tcp", address)
+	})
+	select {
+	case <-p.ready:
+	case err := <-ended:
+		t.Fatalf("Run ends with %v", err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the loop does not run")
+	}
+	t.Cleanup(p.stopEngine)
+	connect(t, address).say("PING\r\n", "PONG\r\n")
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,10 +36,11 @@
 	sweeps      = 10 // in a note's span
 )
 
-// The proxy connects to its own listener at its start. A listener that can't be reached for so long is none.
+// The proxy connects to its own listener at its start. A listener that can't be reached so often is none.
 const (
 	ownConnectAttempts = 40
-	ownConnectPause    = 50 * time.Millisecond // after each that failed
+	ownConnectPause    = 50 * time.Millisecond // after one that failed
+	ownConnectWait     = time.Second           // for the loop to run, after one that succeeded
 )
 
 // Proxy is one proxy.
@@ -253,24 +254,31 @@
 	return gnet.None
 }
 
-// reachLoop connects to the proxy's own listener, as the first connection brings the event loop's handle. A connect has
-// no time limit: only this process's own time counts here. One that fails is no error if the loop runs by then: the
-// proxy may have accepted that connection and closed it before the connecting side looked at it.
+// reachLoop connects to the proxy's own listener until the event loop runs, as the first connection brings the loop's
+// handle. A connect has no time limit: only this process's own time counts here. One that fails is no error if the loop
+// runs by then: the proxy may have accepted that connection and closed it before the connecting side looked at it. One
+// that succeeds may have gone to another process that still listens at the address, as the port can be shared, so that
+// further ones follow.
 func (p *Proxy) reachLoop(address string) error {
-	var err error
-	for range ownConnectAttempts {
-		var conn net.Conn
-		if conn, err = p.dialOwn("tcp", address); err == nil {
+	failures := 0
+	for {
+		pause := ownConnectWait
+		conn, err := p.dialOwn("tcp", address)
+		if err == nil {
 			conn.Close()
-			return nil
+		} else {
+			pause = ownConnectPause
+			failures++
+		}
+		if failures == ownConnectAttempts {
+			return fmt.Errorf("the proxy can't reach its own listener: %w", err)
 		}
 		select {
 		case <-p.ready:
 			return nil
-		case <-time.After(ownConnectPause):
+		case <-time.After(pause):
 		}
 	}
-	return fmt.Errorf("the proxy can't reach its own listener: %w", err)
 }
 
 func (p *Proxy) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
--- a/internal/proxy/ready_test.go
+++ b/internal/proxy/ready_test.go
@@ -77,8 +77,12 @@
 					var stops sync.WaitGroup
 					for _, p := range proxies {
 						stops.Go(func() {
-							<-p.ready
-							p.stopEngine()
+							select {
+							case <-p.ready:
+								p.stopEngine()
+							case <-time.After(readyIn):
+								t.Error("the event loop of a proxy does not run")
+							}
 						})
 					}
 					stops.Wait()
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -141,14 +141,23 @@
 
 // free is an address that nothing else takes before the proxy does: on 127.0.0.1 any connection out may get the port.
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 16+os.Getpid()>>16&63, os.Getpid()>>8&255, 1+os.Getpid()&127))
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 16+os.Getpid()>>16&63, os.Getpid()>>8&255, 1+os.Getpid()&127))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		address := l.Addr().String()
+		if _, taken := handedOut.LoadOrStore(address, true); !taken {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
+// handedOut has each address that free has returned: proxies share ports, so that two of tests beside one another would
+// both listen at one that is returned twice, and take each other's connections.
+var handedOut sync.Map
+
 // run starts a proxy with a list that names one server.
 func run(t *testing.T, sockets int) (p *Proxy, at string, lists chan string) {
 	p, at, lists, _ = runAs(t, "proxy", sockets)
