aggregation: a turn skips the keys that were sent in it as urgent

Cause: outbox.takeInTurn skips only the keys of the same datagram, so a key that was urgent earlier in the turn is sent in its turn again; at a start all keys are urgent, and 1,000 keys took 1,574 entries.

Change: a key whose latest datagram is of the present turn has had its turn. Since still holds: each key is sent at least once in each turn.

Test: TestTurnSendsEachKeyOnce, new; on the code before the first turn has 1,574 entries for 1,000 keys.

--- a/internal/aggregation/outbox.go
+++ b/internal/aggregation/outbox.go
@@ -231,7 +231,8 @@
 	return entries
 }
 
-// takeInTurn appends the next keys in turn, up to the end of the turn.
+// takeInTurn appends the next keys in turn, up to the end of the turn. Those that were sent in this turn already, as they
+// were urgent, have had their turn.
 func (o *outbox) takeInTurn(entries []Entry, byteBudget int) []Entry {
 	at, found := o.position(o.last)
 	if found {
@@ -239,7 +240,7 @@
 	}
 	for ; at < len(o.order); at++ {
 		index := o.order[at]
-		if o.slots[index].number != o.number {
+		if o.slots[index].number < o.turnStarts[0] {
 			entry := o.entry(index)
 			size := EntrySize(entry)
 			if size > byteBudget {
--- a/internal/aggregation/table_test.go
+++ b/internal/aggregation/table_test.go
@@ -355,6 +355,29 @@
 	}
 }
 
+// TestTurnSendsEachKeyOnce: while nothing changes after the start, the first turn sends each key once, though all are
+// urgent at first, and the next one does too.
+func TestTurnSendsEachKeyOnce(t *testing.T) {
+	const keys, byteBudget = 1000, 1000
+	o := testOutbox(keys)
+	for id := range uint64(keys) {
+		o.set(Key{ByServer, id * 0x9e3779b97f4a7c15}, 1+id%300)
+	}
+	for turn := range 2 {
+		sent := map[Key]int{}
+		total := 0
+		for first := true; first || o.inTurn; first = false {
+			for _, entry := range o.next(byteBudget).entries {
+				sent[entry.Key()]++
+				total++
+			}
+		}
+		if len(sent) != keys || total != keys {
+			t.Errorf("turn %d: %d entries of %d keys, %d keys are held", turn, total, len(sent), keys)
+		}
+	}
+}
+
 // TestGapBeforeTheFirst: a receiver that comes to a sender late has missed all before, of which it holds nothing. That gap
 // worsens no value, neither by itself nor once it is taken together with so many later ones as a table has that only
 // heartbeats reach.
