--- a/internal/aggregation/table_test.go
+++ b/internal/aggregation/table_test.go
@@ -407,6 +407,33 @@
 	}
 }
 
+// TestMergedGapsWorsen: an entry from before the oldest of many gaps keeps the quality of then, also once gaps are taken
+// together; an entry from behind all gaps does not.
+func TestMergedGapsWorsen(t *testing.T) {
+	b := testInbox(9)
+	heartbeat := func(number uint32) { b.receive(header{number: number, keys: 3, isEmpty: true}, nil) }
+	send := func(number uint32, id uint64, q quality) {
+		b.receive(header{number: number, keys: 3, quality: q}, []Entry{entry(ByServer, id, uint64(number))})
+	}
+	of := func(id uint64) quality {
+		index, _ := b.dictionary.find(Key{ByServer, id})
+		return b.qualityOf(index)
+	}
+	old, later := quality{asOf: 3, bound: 30, heard: 0.3}, quality{asOf: 9, bound: 10, heard: 0.9}
+	send(1, 1, old)
+	send(5, 2, later)
+	for n := range uint32(3 * maxGaps) {
+		heartbeat(10 + 2*n)
+	}
+	send(1000, 3, later)
+	if of(1) != old || b.worst() != old {
+		t.Errorf("from before the oldest gap: %+v, in all %+v", of(1), b.worst())
+	}
+	if of(3) != later {
+		t.Errorf("from behind all gaps: %+v", of(3))
+	}
+}
+
 // TestTables: over seeded schedules of changes, loss, doubling and reordering each value of the receiver is one that the
 // sender had since the time that the receiver says, up to the bound that it says; and once the faults are over all values
 // are those of the sender within five turns.
