Log why a connection ended, each phase of leaving, and each signal

Change: field cause (the errno) on lines of both sides and of connects that failed, one line for each phase with what is still open, one for each signal.

--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -60,6 +60,7 @@
 			case <-ended:
 				return
 			}
+			log.Info().Stringer("signal", sig).Msg("signal")
 			if sig != syscall.SIGHUP {
 				p.Leave()
 				continue
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -337,6 +337,9 @@
 	}
 	e := c.clients.log.Info().Str("side", "client").Str("reason", reason).Stringer("end", how).
 		Dur("ms", c.clients.now()-c.since)
+	if err := c.conn.Err(); err != nil {
+		e = e.AnErr("cause", err)
+	}
 	if c.id != "" {
 		e = e.Str("id", c.id)
 	}
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -24,12 +24,18 @@
 	gone          // the process ends
 )
 
+func (p phase) String() string {
+	return [...]string{serving: "serving", leaving: "leaving", closing: "closing", gone: "gone"}[p]
+}
+
 // enterPhase is the one place where a proxy's phase changes; each follows the one before.
 func (p *Proxy) enterPhase(next phase) {
 	if next != p.phase+1 {
 		panic(fmt.Sprintf("the proxy goes from phase %d to %d", p.phase, next))
 	}
 	p.phase = next
+	p.log.Info().Stringer("phase", next).Int("sessions", p.table.Len()).Int("open", p.table.Open()).
+		Int("idle", p.clients.Quiet()).Int("connecting", p.connector.Out()).Msg("phase")
 }
 
 // Leave is told that the process is to end: what comes is still served. Where sessions end at the proxy they
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -67,7 +67,7 @@
 }
 
 // connect calls either opener.Open or failed, on the event loop.
-func (c *Connector) connect(address string, opener Opener, failed func()) context.CancelFunc {
+func (c *Connector) connect(address string, opener Opener, failed func(error)) context.CancelFunc {
 	c.room.Take(connecting)
 	c.out++
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
@@ -92,7 +92,7 @@
 			c.out--
 			c.room.Give(connecting)
 			if err != nil {
-				failed()
+				failed(err)
 			}
 		})
 	}()
@@ -121,6 +121,8 @@
 	cancel  context.CancelFunc
 	conn    *socket.Conn
 	parting choice.Outcome // what the server's last line has announced
+
+	connectErr error // why the connection was never established
 }
 
 // Servers makes dials.
@@ -146,7 +148,10 @@
 	}
 	d := &Dial{servers: s, ex: ex, at: at, edition: s.directory.Edition(at), since: s.now(), wait: limit}
 	d.limit = s.timers.After(limit, d.late)
-	d.cancel = s.connector.connect(address, d, func() { d.fail(choice.Unreachable, socket.Reset, "unreachable") })
+	d.cancel = s.connector.connect(address, d, func(err error) {
+		d.connectErr = err
+		d.fail(choice.Unreachable, socket.Reset, "unreachable")
+	})
 	return d
 }
 
@@ -213,9 +218,21 @@
 	default:
 		d.conn.EndAs(how)
 	}
+	d.logEnd(how, reason)
+}
+
+// logEnd leaves the line about a dial that ends.
+func (d *Dial) logEnd(how socket.End, reason string) {
 	_, name, _ := d.servers.directory.Address(d.at)
-	d.servers.log.Info().Str("side", "server").Str("server", name).Str("id", d.ex.Name()).Str("reason", reason).
-		Stringer("end", how).Dur("ms", d.servers.now()-d.since).Send()
+	e := d.servers.log.Info().Str("side", "server").Str("server", name).Str("id", d.ex.Name()).Str("reason", reason).
+		Stringer("end", how).Dur("ms", d.servers.now()-d.since)
+	if d.conn != nil && d.conn.Err() != nil {
+		e = e.AnErr("cause", d.conn.Err())
+	}
+	if d.connectErr != nil {
+		e = e.AnErr("cause", d.connectErr)
+	}
+	e.Send()
 }
 
 // Read takes whole lines.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -57,8 +57,9 @@
 	state  state
 	last   *timers.Timer
 	spare  *list.Element
-	unread int // bytes that have come since the goodbye
-	unsent int // bytes of what was written last that this machine never took, once the connection has ended
+	unread int   // bytes that have come since the goodbye
+	unsent int   // bytes of what was written last that this machine never took, once the connection has ended
+	err    error // with which the connection ended, nil where it ended in good order or by its owner
 }
 
 // New takes over a connection, for which the room was taken already.
@@ -90,6 +91,10 @@
 	}
 }
 
+// Err is the error with which the connection ended, nil where it ended in good order or by its owner. The source is the
+// kernel's answer to a read or write.
+func (c *Conn) Err() error { return c.err }
+
 // Again reads once more what the owner has left in the buffer.
 func (c *Conn) Again() { c.Traffic() }
 
@@ -247,6 +252,8 @@
 		how := Reset
 		if errors.Is(err, io.EOF) {
 			how = Finished
+		} else {
+			c.err = err
 		}
 		c.later(func() { c.owner.Ended(how) })
 	}
