--- /dev/null
+++ b/cmd/chalkferry/faults_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chalkferry/internal/faultinject"
+	"chalkferry/internal/rehearse"
+)
+
+// underFaults runs a scenario with proxies whose system calls fail by a plan. It returns the report; what broke is an error
+// of the test, with the plan.
+func underFaults(t *testing.T, s *rehearse.Scenario, plan faultinject.Plan, logs string) *rehearse.Report {
+	t.Helper()
+	controller, err := faultinject.New(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(faultinject.ControllerVariable, controller.Environment())
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := rehearse.Run(context.Background(), s, rehearse.Options{Proxy: self, Logs: logs})
+	controller.Close()
+	if err != nil {
+		t.Fatalf("%v\n%v", err, plan)
+	}
+	for _, err := range controller.Troubles() {
+		t.Errorf("the injection itself failed: %v", err)
+	}
+	failures := controller.Failures()
+	for _, f := range plan.Faults {
+		t.Logf("%d times %v", failures[f.String()], f)
+	}
+	for _, text := range r.Failed {
+		t.Error(text)
+	}
+	if len(r.Failed) > 0 {
+		for _, broken := range r.Rules[:min(len(r.Rules), 5)] {
+			t.Log(broken)
+		}
+		t.Logf("scenario seed %d, %v; %+v", s.Seed, plan, r.Clients)
+	}
+	return r
+}
+
+// calm is the built-in scenario of that name with a stream of sessions at random.
+func calm(t *testing.T, seed int64, length time.Duration, rate float64) *rehearse.Scenario {
+	t.Helper()
+	s, err := rehearse.Load("calm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Seed = seed
+	if err := s.Shorten(length); err != nil {
+		t.Fatal(err)
+	}
+	s.SetRate(rate)
+	s.Expect.NoCutOff = true
+	return s
+}
+
+// TestFaults: calls of a serving proxy fail for a moment, each as its manual page documents. No rule is broken, no open
+// session is cut off, and nothing crashes.
+func TestFaults(t *testing.T) {
+	const begin = 500 * time.Millisecond
+	fault := func(call uintptr, target faultinject.Target, errno unix.Errno, every, run int) faultinject.Fault {
+		return faultinject.Fault{Call: call, Target: target, Errno: errno, Every: every, Run: run, From: begin}
+	}
+	anyOf := func(call uintptr, target faultinject.Target, every, run int, errnos ...unix.Errno) (faults []faultinject.Fault) {
+		for _, errno := range errnos {
+			faults = append(faults, fault(call, target, errno, every*len(errnos), run))
+		}
+		return faults
+	}
+	for name, faults := range map[string][]faultinject.Fault{
+		"none": nil,
+		"accept": anyOf(unix.SYS_ACCEPT4, faultinject.AnyTarget, 4, 2, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM,
+			unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENETUNREACH, unix.EPERM),
+		"read":  anyOf(unix.SYS_READ, faultinject.Socket, 10, 2, unix.EINTR, unix.EAGAIN, unix.ENOMEM),
+		"write": anyOf(unix.SYS_WRITE, faultinject.Socket, 10, 2, unix.EINTR, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM),
+		"wake-up": append(anyOf(unix.SYS_WRITE, faultinject.EventFD, 10, 2, unix.EINTR, unix.EAGAIN),
+			anyOf(unix.SYS_READ, faultinject.EventFD, 10, 2, unix.EINTR, unix.EAGAIN)...),
+		"epoll_ctl": anyOf(unix.SYS_EPOLL_CTL, faultinject.NotEventFD, 6, 3, unix.ENOMEM, unix.ENOSPC),
+		"waits": append(anyOf(unix.SYS_EPOLL_WAIT, faultinject.AnyTarget, 4, 2, unix.EINTR),
+			anyOf(unix.SYS_EPOLL_PWAIT, faultinject.AnyTarget, 4, 2, unix.EINTR)...),
+		"connect": append(anyOf(unix.SYS_SOCKET, faultinject.AnyTarget, 6, 3, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM),
+			anyOf(unix.SYS_CONNECT, faultinject.AnyTarget, 6, 3, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN, unix.EINTR)...),
+		"hand-over": append(anyOf(unix.SYS_FCNTL, faultinject.Socket, 6, 2, unix.EMFILE),
+			append(anyOf(unix.SYS_GETPEERNAME, faultinject.Socket, 6, 1, unix.ENOBUFS),
+				anyOf(unix.SYS_SETSOCKOPT, faultinject.Socket, 6, 1, unix.ENOBUFS)...)...),
+		"broken":   anyOf(unix.SYS_READ, faultinject.Socket, 40, 1, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ENETUNREACH),
+		"shutdown": append(anyOf(unix.SYS_SHUTDOWN, faultinject.Socket, 2, 2, unix.ENOBUFS), anyOf(unix.SYS_RECVFROM, faultinject.Socket, 4, 2, unix.EINTR, unix.ENOMEM)...),
+		"parts": append(anyOf(unix.SYS_READ, faultinject.Socket, 2, 1, faultinject.Partial),
+			anyOf(unix.SYS_WRITE, faultinject.Socket, 2, 1, faultinject.Partial)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			underFaults(t, calm(t, 1, 3*time.Second, 40), faultinject.Plan{Seed: 1, Faults: faults}, "")
+		})
+	}
+}
--- a/cmd/chalkferry/rehearse_test.go
+++ b/cmd/chalkferry/rehearse_test.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
 	"testing"
 
+	"chalkferry/internal/faultinject"
 	"chalkferry/internal/rehearse"
 	"chalkferry/internal/trace"
 )
 
 // TestMain is also the proxy under test, and the aggregators and child processes of a scale run: they are the test's own
-// program.
+// program. A proxy under faults executes itself once more, behind the filter.
 func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "serve" && faultinject.Wanted() {
+		fmt.Fprintln(os.Stderr, faultinject.Exec(os.Args[0], os.Args[1:]))
+		os.Exit(1)
+	}
 	if len(os.Args) > 1 && slices.Contains([]string{"serve", "aggregate", "scale-worker"}, os.Args[1]) {
 		main()
 		return
