Own event loop on gnet's poller; one package decides what failed calls mean

Cause: who made a system call decided by itself what its failure meant; gnet's engine takes what passes for the end: accept4=ENFILE ends the process, read/write=EINTR or ENOBUFS a connection, epoll_ctl=ENOMEM a new client without an answer, one failed eventfd write the loop. Beside it the log was written on the loop's thread, SIGHUP and SIGTERM shared a channel of 8, and files and the start had one try. Change: internal/failure classifies by call and errno (table walked by a test); internal/eventloop accepts, reads, writes, registers and wakes by it, with back-off; a connection that is broken with no word of its other end gives a MOVE, ERR or BUSY; connects and hand-overs that fail for a moment are made again within their time; the log goes through zerolog's diode; signals have a channel each; configuration and start are tried again. The proxy no longer connects to its own listener, as the loop needs no first connection: boot_test.go's three tests of that are replaced (TestStartsWithoutConnection, TestListenerFails: serves with no connection at all, also beside another listener; a listener that can't be had ends Run at once). handedOver in rig_test.go looks for the connect's goroutine, as the library's is gone; TestStoppedLoop has no Stop to call any more. EAGAIN on a write to the eventfd is not injected: no kernel returns it there, and Go's runtime stands still by it.

--- a/cmd/chalkferry/check.go
+++ b/cmd/chalkferry/check.go
@@ -26,7 +26,7 @@
 			return nil
 		}
 	}
-	text, err := read(c.File)
+	text, err := readConfiguration(c.File)
 	if err != nil {
 		return err
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -268,11 +268,16 @@
 	}
 }
 
-// Ended tells that the client has ended the connection.
+// Ended tells that the client has ended the connection, or that it is broken. A client behind one that is broken may be
+// well, and gets its last line.
 func (c *Client) Ended(how socket.End) {
 	if c.state == over {
 		return
 	}
+	if how == socket.Broken {
+		c.broken()
+		return
+	}
 	reason := "client-left"
 	if c.state == quiet {
 		reason = "unused"
@@ -281,6 +286,19 @@
 	c.ended(how)
 }
 
+// broken ends a connection that is broken, with the answer that its state is due.
+func (c *Client) broken() {
+	switch c.state {
+	case quiet:
+		c.Answer(line.Busy(0), "client-broken")
+	case waits:
+		c.ended(socket.Reset)
+		c.Answer([]byte("ERR\r\n"), "client-broken")
+	case passes:
+		c.ex.ClientBroken()
+	}
+}
+
 // Gone tells whether the client no longer waits for its answer, as its machine knows it.
 func (c *Client) Gone() bool { return c.state != waits || c.conn.Peer() != socket.Waits }
 
@@ -293,6 +311,8 @@
 	switch c.conn.Peer() {
 	case socket.Left:
 		c.Ended(socket.Finished)
+	case socket.PathFailed:
+		c.Ended(socket.Broken)
 	case socket.Speaks: // it was to wait
 		c.ended(socket.Finished)
 		c.wrong(line.ErrMalformed)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -325,6 +325,14 @@
 	}
 }
 
+// ClientBroken tells that the client's connection of an open session is broken though the client has ended nothing. It is
+// moved: if it is well it comes again.
+func (ex *Exchange) ClientBroken() {
+	if ex.state == open {
+		ex.move(choice.Cancelled, "client-broken")
+	}
+}
+
 // ClientWaits tells whether the client still waits; if not, the session has ended.
 func (ex *Exchange) ClientWaits() bool { return ex.client.Waits() }
 
@@ -449,7 +457,11 @@
 		return
 	}
 	ex.enter(ended)
-	ex.client.End(how, reason)
+	if how == socket.Broken { // the server may hold the session still: its client is not cut off without a word
+		ex.client.Answer([]byte("MOVE\r\n"), reason)
+	} else {
+		ex.client.End(how, reason)
+	}
 	if outcome == choice.Cancelled { // in the server's own words: it drains
 		ex.table.balancer.SentAway(ex.table.now(), ex.at)
 	}
--- /dev/null
+++ b/internal/failure/failure_test.go
@@ -0,0 +1,105 @@
+package failure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// TestMeanings walks through what the manual pages document for each call.
+func TestMeanings(t *testing.T) {
+	for call, byMeaning := range map[Call]map[Meaning][]syscall.Errno{
+		Accept: {
+			Interrupted: {syscall.EINTR},
+			NotReady:    {syscall.EAGAIN, syscall.EWOULDBLOCK},
+			Exhausted:   {syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINVAL},
+			Discarded: {syscall.ECONNABORTED, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENOPROTOOPT,
+				syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT},
+		},
+		Read: {
+			Interrupted: {syscall.EINTR},
+			NotReady:    {syscall.EAGAIN},
+			Exhausted:   {syscall.ENOMEM, syscall.ENOBUFS},
+			Ended:       {syscall.ECONNRESET, syscall.EPIPE},
+			Broken:      {syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNABORTED, syscall.EIO},
+		},
+		Write: {
+			Interrupted: {syscall.EINTR},
+			NotReady:    {syscall.EAGAIN},
+			Exhausted:   {syscall.ENOMEM, syscall.ENOBUFS},
+			Ended:       {syscall.ECONNRESET, syscall.EPIPE},
+			Broken:      {syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENETDOWN},
+		},
+		Register: {Exhausted: {syscall.ENOMEM, syscall.ENOSPC}, Interrupted: {syscall.EINTR}, Permanent: {syscall.EBADF}},
+		Wake:     {Interrupted: {syscall.EINTR}, NotReady: {syscall.EAGAIN}, Exhausted: {syscall.ENOMEM, syscall.EINVAL}},
+		Connect: {
+			Exhausted: {syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.EAGAIN, syscall.ENOBUFS, syscall.EMFILE, syscall.ENFILE,
+				syscall.ENOMEM, syscall.EADDRINUSE},
+			Interrupted: {syscall.EINTR},
+			Permanent:   {syscall.ECONNREFUSED, syscall.ETIMEDOUT, syscall.ECONNRESET, syscall.EHOSTUNREACH, syscall.EACCES},
+		},
+		HandOver: {Exhausted: {syscall.EMFILE}, Interrupted: {syscall.EINTR}, Permanent: {syscall.EBADF}},
+		Option:   {Exhausted: {syscall.ENOMEM, syscall.ENOBUFS}, Permanent: {syscall.ENOTCONN, syscall.EBADF}},
+		Listen:   {Exhausted: {syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL}, Permanent: {syscall.EADDRINUSE, syscall.EACCES}},
+		OpenFile: {Exhausted: {syscall.EIO, syscall.ENFILE, syscall.ENOMEM}, Permanent: {syscall.ENOENT, syscall.EACCES}},
+	} {
+		for meaning, errnos := range byMeaning {
+			for _, errno := range errnos {
+				for _, err := range []error{errno, os.NewSyscallError("x", errno), fmt.Errorf("x: %w", &net.OpError{Err: errno})} {
+					if got := Classify(call, err); got != meaning {
+						t.Errorf("%v: %v is %v, want %v", call, err, got, meaning)
+					}
+				}
+			}
+		}
+	}
+	for call := range callCount {
+		if Classify(call, nil) != None || Classify(call, io.ErrUnexpectedEOF) != Permanent {
+			t.Errorf("%v: no error, or one without an errno", call)
+		}
+	}
+}
+
+// TestRetry: a call is made again while its failure passes, and not after one that does not, nor after the limit.
+func TestRetry(t *testing.T) {
+	log := NewLog(zerolog.Nop())
+	calls := 0
+	fails := func(errnos ...error) func() error {
+		calls = 0
+		return func() error {
+			calls++
+			if calls <= len(errnos) {
+				return errnos[calls-1]
+			}
+			return nil
+		}
+	}
+	if err := RetryFor(5*time.Second, Connect, log, fails(syscall.ENFILE, syscall.EINTR, syscall.ENFILE)); err != nil || calls != 4 {
+		t.Errorf("%v after %d calls", err, calls)
+	}
+	if n := log.Count(Connect, syscall.ENFILE); n != 2 {
+		t.Errorf("%d failures noted", n)
+	}
+	if err := RetryFor(5*time.Second, Connect, log, fails(syscall.ENFILE, syscall.ECONNREFUSED)); !errors.Is(err, syscall.ECONNREFUSED) || calls != 2 {
+		t.Errorf("%v after %d calls", err, calls)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := Retry(ctx, Connect, nil, func() error { return syscall.ENOBUFS }); !errors.Is(err, syscall.ENOBUFS) {
+		t.Errorf("%v", err)
+	}
+	var pause BackOff
+	for range 20 {
+		if p := pause.Next(); p < minBackOff || p > maxBackOff {
+			t.Errorf("a pause of %v", p)
+		}
+	}
+}
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"chalkferry/internal/failure"
 )
 
 const (
@@ -88,10 +90,13 @@
 	case !p.terms.passes && p.table.Open() > 0: // it has come since
 		p.table.MoveSome(p.table.Open())
 	case p.phase == leaving:
-		p.enterPhase(closing)
-		p.endsBy = p.now() + stillComes/2
-		p.letNoneIn()
-		p.came = true // two looks without one show that the queue is empty
+		if p.letNoneIn() {
+			p.enterPhase(closing)
+			p.endsBy = p.now() + stillComes/2
+			p.came = true // two looks without one show that the queue is empty
+		}
+	case p.loop.HasWaiting(): // accepting may fail for a moment
+		p.came = true
 	case p.came:
 		p.came = false
 	case p.clients.Quiet() > 0: // a line that crosses the answer is answered by it
@@ -104,20 +109,17 @@
 	p.timers.After(p.leaveSpan(1)/leaveSteps/leaveSteps, p.windUp)
 }
 
-// letNoneIn has the kernel pass over new connections, while those that it has taken are still accepted. To close the
-// listener would reset them, with a first line unread.
-func (p *Proxy) letNoneIn() {
-	fd, err := p.engine.Dup()
-	if err != nil {
-		p.log.Warn().Err(err).Msg("the listener can't be shut")
-		return
-	}
-	defer unix.Close(fd)
+// letNoneIn has the kernel drop new connections, while those that it has taken are still accepted. To close the listener
+// would reset them, with a first line unread. It returns false when that failed for a moment.
+func (p *Proxy) letNoneIn() bool {
 	none := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-	if err := unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-		&unix.SockFprog{Len: 1, Filter: &none}); err != nil {
-		p.log.Warn().Err(err).Msg("the listener can't be shut")
+	err := unix.SetsockoptSockFprog(p.loop.ListenerFD(), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+		&unix.SockFprog{Len: 1, Filter: &none})
+	meaning := failure.Classify(failure.Option, err)
+	if meaning != failure.None {
+		p.failures.Note(failure.Option, err, meaning)
 	}
+	return !meaning.Passes()
 }
 
 // lastCall ends the process before it is killed, whatever hangs: what still waits is answered, what may be moved is.
@@ -149,14 +151,13 @@
 	}
 }
 
-// end ends the process, or the engine where nothing is open any more.
+// end ends the process, or the event loop where nothing is open any more.
 func (p *Proxy) end() {
 	p.enterPhase(gone)
 	p.log.Info().Int("sessions", p.table.Len()).Msg("left")
-	p.connector.Stop()
 	if p.terms.passes {
 		close(p.left)
 		return
 	}
-	go p.stopEngine()
+	go p.stopLoop()
 }
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -53,7 +53,7 @@
 		p.at.PeersAll, p.at.Peers = next.at.PeersAll, next.at.Peers
 		if next.at.Discovery != p.at.Discovery {
 			// Asked at once: that the watch at hand ends may take long, and so may the pause after one that failed.
-			p.at.Discovery, p.failures = next.at.Discovery, 0
+			p.at.Discovery, p.failed = next.at.Discovery, 0
 			p.watcher.Move(next.at.Discovery)
 			p.balancer.Afresh(p.now())
 		}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -6,11 +6,12 @@
 	"net"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
 
 	"chalkferry/choice"
+	"chalkferry/internal/eventloop"
 	"chalkferry/internal/exchange"
+	"chalkferry/internal/failure"
 	"chalkferry/internal/line"
 	"chalkferry/internal/socket"
 	"chalkferry/internal/timers"
@@ -27,43 +28,45 @@
 	Edition(at choice.ServerID) int
 }
 
+// Loop takes over established connections.
+type Loop interface {
+	// Adopt hands a connection over, from any goroutine; done is called on the loop once it has it.
+	Adopt(conn net.Conn, context any, done func()) error
+}
+
 // Connector connects beside the event loop.
 type Connector struct {
-	Loop    gnet.EventLoop
-	execute func(func()) // on the event loop
-	timers  *timers.Timers
-	room    *socket.Room
-	take    func(gnet.Conn, socket.Owner) *socket.Conn
-	timeout time.Duration
-	out     int           // under way
-	stopped chan struct{} // closed once the event loop may answer nothing more
+	Loop     Loop
+	execute  func(func()) // on the event loop
+	room     *socket.Room
+	take     func(*eventloop.Conn, socket.Owner) *socket.Conn
+	timeout  time.Duration
+	failures *failure.Log
+	out      int // under way
 	// Dial connects; a test may put its own here before the first dial.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
-func NewConnector(execute func(func()), t *timers.Timers, room *socket.Room,
-	take func(gnet.Conn, socket.Owner) *socket.Conn, timeout time.Duration) *Connector {
-	return &Connector{execute: execute, timers: t, room: room, take: take, timeout: timeout,
-		stopped: make(chan struct{}),
+// NewConnector makes a connector that gives up after a timeout.
+func NewConnector(execute func(func()), room *socket.Room, take func(*eventloop.Conn, socket.Owner) *socket.Conn,
+	timeout time.Duration, failures *failure.Log) *Connector {
+	return &Connector{execute: execute, room: room, take: take, timeout: timeout, failures: failures,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			var dialer net.Dialer
 			return dialer.DialContext(ctx, "tcp", address)
 		}}
 }
 
-// Change sets another time for connections to stand.
+// Change sets another time for connections to be established.
 func (c *Connector) Change(timeout time.Duration) { c.timeout = timeout }
 
 // Out is how many connects are under way.
 func (c *Connector) Out() int { return c.out }
 
-// Stop is to be called once the event loop ends: a connection that is still handed over to it is not waited for.
-func (c *Connector) Stop() { close(c.stopped) }
-
-// Opener takes over a connection that stands.
+// Opener takes over a connection that is established.
 type Opener interface {
 	// Open is called on the event loop.
-	Open(conn gnet.Conn)
+	Open(conn *eventloop.Conn)
 }
 
 // connect calls either opener.Open or failed, on the event loop.
@@ -71,34 +74,39 @@
 	c.room.Take(connecting)
 	c.out++
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	ended := func() {
+		c.out--
+		c.room.Give(connecting)
+	}
 	dial := c.Dial
 	go func() {
 		defer cancel()
-		conn, err := dial(ctx, address)
-		if err == nil {
-			var joined <-chan gnet.RegisteredResult
-			if joined, err = c.Loop.Enroll(gnet.NewContext(context.Background(), opener), conn); err != nil {
-				conn.Close()
-			} else {
-				select {
-				case result := <-joined:
-					err = result.Err
-				case <-c.stopped: // guards against a loop that has ended with the hand-over still before it
-					return
-				}
-			}
-		}
-		c.execute(func() {
-			c.out--
-			c.room.Give(connecting)
-			if err != nil {
+		if err := c.establish(ctx, dial, address, opener, ended); err != nil {
+			c.execute(func() {
+				ended()
 				failed(err)
-			}
-		})
+			})
+		}
 	}()
 	return cancel
 }
 
+// establish connects and hands the connection over to the event loop. What fails for a moment is tried again until the
+// context is done: no byte has gone to the server, so that neither its budget nor the session's dials are touched.
+func (c *Connector) establish(ctx context.Context, dial func(context.Context, string) (net.Conn, error), address string,
+	opener Opener, ended func()) error {
+	var conn net.Conn
+	err := failure.Retry(ctx, failure.Connect, c.failures, func() (err error) {
+		conn, err = dial(ctx, address)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return failure.Retry(ctx, failure.HandOver, c.failures, func() error { return c.Loop.Adopt(conn, opener, ended) })
+}
+
 type state int
 
 const (
@@ -157,7 +165,7 @@
 
 // Open sends the first line. A server that has left the list by now takes nothing new, one that is listed anew is not
 // the one that was chosen, of a client that has left no byte goes out, and what the dial was placed by must still hold.
-func (d *Dial) Open(conn gnet.Conn) {
+func (d *Dial) Open(conn *eventloop.Conn) {
 	d.conn = d.servers.connector.take(conn, d)
 	switch {
 	case d.state != reaching:
@@ -214,7 +222,7 @@
 	switch {
 	case d.conn == nil:
 	case was == asked && d.conn.Unsent() > 0: // the rest of a first line given up must not go out later
-		d.conn.Cut()
+		d.conn.Reset()
 	default:
 		d.conn.EndAs(how)
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -8,9 +8,10 @@
 	"io"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
+	"chalkferry/internal/eventloop"
+	"chalkferry/internal/failure"
 	"chalkferry/internal/timers"
 )
 
@@ -20,20 +21,20 @@
 const (
 	Finished End = iota // in good order
 	Reset
+	Broken // by the network: the other end has ended nothing, and may be well
 )
 
 func (e End) String() string {
-	if e == Finished {
-		return "fin"
-	}
-	return "reset"
+	return [...]string{Finished: "fin", Reset: "reset", Broken: "broken"}[e]
 }
 
 // Owner is the side that a connection belongs to.
 type Owner interface {
 	// Read takes whole lines off the buffer and returns how many bytes they are.
 	Read(buf []byte) int
-	// Ended tells that the other end has ended the connection. It is not called for what the owner ended.
+	// Ended tells that the other end has ended the connection, or that it is broken. One that is broken still takes a last
+	// line, which arrives if the failure has passed, and must be ended by the owner. It is not called for what the owner
+	// ended.
 	Ended(how End)
 }
 
@@ -41,18 +42,18 @@
 
 const (
 	open      state = iota
-	finishing       // all is said; the other end's goodbye is awaited
+	finishing       // all is written; the other end's close is awaited
 	closed
 )
 
 // Conn is one connection.
 type Conn struct {
-	conn   gnet.Conn
+	conn   *eventloop.Conn
 	owner  Owner
 	room   *Room
 	timers *timers.Timers
 	later  func(func())  // calls back once the event at hand is through
-	linger time.Duration // for the other end's goodbye
+	linger time.Duration // for the other end's close
 	most   int           // bytes waiting to be written
 	state  state
 	last   *timers.Timer
@@ -63,23 +64,19 @@
 }
 
 // New takes over a connection, for which the room was taken already.
-func New(conn gnet.Conn, owner Owner, room *Room, t *timers.Timers, later func(func()), linger time.Duration,
+func New(conn *eventloop.Conn, owner Owner, room *Room, t *timers.Timers, later func(func()), linger time.Duration,
 	most int) *Conn {
 	return &Conn{conn: conn, owner: owner, room: room, timers: t, later: later, linger: linger, most: most}
 }
 
 // Traffic hands on what has come.
 func (c *Conn) Traffic() {
-	n := c.conn.InboundBuffered()
+	n := len(c.conn.Pending())
 	if n == 0 || c.state == closed {
 		return
 	}
 	if c.state == open {
-		buf, err := c.conn.Peek(n)
-		if err != nil {
-			return
-		}
-		n = c.owner.Read(buf)
+		n = c.owner.Read(c.conn.Pending())
 	}
 	if n > 0 && c.state != closed {
 		c.conn.Discard(n)
@@ -103,14 +100,12 @@
 	if c.state != open {
 		return
 	}
-	if c.conn.OutboundBuffered()+len(lines) > c.most {
+	if c.conn.Unsent()+len(lines) > c.most {
 		c.Reset()
 		c.later(func() { c.owner.Ended(Reset) })
 		return
 	}
-	if n, err := c.conn.Write(lines); err != nil && n == 0 {
-		c.unsent = len(lines)
-	}
+	c.conn.Write(lines)
 }
 
 // Unsent is how many bytes of what was written this machine has not taken yet: the other end can't have them. After
@@ -119,30 +114,45 @@
 	if c.state == closed {
 		return c.unsent
 	}
-	return c.conn.OutboundBuffered()
+	return c.conn.Unsent()
 }
 
 // Peer is what the other end has done that the event loop has not read yet.
 type Peer int
 
 const (
-	Waits  Peer = iota // nothing
-	Speaks             // something has come
-	Left               // it has ended the connection
+	Waits      Peer = iota // nothing
+	Speaks                 // something has come
+	Left                   // it has ended the connection
+	PathFailed             // nothing, but the connection is broken
 )
 
-// Peer asks the machine, which knows of a goodbye before the loop does: the loop may have stood still, or have more
-// to read than one turn takes.
+// maxPeeks is how often Peer asks when the call fails for a moment.
+const maxPeeks = 100
+
+// Peer asks the kernel, which knows of a close before the loop does: the loop may have been held up, or have more to read
+// than one round takes.
 func (c *Conn) Peer() Peer {
 	if c.state != open {
 		return Left
 	}
 	var first [1]byte
-	switch n, _, err := unix.Recvfrom(c.conn.Fd(), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); {
-	case err == nil && n > 0:
-		return Speaks
-	case err == nil, err == unix.ECONNRESET, err == unix.EPIPE, err == unix.ETIMEDOUT:
-		return Left
+	for range maxPeeks {
+		n, _, err := unix.Recvfrom(c.conn.FD(), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch failure.Classify(failure.Read, err) {
+		case failure.None:
+			if n > 0 {
+				return Speaks
+			}
+			return Left
+		case failure.NotReady:
+			return Waits
+		case failure.Interrupted, failure.Exhausted: // nothing is known yet
+		case failure.Broken:
+			return PathFailed
+		default:
+			return Left
+		}
 	}
 	return Waits
 }
@@ -162,18 +172,28 @@
 	c.state = finishing
 	c.spare = c.room.Spare(c.Reset)
 	c.last = c.timers.After(c.linger, c.Reset)
-	c.sayGoodbye()
+	c.shutdownWrite()
 }
 
-func (c *Conn) sayGoodbye() {
-	switch {
-	case c.state != finishing:
-	case c.conn.OutboundBuffered() > 0:
-		c.timers.After(c.linger/16, c.sayGoodbye)
+// shutdownSteps is how often, in the time for the other end's close, it is looked whether the last line is written.
+const shutdownSteps = 16
+
+// shutdownWrite ends this end's sending once all is written.
+func (c *Conn) shutdownWrite() {
+	if c.state != finishing {
+		return
+	}
+	if c.conn.Unsent() > 0 {
+		c.timers.After(c.linger/shutdownSteps, c.shutdownWrite)
+		return
+	}
+	err := unix.Shutdown(c.conn.FD(), unix.SHUT_WR)
+	switch meaning := failure.Classify(failure.Option, err); {
+	case meaning == failure.None:
+	case meaning.Passes():
+		c.timers.After(c.linger/shutdownSteps/shutdownSteps, c.shutdownWrite)
 	default:
-		if unix.Shutdown(c.conn.Fd(), unix.SHUT_WR) != nil {
-			c.Reset()
-		}
+		c.Reset()
 	}
 }
 
@@ -187,49 +207,55 @@
 	if c.state != open { // the write may have failed
 		return
 	}
+	c.readAway()
+	c.close()
+}
+
+// readAway reads what has come and drops it.
+func (c *Conn) readAway() {
 	var away [4 << 10]byte
+	interrupts := 0
 	for read := 0; read < c.most; { // guards against one that sends on and on
-		n, err := unix.Read(c.conn.Fd(), away[:])
+		n, err := unix.Read(c.conn.FD(), away[:])
+		if failure.Classify(failure.Read, err) == failure.Interrupted && interrupts < maxPeeks {
+			interrupts++
+			continue
+		}
 		if err != nil || n == 0 {
-			break
+			return
 		}
 		read += n
 	}
-	c.close()
 }
 
-// Reset cuts the connection off.
+// Reset cuts the connection off. Nothing of what waits to be written goes out any more.
 func (c *Conn) Reset() {
 	if c.state == closed {
 		return
 	}
-	c.conn.SetLinger(0)
-	c.close()
-}
-
-// Cut cuts the connection off and has nothing of what waits to be written go out any more: the event loop writes
-// what it can before it closes, and a line given up could still be completed.
-func (c *Conn) Cut() {
-	if c.state != closed && c.conn.OutboundBuffered() > 0 {
-		unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
+	none := unix.Linger{Onoff: 1}
+	for range maxPeeks {
+		err := unix.SetsockoptLinger(c.conn.FD(), unix.SOL_SOCKET, unix.SO_LINGER, &none)
+		if !failure.Classify(failure.Option, err).Passes() {
+			break
+		}
 	}
-	c.Reset()
+	c.close()
 }
 
 // EndAs ends the connection as the other side's was ended.
 func (c *Conn) EndAs(how End) {
-	if how == Reset {
-		c.Reset()
-	} else {
+	if how == Finished {
 		c.Finish(nil)
+	} else {
+		c.Reset()
 	}
 }
 
 func (c *Conn) close() {
-	conn := c.conn
-	c.unsent = conn.OutboundBuffered()
+	c.unsent = c.conn.Unsent()
 	c.leave()
-	conn.EventLoop().Close(conn)
+	c.conn.Close()
 }
 
 func (c *Conn) leave() {
@@ -239,14 +265,13 @@
 	c.room.Give(1)
 }
 
-// Closed tells that the event loop has closed the connection. It may come in the midst of a write, so the
-// owner is told later.
+// Closed tells that the event loop closes the connection. It may come in the midst of a write, so the owner is told later.
 func (c *Conn) Closed(err error) {
 	was := c.state
 	if was == closed {
 		return
 	}
-	c.unsent = c.conn.OutboundBuffered()
+	c.unsent = c.conn.Unsent()
 	c.leave()
 	if was == open {
 		how := Reset
@@ -259,6 +284,23 @@
 	}
 }
 
+// Failed tells that the connection is broken though the other end has ended nothing.
+func (c *Conn) Failed(err error) {
+	switch c.state {
+	case open:
+		c.err = err
+		c.later(func() {
+			if c.state == open {
+				c.owner.Ended(Broken)
+			}
+		})
+	case finishing: // the last line is written or can't be
+		if c.conn.Unsent() == 0 {
+			c.Reset()
+		}
+	}
+}
+
 // Room counts the descriptors that the process may still open, and knows the connections that may be given up when
 // they run short: those that have asked for nothing, and those that have had their last line.
 type Room struct {
