--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -23,7 +23,8 @@
 // counted writes lines, and before them what was dropped.
 type counted struct {
 	to      io.Writer
-	dropped int // of the writing goroutine
+	dropped int  // of the writing goroutine
+	isTorn  bool // the last write ended within a line
 }
 
 // New makes a writer of lines to another. Failed writes are not repeated: the line is lost.
@@ -57,5 +58,10 @@
 			c.dropped = 0
 		}
 	}
-	return c.to.Write(line)
+	if c.isTorn {
+		line = append([]byte{'\n'}, line...)
+	}
+	n, err := c.to.Write(line)
+	c.isTorn = err != nil && (n > 0 || c.isTorn)
+	return n, err
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"chalkferry/internal/failure"
 )
 
 // Heartbeat is how often a watch with no changes brings an empty line.
@@ -111,10 +113,24 @@
 // Change sets other times for the watches to come.
 func (w *Watcher) Change(connect, answer time.Duration) {
 	w.answer = answer
-	w.client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connect}).DialContext,
+	w.client = &http.Client{Transport: &http.Transport{DialContext: connector(connect),
 		DisableKeepAlives: true, DisableCompression: true}}
 }
 
+// connector connects within a time. What fails for a moment is tried again: a call that fails is followed by a pause, in
+// which changes count as told.
+func connector(within time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+		ctx, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		err = failure.Retry(ctx, failure.Connect, nil, func() (err error) {
+			conn, err = new(net.Dialer).DialContext(ctx, network, address)
+			return err
+		})
+		return conn, err
+	}
+}
+
 // Watch starts a watch for what changed after a revision, in place of the one before.
 func (w *Watcher) Watch(after uint64) {
 	w.start(after, deadline{within: w.answer, missed: ErrUnanswered})
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -40,6 +40,7 @@
 	Interrupted                // the call is made again at once
 	NotReady                   // the call is made again once the descriptor is ready
 	Exhausted                  // a resource is short for a moment: the call is made again after a back-off
+	Unrouted                   // connect only: there is no route for a moment; the call is made again after a back-off
 	Discarded                  // accept only: the connection at the head of the queue is gone, the next may be good
 	Ended                      // the other end has ended or reset the connection
 	Broken                     // the path has failed: the other end has said nothing and may still be there
@@ -48,12 +49,12 @@
 
 func (m Meaning) String() string {
 	return [...]string{None: "none", Interrupted: "interrupted", NotReady: "not ready", Exhausted: "exhausted",
-		Discarded: "discarded", Ended: "ended", Broken: "broken", Permanent: "permanent"}[m]
+		Unrouted: "unrouted", Discarded: "discarded", Ended: "ended", Broken: "broken", Permanent: "permanent"}[m]
 }
 
 // Passes reports whether the same call may succeed a moment later.
 func (m Meaning) Passes() bool {
-	return m == Interrupted || m == NotReady || m == Exhausted || m == Discarded
+	return m == Interrupted || m == NotReady || m == Exhausted || m == Unrouted || m == Discarded
 }
 
 // common are the meanings that an errno has for every call without an entry of its own.
@@ -95,8 +96,8 @@
 		syscall.EADDRNOTAVAIL: Exhausted, // no local port is free
 		syscall.EAGAIN:        Exhausted, // the same, or no space in the routing cache
 		syscall.EADDRINUSE:    Exhausted,
-		syscall.ENETUNREACH:   Exhausted, // a route that is being replaced
-		syscall.ENETDOWN:      Exhausted,
+		syscall.ENETUNREACH:   Unrouted, // a route that is being replaced
+		syscall.ENETDOWN:      Unrouted,
 	}
 	byCall[Listen] = map[syscall.Errno]Meaning{syscall.EADDRNOTAVAIL: Exhausted, syscall.EAGAIN: Exhausted}
 	byCall[OpenFile] = map[syscall.Errno]Meaning{syscall.EIO: Exhausted, syscall.EAGAIN: Exhausted, syscall.ESTALE: Exhausted,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -6,6 +6,9 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
+
+	"chalkferry/internal/failure"
 )
 
 // MaxDatagram is the size of the largest datagram, in bytes.
@@ -81,14 +84,17 @@
 
 func (p *Peers) read(receive func([]byte)) {
 	buffer := make([]byte, MaxDatagram+1)
+	var pause failure.BackOff
 	for {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
 		var netErr net.Error
 		switch {
 		case err == nil && n <= MaxDatagram:
+			pause.Reset()
 			receive(append([]byte(nil), buffer[:n]...))
 		case err == nil: // too long
 		case errors.As(err, &netErr) && !errors.Is(err, net.ErrClosed): // that of an earlier datagram, which did not arrive
+			time.Sleep(pause.Next())
 		default:
 			return
 		}
--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -16,7 +16,7 @@
 // directory knows the servers as listed last, by ids that are the same at every proxy.
 type directory struct {
 	zones   map[string]choice.ZoneID // as they came, of the settings first
-	start   time.Time
+	clock   startClock
 	ids     map[string]choice.ServerID
 	servers map[choice.ServerID]*place
 	entries []choice.Entry
@@ -29,13 +29,14 @@
 type place struct {
 	name, address string
 	standing      choice.Standing
-	drained       bool    // before it was gone
-	since         float64 // its start, as listed
+	drained       bool          // before it was gone
+	upSinceMs     float64       // its latest start, as listed
+	since         time.Duration // the same, by the proxy's clock
 	edition       int
 }
 
-func newDirectory(zones map[string]choice.ZoneID, start time.Time, drainsAlone, apart bool) *directory {
-	d := &directory{zones: map[string]choice.ZoneID{}, start: start, ids: map[string]choice.ServerID{},
+func newDirectory(zones map[string]choice.ZoneID, clock startClock, drainsAlone, apart bool) *directory {
+	d := &directory{zones: map[string]choice.ZoneID{}, clock: clock, ids: map[string]choice.ServerID{},
 		servers: map[choice.ServerID]*place{}, models: map[string]choice.ModelID{}}
 	d.change(zones, drainsAlone, apart)
 	return d
@@ -76,6 +77,7 @@
 			p.standing = choice.Gone
 		}
 	}
+	d.clock.begin()
 	slices.SortFunc(list.Servers, func(a, b discovery.Server) int { return cmp.Compare(a.ID, b.ID) })
 	d.entries = d.entries[:0]
 	for _, s := range list.Servers {
@@ -96,20 +98,21 @@
 		case discovery.Draining:
 			e.Standing = choice.Draining
 		}
-		if s.UpSinceMs > 0 {
-			e.Started = true
-			e.Since = time.UnixMicro(int64(s.UpSinceMs * 1000)).Sub(d.start.Round(0))
-		}
 		p := d.servers[id]
 		p.standing = e.Standing
 		p.drained = e.Standing == choice.Draining || p.drained && e.Standing == choice.Gone
-		if s.HostPort != "" && s.HostPort != p.address || s.UpSinceMs > p.since {
+		if s.HostPort != "" && s.HostPort != p.address || s.UpSinceMs > 0 && s.UpSinceMs != p.upSinceMs {
 			p.edition++
 		}
 		if s.HostPort != "" {
 			p.address = s.HostPort
 		}
-		p.since = max(p.since, s.UpSinceMs)
+		if s.UpSinceMs > 0 && s.UpSinceMs != p.upSinceMs { // it may be earlier, where all machines' clocks were stepped
+			p.upSinceMs, p.since = s.UpSinceMs, d.clock.since(s.UpSinceMs)
+		}
+		if s.UpSinceMs > 0 {
+			e.Started, e.Since = true, p.since
+		}
 		d.entries = append(d.entries, e)
 	}
 	return d.entries
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -145,7 +145,7 @@
 	t := p.terms
 	p.timers = timers.New(p.now, p.wake)
 	p.room = socket.NewRoom(p.limits.Sockets - keptSockets)
-	p.directory = newDirectory(t.zones, p.start, t.list.DrainsBindAlone, t.models)
+	p.directory = newDirectory(t.zones, startClock{began: p.start, now: p.now, wall: time.Now}, t.list.DrainsBindAlone, t.models)
 	p.connector = servers.NewConnector(p.execute, p.room, p.take, t.connect, p.failures)
 	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, p.log)
 	after := func(d time.Duration, call func()) { p.timers.After(d, call) }
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -158,6 +158,10 @@
 	d.limit = s.timers.After(limit, d.late)
 	d.cancel = s.connector.connect(address, d, func(err error) {
 		d.connectErr = err
+		if failure.Classify(failure.Connect, err) == failure.Exhausted { // that is not the server's doing
+			d.fail(choice.NotSent, socket.Reset, "no-resource")
+			return
+		}
 		d.fail(choice.Unreachable, socket.Reset, "unreachable")
 	})
 	return d
@@ -334,10 +338,19 @@
 	case d.state == asked:
 		d.fail(choice.Broken, how, "broken")
 	case d.state == up && d.parting == choice.Accepted:
-		d.gone(choice.Accepted, how, "ended")
+		d.gone(choice.Accepted, afterLastLine(how), "ended")
 	case d.state == up && d.parting == choice.Cancelled:
-		d.gone(choice.Cancelled, how, "sent-away")
+		d.gone(choice.Cancelled, afterLastLine(how), "sent-away")
 	case d.state == up:
 		d.gone(choice.Broken, how, "broken")
 	}
 }
+
+// afterLastLine is how the client's side ends once the server's last line has been passed: nothing more is due to a client
+// whose server's connection broke only then.
+func afterLastLine(how socket.End) socket.End {
+	if how == socket.Broken {
+		return socket.Finished
+	}
+	return how
+}
--- a/internal/sharing/endpoint.go
+++ b/internal/sharing/endpoint.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"chalkferry/internal/aggregation"
+	"chalkferry/internal/failure"
 )
 
 // datagram is a message that was received.
@@ -81,14 +82,17 @@
 // what is in the queue and no more memory.
 func (e *endpoint) read() {
 	buffer := make([]byte, maxDatagramBytes+1) // what is longer is cut, and dropped as too long
+	var pause failure.BackOff
 	for {
 		size, from, err := e.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue // an earlier datagram found nobody; the next one may
+		if err != nil { // an earlier datagram found nobody, or a resource is short; the next one may do better
+			time.Sleep(pause.Next())
+			continue
 		}
+		pause.Reset()
 		e.counters.receivedBytes.Add(uint64(size))
 		content, err := decode(buffer[:size])
 		if err != nil {
