--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -51,6 +51,9 @@
 
 	arguments []string // further ones of its command
 
+	// changing is held by the fault that changes the configuration or restarts the process: several may meet at one proxy.
+	changing sync.Mutex
+
 	mu               sync.Mutex
 	state            processState
 	cmd              *exec.Cmd
--- a/internal/rehearse/proxies.go
+++ b/internal/rehearse/proxies.go
@@ -52,6 +52,8 @@
 // restartProxy starts a proxy again with the list as it is now.
 func (r *rehearsal) restartProxy(i int) {
 	p := r.processes[i]
+	p.changing.Lock()
+	defer p.changing.Unlock()
 	p.kill()
 	p.config.Known = r.list.Snapshot()
 	r.judge.ProxyStarted(r.now(), judge.ProxyID(i))
@@ -64,6 +66,8 @@
 // reloadProxy replaces a proxy's configuration and sends it SIGHUP; discoveryMoved gives discovery another address.
 func (r *rehearsal) reloadProxy(i int, discoveryMoved bool) {
 	p := r.processes[i]
+	p.changing.Lock()
+	defer p.changing.Unlock()
 	if discoveryMoved {
 		next, err := r.list.OpenEndpoint(p.id, "127.0.0.1:0")
 		if err != nil {
