--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -284,21 +284,18 @@
 	}
 }
 
-// Failed tells that the connection is broken though the other end has ended nothing.
+// Failed tells that the connection is broken though the other end has ended nothing. One that is finishing goes on: its last
+// line may still arrive, and its time is limited.
 func (c *Conn) Failed(err error) {
-	switch c.state {
-	case open:
-		c.err = err
-		c.later(func() {
-			if c.state == open {
-				c.owner.Ended(Broken)
-			}
-		})
-	case finishing: // the last line is written or can't be
-		if c.conn.Unsent() == 0 {
-			c.Reset()
-		}
+	if c.state != open {
+		return
 	}
+	c.err = err
+	c.later(func() {
+		if c.state == open {
+			c.owner.Ended(Broken)
+		}
+	})
 }
 
 // Room counts the descriptors that the process may still open, and knows the connections that may be given up when
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -62,6 +62,14 @@
 	return nil
 }
 
+func (f *faultyFile) Truncate(size int64) error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	f.text = f.text[:size]
+	f.synced = min(f.synced, len(f.text))
+	return nil
+}
+
 func (f *faultyFile) Close() error { return nil }
 
 // after is what the folder holds after a loss of power.
