The store writes again what failed for a moment, from what is durable on

Change: by package failure's meaning the segment is cut to what is durable and pending batches are written anew, with a back-off; Close tries for 5 s more; any other failure still ends the writer (TestAcknowledged, unchanged).

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -13,22 +13,23 @@
 
 // Calls.
 const (
-	Accept   Call = iota // accept4(2) on the listener
-	Read                 // read(2) and recvfrom(2) on a connection
-	Write                // write(2) on a connection
-	Register             // epoll_ctl(2)
-	Wake                 // write(2) on the event loop's eventfd
-	Connect              // socket(2) and connect(2)
-	HandOver             // fcntl(2) that gives the event loop its own descriptor
-	Option               // setsockopt(2) and shutdown(2)
-	Listen               // what opens a listener: socket(2), bind(2), listen(2), epoll_create1(2), eventfd(2)
-	OpenFile             // open(2) and read(2) of a file
+	Accept    Call = iota // accept4(2) on the listener
+	Read                  // read(2) and recvfrom(2) on a connection
+	Write                 // write(2) on a connection
+	Register              // epoll_ctl(2)
+	Wake                  // write(2) on the event loop's eventfd
+	Connect               // socket(2) and connect(2)
+	HandOver              // fcntl(2) that gives the event loop its own descriptor
+	Option                // setsockopt(2) and shutdown(2)
+	Listen                // what opens a listener: socket(2), bind(2), listen(2), epoll_create1(2), eventfd(2)
+	OpenFile              // open(2) and read(2) of a file
+	WriteFile             // what makes data durable: open(2), write(2), ftruncate(2), fsync(2)
 	callCount
 )
 
 func (c Call) String() string {
 	return [...]string{Accept: "accept", Read: "read", Write: "write", Register: "epoll_ctl", Wake: "wake",
-		Connect: "connect", HandOver: "hand-over", Option: "option", Listen: "listen", OpenFile: "open"}[c]
+		Connect: "connect", HandOver: "hand-over", Option: "option", Listen: "listen", OpenFile: "open", WriteFile: "write file"}[c]
 }
 
 // Meaning is what a failure means.
@@ -86,6 +87,8 @@
 	Option:   Permanent,
 	Listen:   Permanent,
 	OpenFile: Permanent,
+
+	WriteFile: Permanent,
 }
 
 func init() {
@@ -102,6 +105,8 @@
 	byCall[Listen] = map[syscall.Errno]Meaning{syscall.EADDRNOTAVAIL: Exhausted, syscall.EAGAIN: Exhausted}
 	byCall[OpenFile] = map[syscall.Errno]Meaning{syscall.EIO: Exhausted, syscall.EAGAIN: Exhausted, syscall.ESTALE: Exhausted,
 		syscall.ETIMEDOUT: Exhausted}
+	byCall[WriteFile] = map[syscall.Errno]Meaning{syscall.EIO: Exhausted, syscall.EDQUOT: Exhausted, syscall.EAGAIN: Exhausted,
+		syscall.ETIMEDOUT: Exhausted}
 	for _, errno := range network {
 		byCall[Accept][errno] = Discarded // errors of the new connection, which accept4 passes on
 		byCall[Read][errno] = Broken
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -50,6 +50,8 @@
 		HandOver: {Exhausted: {syscall.EMFILE}, Interrupted: {syscall.EINTR}, Permanent: {syscall.EBADF}},
 		Option:   {Exhausted: {syscall.ENOMEM, syscall.ENOBUFS}, Permanent: {syscall.ENOTCONN, syscall.EBADF}},
 		Listen:   {Exhausted: {syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL}, Permanent: {syscall.EADDRINUSE, syscall.EACCES}},
+		WriteFile: {Exhausted: {syscall.ENOSPC, syscall.EIO, syscall.EDQUOT, syscall.ENFILE}, Interrupted: {syscall.EINTR},
+			Permanent: {syscall.EROFS, syscall.EBADF, syscall.EEXIST}},
 		OpenFile: {Exhausted: {syscall.EIO, syscall.ENFILE, syscall.ENOMEM}, Permanent: {syscall.ENOENT, syscall.EACCES}},
 	} {
 		for meaning, errnos := range byMeaning {
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -24,6 +24,8 @@
 	Write(text []byte) (int, error)
 	// Sync returns when all that was written is durable.
 	Sync() error
+	// Truncate cuts the file to a size in bytes; the next write goes on there.
+	Truncate(size int64) error
 	Close() error
 }
 
@@ -55,7 +57,7 @@
 
 // Create makes a new file; it fails where one of the name exists.
 func (f *Folder) Create(name string) (File, error) {
-	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
 }
 
 // SyncFolder makes the names of created files durable.
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -1,13 +1,21 @@
 package store
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
+	"time"
+
+	"chalkferry/internal/failure"
 )
 
+// closePatience is how long Close goes on trying while the disk fails for a moment.
+const closePatience = 5 * time.Second
+
 // Writer appends batches. Pending batches share one sync (group commit): each is acknowledged after the sync that made it
-// durable, in the order in which they were appended. It never blocks its caller.
+// durable, in the order in which they were appended. While the disk fails for a moment they stay pending, and are written
+// again. It never blocks its caller.
 type Writer struct {
 	disk            Disk
 	maxPending      int // batches
@@ -19,11 +27,15 @@
 	closed          bool
 	wake            chan struct{}
 	ended           chan struct{}
+	context         context.Context // done once the disk is not waited for any more
+	giveUp          context.CancelFunc
 
 	// Used by the committing goroutine only.
-	file File
-	size int
-	last Seq
+	file     File
+	isListed bool // the file's name is durable
+	isDirty  bool // a write was begun and is not durable: part of it may be there
+	size     int  // bytes of the file that are durable
+	last     Seq
 }
 
 type pendingBatch struct {
@@ -42,6 +54,7 @@
 // batches wait; a segment that has reached maxSegmentBytes is followed by another.
 func NewWriter(disk Disk, r *Recovered, maxPending, maxSegmentBytes int) (*Writer, error) {
 	w := &Writer{disk: disk, maxPending: maxPending, maxSegmentBytes: maxSegmentBytes, last: r.Last, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	w.context, w.giveUp = context.WithCancel(context.Background())
 	if r.Torn != "" {
 		return nil, fmt.Errorf("the end is torn, repair it first: %s", r.Torn)
 	}
@@ -81,7 +94,8 @@
 	return w.shed
 }
 
-// Close commits the pending batches and ends the writer.
+// Close commits the pending batches and ends the writer. While the disk fails for a moment it tries for up to 5 s; what is
+// pending then is reported as failed.
 func (w *Writer) Close() error {
 	w.mu.Lock()
 	if !w.closed {
@@ -89,7 +103,10 @@
 		close(w.wake)
 	}
 	w.mu.Unlock()
+	limit := time.AfterFunc(closePatience, w.giveUp)
+	defer limit.Stop()
 	<-w.ended
+	w.giveUp()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.failed
@@ -106,8 +123,8 @@
 	}
 }
 
-// commit writes all pending batches and syncs once. After any failure the file is not trusted again: what a failed sync
-// has lost, a later one that succeeds does not bring back.
+// commit writes all pending batches and syncs once. What fails for a moment is written again from what is durable on: a sync
+// that succeeds later does not bring back what a failed one has lost. After any other failure nothing is written any more.
 func (w *Writer) commit() {
 	w.mu.Lock()
 	batches, failed := w.pending, w.failed
@@ -127,7 +144,8 @@
 		rejections = append(rejections, err)
 	}
 	if failed == nil && w.last >= first {
-		if failed = w.write(first, data); failed != nil {
+		failed = failure.Retry(w.context, failure.WriteFile, nil, func() error { return w.write(first, data) })
+		if failed != nil {
 			w.mu.Lock()
 			w.failed = failed
 			w.mu.Unlock()
@@ -147,29 +165,49 @@
 	}
 }
 
+// write makes data durable behind what is. It may be called again with the same data after a failure.
 func (w *Writer) write(first Seq, data []byte) error {
-	if w.file != nil && w.size >= w.maxSegmentBytes {
-		file := w.file
-		w.file, w.size = nil, 0
-		if err := file.Close(); err != nil {
+	if err := w.openSegment(first); err != nil {
+		return err
+	}
+	if w.isDirty {
+		if err := w.file.Truncate(int64(w.size)); err != nil {
 			return err
 		}
 	}
+	w.isDirty = true
+	if w.size == 0 {
+		data = append(appendHeader(nil, first), data...)
+	}
+	if _, err := w.file.Write(data); err != nil {
+		return err
+	}
+	if err := w.file.Sync(); err != nil {
+		return err
+	}
+	w.isDirty = false
+	w.size += len(data)
+	return nil
+}
+
+// openSegment opens the segment that the next batches go to, and makes its name durable.
+func (w *Writer) openSegment(first Seq) error {
+	if w.file != nil && !w.isDirty && w.size >= w.maxSegmentBytes {
+		w.file.Close() // all that it holds is durable, whatever this returns
+		w.file = nil
+	}
 	if w.file == nil {
 		file, err := w.disk.Create(fmt.Sprintf("%016x%s", uint64(first), segmentSuffix))
 		if err != nil {
 			return err
 		}
+		w.file, w.isListed, w.isDirty, w.size = file, false, false, 0
+	}
+	if !w.isListed {
 		if err := w.disk.SyncFolder(); err != nil {
-			file.Close()
 			return err
 		}
-		w.file = file
-		data = append(appendHeader(nil, first), data...)
+		w.isListed = true
 	}
-	w.size += len(data)
-	if _, err := w.file.Write(data); err != nil {
-		return err
-	}
-	return w.file.Sync()
+	return nil
 }
