--- a/cmd/chalkferry/faults_test.go
+++ b/cmd/chalkferry/faults_test.go
@@ -96,6 +96,8 @@
 		"hand-over": append(anyOf(unix.SYS_FCNTL, faultinject.Socket, 6, 2, unix.EMFILE),
 			append(anyOf(unix.SYS_GETPEERNAME, faultinject.Socket, 6, 1, unix.ENOBUFS),
 				anyOf(unix.SYS_SETSOCKOPT, faultinject.Socket, 6, 1, unix.ENOBUFS)...)...),
+		"options": append(anyOf(unix.SYS_GETSOCKOPT, faultinject.Socket, 6, 2, unix.ENOBUFS),
+			anyOf(unix.SYS_GETSOCKNAME, faultinject.Socket, 6, 2, unix.ENOBUFS)...),
 		"broken":   anyOf(unix.SYS_READ, faultinject.Socket, 40, 1, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ENETUNREACH),
 		"shutdown": append(anyOf(unix.SYS_SHUTDOWN, faultinject.Socket, 2, 2, unix.ENOBUFS), anyOf(unix.SYS_RECVFROM, faultinject.Socket, 4, 2, unix.EINTR, unix.ENOMEM)...),
 		"parts": append(anyOf(unix.SYS_READ, faultinject.Socket, 2, 1, faultinject.Partial),
--- a/cmd/chalkferry/soak_test.go
+++ b/cmd/chalkferry/soak_test.go
@@ -167,6 +167,12 @@
 	{Call: unix.SYS_RECVFROM, Target: faultinject.Socket, Errno: unix.EINTR, Every: 5},
 	{Call: unix.SYS_RECVFROM, Target: faultinject.Socket, Errno: unix.EHOSTUNREACH, Every: 50},
 	{Call: unix.SYS_OPENAT, Target: faultinject.OpenedConfig, Errno: unix.EIO, Every: 3},
+	{Call: unix.SYS_WRITE, Target: faultinject.Output, Errno: unix.ENOSPC, Every: 5},
+	{Call: unix.SYS_WRITE, Target: faultinject.Output, Errno: unix.EIO, Every: 5},
+	{Call: unix.SYS_GETSOCKOPT, Target: faultinject.Socket, Errno: unix.ENOBUFS, Every: 10},
+	{Call: unix.SYS_GETSOCKNAME, Target: faultinject.Socket, Errno: unix.ENOBUFS, Every: 10},
+	{Call: unix.SYS_NANOSLEEP, Errno: unix.EINTR, Every: 5},
+	{Call: unix.SYS_MADVISE, Errno: unix.ENOMEM, Every: 5},
 }
 
 // TestSoak runs drawn scenarios under drawn faults, with signals in series and, in some, a crowd: whatever meets, no rule is
--- a/internal/faultinject/controller.go
+++ b/internal/faultinject/controller.go
@@ -137,6 +137,8 @@
 	flags uint32
 }
 
+const standardOutput = 1
+
 const continueCall = 1 // SECCOMP_USER_NOTIF_FLAG_CONTINUE
 
 // process is one process under faults.
@@ -203,6 +205,9 @@
 		return strings.HasSuffix(p.text(n.args[1]), "config.json")
 	}
 	fd := n.args[0]
+	if t == Output {
+		return fd == standardOutput
+	}
 	if n.call == unix.SYS_EPOLL_CTL {
 		fd = n.args[2]
 	}
--- a/internal/faultinject/plan.go
+++ b/internal/faultinject/plan.go
@@ -19,6 +19,7 @@
 	EventFD             // eventfds: of event loops
 	NotEventFD          // anything but eventfds
 	OpenedConfig        // for openat: the proxy's configuration
+	Output              // standard output
 )
 
 // Partial stands in place of an errno: the call transfers only a part of its bytes.
@@ -57,7 +58,7 @@
 	unix.SYS_SETSOCKOPT: "setsockopt", unix.SYS_SHUTDOWN: "shutdown", unix.SYS_RECVFROM: "recvfrom",
 	unix.SYS_OPENAT: "openat", unix.SYS_BIND: "bind", unix.SYS_LISTEN: "listen", unix.SYS_EVENTFD2: "eventfd2",
 	unix.SYS_EPOLL_CREATE1: "epoll_create1", unix.SYS_GETSOCKOPT: "getsockopt", unix.SYS_CLOSE: "close",
-	unix.SYS_FSYNC: "fsync",
+	unix.SYS_FSYNC: "fsync", unix.SYS_GETSOCKNAME: "getsockname", unix.SYS_NANOSLEEP: "nanosleep", unix.SYS_MADVISE: "madvise",
 }
 
 // Plan is what fails in each process of a run. The same seed draws the same choices; which call meets which choice depends
