--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -59,20 +59,37 @@
 	return err != nil || n > 0
 }
 
-// accept takes the next connection. Another event comes while there are more.
+// maxAccepts is how many connections are accepted in one event, so that others have their turn.
+const maxAccepts = 16
+
+// accept takes connections from the queue. Another event comes while there are more.
 func (l *Loop) accept() {
-	fd, _, err := unix.Accept4(l.listener.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-	switch meaning := failure.Classify(failure.Accept, err); meaning {
-	case failure.None:
-		l.listener.pause.Reset()
-		l.add(fd, nil)
-	case failure.NotReady:
-	case failure.Exhausted:
-		l.failures.Note(failure.Accept, err, meaning)
-		l.pauseAccept()
-	default: // the next event is for the next connection
-		l.failures.Note(failure.Accept, err, meaning)
+	for range maxAccepts {
+		fd, err := acceptConnection(l.listener.fd)
+		switch meaning := failure.Classify(failure.Accept, err); meaning {
+		case failure.None:
+			l.listener.pause.Reset()
+			l.add(fd, nil)
+		case failure.NotReady:
+			return
+		case failure.Exhausted:
+			l.failures.Note(failure.Accept, err, meaning)
+			l.pauseAccept()
+			return
+		default: // the next call is for the next connection
+			l.failures.Note(failure.Accept, err, meaning)
+		}
+	}
+}
+
+// acceptConnection is accept4(2) without the peer's address: the wrapper of x/sys asks for more to return that, and closes
+// the connection when it does not get it.
+func acceptConnection(listener int) (fd int, err error) {
+	accepted, _, errno := unix.Syscall6(unix.SYS_ACCEPT4, uintptr(listener), 0, 0, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0, 0)
+	if errno != 0 {
+		return -1, errno
 	}
+	return int(accepted), nil
 }
 
 // pauseAccept leaves the listener alone for a moment: its event would come again and again.
