--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -62,20 +62,28 @@
 // maxAccepts is how many connections are accepted in one event, so that others have their turn.
 const maxAccepts = 16
 
+// maxAcceptFailures is how many failures in a row for want of a resource are followed by another call at once. Pauses after
+// each would hold up a crowd for longer than its clients wait.
+const maxAcceptFailures = 4
+
 // accept takes connections from the queue. Another event comes while there are more.
 func (l *Loop) accept() {
+	failures := 0
 	for range maxAccepts {
 		fd, err := acceptConnection(l.listener.fd)
 		switch meaning := failure.Classify(failure.Accept, err); meaning {
 		case failure.None:
+			failures = 0
 			l.listener.pause.Reset()
 			l.add(fd, nil)
 		case failure.NotReady:
 			return
 		case failure.Exhausted:
 			l.failures.Note(failure.Accept, err, meaning)
-			l.pauseAccept()
-			return
+			if failures++; failures > maxAcceptFailures {
+				l.pauseAccept()
+				return
+			}
 		default: // the next call is for the next connection
 			l.failures.Note(failure.Accept, err, meaning)
 		}
--- a/internal/failure/retry.go
+++ b/internal/failure/retry.go
@@ -8,13 +8,13 @@
 // Back-off between calls that fail for want of a resource.
 const (
 	minBackOff = time.Millisecond
-	maxBackOff = 50 * time.Millisecond
+	maxBackOff = 10 * time.Millisecond // a hundred calls a second cost little, and clients wait meanwhile
 )
 
 // BackOff is a pause that doubles with each failure in a row. The zero value is ready.
 type BackOff struct{ last time.Duration }
 
-// Next returns the next pause, 1 to 50 ms.
+// Next returns the next pause, 1 to 10 ms.
 func (b *BackOff) Next() time.Duration {
 	b.last = min(max(2*b.last, minBackOff), maxBackOff)
 	return b.last
