Names and files of what was touched; the aggregator and status servers by package failure

Cause: socket, clients and proxy still had words of the earlier house style, and proxy.go held the loop's callbacks, the list and the peers; a status server ended on accept=ENOBUFS, and the aggregator wrote its log where it works.

--- a/cmd/chalkferry/aggregate.go
+++ b/cmd/chalkferry/aggregate.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 
+	"chalkferry/internal/asynclog"
+	"chalkferry/internal/failure"
 	"chalkferry/internal/sharing"
 )
 
@@ -33,8 +35,15 @@
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
-	aggregator, err := sharing.StartAggregator(*config, log)
+	signal.Ignore(syscall.SIGPIPE) // of a log whose reader has gone
+	output := asynclog.New(os.Stdout)
+	defer output.Close(logPatience)
+	log := zerolog.New(output).Level(level).With().Timestamp().Logger()
+	var aggregator *sharing.Aggregator
+	err = failure.RetryFor(startPatience, failure.Listen, failure.NewLog(log), func() (err error) {
+		aggregator, err = sharing.StartAggregator(*config, log)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -21,7 +21,7 @@
 	// startPatience is how long a start goes on trying calls that fail for a moment.
 	startPatience = 10 * time.Second
 	// logPatience is how long the end of the process waits for the log's reader.
-	logPatience = 200 * time.Millisecond
+	logPatience = 100 * time.Millisecond
 )
 
 type serveCmd struct {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -22,7 +22,7 @@
 type Clients struct {
 	table     *exchange.Table
 	timers    *timers.Timers
-	room      *socket.Room
+	room      *socket.ConnectionLimit
 	now       func() time.Duration
 	hello     time.Duration // for a connection to ask for a session
 	holder    func(name []byte) choice.ServerID
@@ -36,7 +36,7 @@
 	log       zerolog.Logger
 }
 
-func New(table *exchange.Table, t *timers.Timers, room *socket.Room, now func() time.Duration, hello time.Duration,
+func New(table *exchange.Table, t *timers.Timers, room *socket.ConnectionLimit, now func() time.Duration, hello time.Duration,
 	holder func(name []byte) choice.ServerID, listeners map[string]choice.ListenerID,
 	tenants map[string]choice.TenantID, groups bool, log zerolog.Logger) *Clients {
 	return &Clients{table: table, timers: t, room: room, now: now, hello: hello, holder: holder, listeners: listeners,
@@ -84,17 +84,17 @@
 
 // Client is one connection of a client.
 type Client struct {
-	clients *Clients
-	conn    *socket.Conn
-	state   state
-	ex      *exchange.Exchange
-	opening *line.Open // of the session asked for
-	id      string     // that it gave its session
-	since   time.Duration
-	stands  time.Duration // since when lines pass
-	idle    *timers.Timer
-	spare   *list.Element // while nothing has been asked
-	pings   int
+	clients       *Clients
+	conn          *socket.Conn
+	state         state
+	ex            *exchange.Exchange
+	opening       *line.Open // of the session asked for
+	id            string     // that it gave its session
+	since         time.Duration
+	establishedAt time.Duration // since when lines pass
+	idle          *timers.Timer
+	spare         *list.Element // while nothing has been asked
+	pings         int
 }
 
 // New makes the side for a connection that is about to be taken over.
@@ -124,7 +124,7 @@
 // drop ends at once what has asked for nothing.
 func (c *Client) drop(reason string) {
 	if c.state == quiet {
-		c.say(socket.Finished, reason)
+		c.logEnd(socket.Finished, reason)
 		c.conn.Drop([]byte("BUSY\r\n"))
 	}
 }
@@ -325,7 +325,7 @@
 // Up lets lines pass; some may have come already.
 func (c *Client) Up() {
 	if c.state == waits {
-		c.state, c.stands = passes, c.clients.now()
+		c.state, c.establishedAt = passes, c.clients.now()
 		c.conn.Again()
 	}
 }
@@ -333,20 +333,20 @@
 // Answer sends a last line and ends the connection in good order.
 func (c *Client) Answer(last []byte, reason string) {
 	if c.state != over {
-		c.say(socket.Finished, reason)
+		c.logEnd(socket.Finished, reason)
 		c.conn.Finish(last)
 	}
 }
 
 func (c *Client) End(how socket.End, reason string) {
 	if c.state != over {
-		c.say(how, reason)
+		c.logEnd(how, reason)
 		c.conn.EndAs(how)
 	}
 }
 
-// say leaves the line about a connection that ends.
-func (c *Client) say(how socket.End, reason string) {
+// logEnd leaves the line about a connection that ends.
+func (c *Client) logEnd(how socket.End, reason string) {
 	c.state = over
 	c.asked()
 	if c.clients.ids[c.id] == c {
@@ -374,8 +374,8 @@
 		if o.Returned {
 			e = e.Bool("returned", true)
 		}
-		if c.stands > 0 {
-			e = e.Dur("up_ms", c.stands-c.since)
+		if c.establishedAt > 0 {
+			e = e.Dur("up_ms", c.establishedAt-c.since)
 		}
 	}
 	e.Send()
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -106,3 +106,26 @@
 		}
 	}
 }
+
+// failingListener fails some times before it accepts.
+type failingListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.failures) == 0 {
+		return nil, net.ErrClosed
+	}
+	err := l.failures[0]
+	l.failures = l.failures[1:]
+	return nil, err
+}
+
+// TestListener: failures that pass are not returned; the end of the listener is, at once.
+func TestListener(t *testing.T) {
+	inner := &failingListener{failures: []error{syscall.ENOBUFS, syscall.ECONNABORTED, syscall.EPROTO, syscall.ENFILE}}
+	if _, err := (Listener{Listener: inner}).Accept(); !errors.Is(err, net.ErrClosed) || len(inner.failures) > 0 {
+		t.Errorf("%v, %d failures left", err, len(inner.failures))
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -79,9 +79,6 @@
 	}
 }
 
-// Tell is Send, by the name that internal/proxy still uses.
-func (p *Peers) Tell(payload []byte) { p.Send(payload) }
-
 func (p *Peers) read(receive func([]byte)) {
 	buffer := make([]byte, MaxDatagram+1)
 	var pause failure.BackOff
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -368,7 +368,7 @@
 	r.listed(1, member("s-1", s.at, "ready"))
 	release := r.stall()
 	taken := connect(t, r.at)
-	r.p.letNoneIn()
+	r.p.stopAccepting()
 	if conn, err := net.DialTimeout("tcp", r.at, 200*time.Millisecond); err == nil {
 		conn.Close()
 		t.Error("the kernel lets another one in")
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -90,7 +90,7 @@
 	case !p.terms.passes && p.table.Open() > 0: // it has come since
 		p.table.MoveSome(p.table.Open())
 	case p.phase == leaving:
-		if p.letNoneIn() {
+		if p.stopAccepting() {
 			p.enterPhase(closing)
 			p.endsBy = p.now() + stillComes/2
 			p.came = true // two looks without one show that the queue is empty
@@ -109,9 +109,9 @@
 	p.timers.After(p.leaveSpan(1)/leaveSteps/leaveSteps, p.windUp)
 }
 
-// letNoneIn has the kernel drop new connections, while those that it has taken are still accepted. To close the listener
+// stopAccepting has the kernel drop new connections, while those that it has taken are still accepted. To close the listener
 // would reset them, with a first line unread. It returns false when that failed for a moment.
-func (p *Proxy) letNoneIn() bool {
+func (p *Proxy) stopAccepting() bool {
 	none := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 	err := unix.SetsockoptSockFprog(p.loop.ListenerFD(), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
 		&unix.SockFprog{Len: 1, Filter: &none})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,7 +3,6 @@
 package proxy
 
 import (
-	"errors"
 	"fmt"
 	"math/rand"
 	"runtime"
@@ -51,7 +50,7 @@
 	waiting   []func()
 	timers    *timers.Timers
 	alarm     *time.Timer
-	room      *socket.Room
+	room      *socket.ConnectionLimit
 	balancer  *choice.Balancer
 	ready     chan struct{} // closed once the loop runs
 	begin     func()        // startBalancer with what the configuration says
@@ -144,7 +143,7 @@
 func (p *Proxy) connectParts() {
 	t := p.terms
 	p.timers = timers.New(p.now, p.wake)
-	p.room = socket.NewRoom(p.limits.Sockets - keptSockets)
+	p.room = socket.NewConnectionLimit(p.limits.Sockets - keptSockets)
 	p.directory = newDirectory(t.zones, startClock{began: p.start, now: p.now, wall: time.Now}, t.list.DrainsBindAlone, t.models)
 	p.connector = servers.NewConnector(p.execute, p.room, p.take, t.connect, p.failures)
 	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, p.log)
@@ -160,7 +159,7 @@
 func (p *Proxy) prepare() (err error) {
 	p.limitMemory(p.limits)
 	err = failure.RetryFor(startPatience, failure.Listen, p.failures, func() (err error) {
-		p.peers, err = p.hear(p.at, p.terms)
+		p.peers, err = p.listenPeers(p.at, p.terms)
 		return err
 	})
 	if err != nil {
@@ -185,7 +184,7 @@
 	p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
 	p.sweep()
 	if p.share != nil {
-		p.tellFleet()
+		p.shareHeld()
 	}
 }
 
@@ -251,55 +250,6 @@
 
 // The event loop.
 
-// OnOpen takes a connection over: one to a server that was connected to, or a client's.
-func (p *Proxy) OnOpen(conn *eventloop.Conn) {
-	p.enter()
-	defer p.leave()
-	if opener, ok := conn.Context().(servers.Opener); ok {
-		opener.Open(conn)
-		return
-	}
-	p.came = true
-	client := p.clients.New()
-	c := p.take(conn, client)
-	client.Serve(c)
-	client.Admit()
-}
-
-func (p *Proxy) take(conn *eventloop.Conn, owner socket.Owner) *socket.Conn {
-	p.room.Take(1)
-	c := socket.New(conn, owner, p.room, p.timers, p.later, p.linger(), mostWaiting)
-	conn.SetContext(c)
-	return c
-}
-
-// OnTraffic reads what has come.
-func (p *Proxy) OnTraffic(conn *eventloop.Conn) {
-	p.enter()
-	defer p.leave()
-	if c, ok := conn.Context().(*socket.Conn); ok {
-		c.Traffic()
-	}
-}
-
-// OnBroken tells the owner of a connection that is broken.
-func (p *Proxy) OnBroken(conn *eventloop.Conn, err error) {
-	p.enter()
-	defer p.leave()
-	if c, ok := conn.Context().(*socket.Conn); ok {
-		c.Failed(err)
-	}
-}
-
-// OnClose tells the owner of a connection that has ended.
-func (p *Proxy) OnClose(conn *eventloop.Conn, err error) {
-	p.enter()
-	defer p.leave()
-	if c, ok := conn.Context().(*socket.Conn); ok {
-		c.Closed(err)
-	}
-}
-
 func (p *Proxy) enter() { p.depth++ }
 
 // leave calls what had to wait for the end of the event.
@@ -339,70 +289,6 @@
 	p.timers.After(noteSpan/sweeps, p.sweep)
 }
 
-// The list of servers.
-
-func (p *Proxy) listed(list discovery.List) {
-	if list.Revision < p.revision {
-		p.watcher.Drop()
-		p.watchFailed(fmt.Errorf("revision %d after %d", list.Revision, p.revision))
-		return
-	}
-	p.revision = list.Revision
-	p.failed = 0
-	defer p.clients.AnswerPings()
-	kind := choice.ListDelta
-	if list.Complete {
-		kind = choice.ListFull
-	}
-	p.balancer.List(p.now(), kind, p.directory.entriesOf(list))
-	p.directory.eachGone(p.table.Forget)
-	ready, draining := p.directory.count()
-	p.log.Info().Uint64("revision", list.Revision).Bool("complete", list.Complete).Int("entries", len(list.Servers)).
-		Int("ready", ready).Int("draining", draining).Msg("list")
-}
-
-// watchFailed leaves the last list standing; the module asks again. In place of a watch that has fallen silent another
-// begins at once, and one more if that says nothing either: what they miss is told to be known soon, by a clock of its
-// own that no pause between calls heeds.
-func (p *Proxy) watchFailed(err error) {
-	p.failed++
-	p.log.Warn().Err(err).Int("failures", p.failed).Msg("the watch of the list failed")
-	switch {
-	case errors.Is(err, discovery.ErrSilent):
-		p.watcher.Again(p.revision)
-	case errors.Is(err, discovery.ErrUnopened):
-		p.watcher.Watch(p.revision)
-	case errors.Is(err, discovery.ErrUnanswered): // it has waited long enough
-		p.balancer.Afresh(p.now())
-	default:
-		p.balancer.List(p.now(), choice.ListFailed, nil)
-	}
-	p.clients.AnswerPings() // nothing more is known to wait for
-}
-
-// hear opens the end for words of other proxies, where they may tell one another something.
-func (p *Proxy) hear(at start.Addresses, t *terms) (*peers.Peers, error) {
-	if !t.words.Allowed || at.PeerListen == "" {
-		return nil, nil
-	}
-	end, err := peers.Listen(at.PeerListen, at.PeersAll, at.Peers, p.heard)
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
-	}
-	return end, nil
-}
-
-// heard takes another proxy's word, off the loop.
-func (p *Proxy) heard(word []byte) {
-	<-p.ready
-	at, delay, err := benchwire.Word(word)
-	if err != nil {
-		p.log.Warn().Err(err).Msg("a word from another proxy is ignored")
-		return
-	}
-	p.execute(func() { p.balancer.Told(p.now(), at, delay) })
-}
-
 // front is what the module asks of the proxy.
 type front struct {
 	*exchange.Table
@@ -411,7 +297,7 @@
 
 func (f front) Tell(at choice.ServerID, delay time.Duration) {
 	if f.p.peers != nil {
-		f.p.peers.Tell(benchwire.AppendWord(nil, at, delay))
+		f.p.peers.Send(benchwire.AppendWord(nil, at, delay))
 	}
 }
 
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -26,7 +26,7 @@
 	p.execute(func() { hears <- p.peers != nil })
 	var end *peers.Peers
 	if !<-hears { // opened before anything changes, as it may fail; nothing else opens or closes one meanwhile
-		if end, err = p.hear(next.at, next.terms); err != nil {
+		if end, err = p.listenPeers(next.at, next.terms); err != nil {
 			return err
 		}
 	}
--- a/internal/proxy/share.go
+++ b/internal/proxy/share.go
@@ -10,8 +10,8 @@
 // publish must not wait for anything. Without it nothing is counted.
 func (p *Proxy) Share(publish func([]sharing.Fact)) { p.share = publish }
 
-// tellFleet begins to publish what is held by server, listener and tenant.
-func (p *Proxy) tellFleet() { p.publishHeld(sharing.NewTally()) }
+// shareHeld begins to publish what is held by server, listener and tenant.
+func (p *Proxy) shareHeld() { p.publishHeld(sharing.NewTally()) }
 
 // publishHeld walks over the open sessions, on the event loop, and comes again after a note's span.
 func (p *Proxy) publishHeld(tally *sharing.Tally) {
--- /dev/null
+++ b/internal/proxy/watch.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+
+	"chalkferry/choice"
+	"chalkferry/internal/discovery"
+)
+
+func (p *Proxy) listed(list discovery.List) {
+	if list.Revision < p.revision {
+		p.watcher.Drop()
+		p.watchFailed(fmt.Errorf("revision %d after %d", list.Revision, p.revision))
+		return
+	}
+	p.revision = list.Revision
+	p.failed = 0
+	defer p.clients.AnswerPings()
+	kind := choice.ListDelta
+	if list.Complete {
+		kind = choice.ListFull
+	}
+	p.balancer.List(p.now(), kind, p.directory.entriesOf(list))
+	p.directory.eachGone(p.table.Forget)
+	ready, draining := p.directory.count()
+	p.log.Info().Uint64("revision", list.Revision).Bool("complete", list.Complete).Int("entries", len(list.Servers)).
+		Int("ready", ready).Int("draining", draining).Msg("list")
+}
+
+// watchFailed leaves the last list standing; the module asks again. In place of a watch that has fallen silent another
+// begins at once, and one more if that says nothing either: what they miss is told to be known soon, by a clock of its
+// own that no pause between calls heeds.
+func (p *Proxy) watchFailed(err error) {
+	p.failed++
+	p.log.Warn().Err(err).Int("failures", p.failed).Msg("the watch of the list failed")
+	switch {
+	case errors.Is(err, discovery.ErrSilent):
+		p.watcher.Again(p.revision)
+	case errors.Is(err, discovery.ErrUnopened):
+		p.watcher.Watch(p.revision)
+	case errors.Is(err, discovery.ErrUnanswered): // it has waited long enough
+		p.balancer.Afresh(p.now())
+	default:
+		p.balancer.List(p.now(), choice.ListFailed, nil)
+	}
+	p.clients.AnswerPings() // nothing more is known to wait for
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -38,7 +38,7 @@
 type Connector struct {
 	Loop     Loop
 	execute  func(func()) // on the event loop
-	room     *socket.Room
+	room     *socket.ConnectionLimit
 	take     func(*eventloop.Conn, socket.Owner) *socket.Conn
 	timeout  time.Duration
 	failures *failure.Log
@@ -48,7 +48,7 @@
 }
 
 // NewConnector makes a connector that gives up after a timeout.
-func NewConnector(execute func(func()), room *socket.Room, take func(*eventloop.Conn, socket.Owner) *socket.Conn,
+func NewConnector(execute func(func()), room *socket.ConnectionLimit, take func(*eventloop.Conn, socket.Owner) *socket.Conn,
 	timeout time.Duration, failures *failure.Log) *Connector {
 	return &Connector{execute: execute, room: room, take: take, timeout: timeout, failures: failures,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -138,12 +138,12 @@
 	connector *Connector
 	directory Directory
 	timers    *timers.Timers
-	room      *socket.Room
+	room      *socket.ConnectionLimit
 	now       func() time.Duration
 	log       zerolog.Logger
 }
 
-func New(connector *Connector, directory Directory, t *timers.Timers, room *socket.Room, now func() time.Duration,
+func New(connector *Connector, directory Directory, t *timers.Timers, room *socket.ConnectionLimit, now func() time.Duration,
 	log zerolog.Logger) *Servers {
 	return &Servers{connector: connector, directory: directory, timers: t, room: room, now: now, log: log}
 }
--- a/internal/sharing/status_server.go
+++ b/internal/sharing/status_server.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+
+	"chalkferry/internal/failure"
 )
 
 // statusServer answers each HTTP request with the status as JSON.
@@ -22,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	go http.Serve(failure.Listener{Listener: listener}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		status, ok := ask()
 		if !ok {
 			return
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -50,7 +50,7 @@
 type Conn struct {
 	conn   *eventloop.Conn
 	owner  Owner
-	room   *Room
+	limit  *ConnectionLimit
 	timers *timers.Timers
 	later  func(func())  // calls back once the event at hand is through
 	linger time.Duration // for the other end's close
@@ -63,10 +63,10 @@
 	err    error // with which the connection ended, nil where it ended in good order or by its owner
 }
 
-// New takes over a connection, for which the room was taken already.
-func New(conn *eventloop.Conn, owner Owner, room *Room, t *timers.Timers, later func(func()), linger time.Duration,
+// New takes over a connection, which counts in the limit already.
+func New(conn *eventloop.Conn, owner Owner, limit *ConnectionLimit, t *timers.Timers, later func(func()), linger time.Duration,
 	most int) *Conn {
-	return &Conn{conn: conn, owner: owner, room: room, timers: t, later: later, linger: linger, most: most}
+	return &Conn{conn: conn, owner: owner, limit: limit, timers: t, later: later, linger: linger, most: most}
 }
 
 // Traffic hands on what has come.
@@ -170,7 +170,7 @@
 		return
 	}
 	c.state = finishing
-	c.spare = c.room.Spare(c.Reset)
+	c.spare = c.limit.Spare(c.Reset)
 	c.last = c.timers.After(c.linger, c.Reset)
 	c.shutdownWrite()
 }
@@ -261,8 +261,8 @@
 func (c *Conn) leave() {
 	c.state = closed
 	c.timers.Stop(c.last)
-	c.room.Keep(c.spare)
-	c.room.Give(1)
+	c.limit.Keep(c.spare)
+	c.limit.Give(1)
 }
 
 // Closed tells that the event loop closes the connection. It may come in the midst of a write, so the owner is told later.
@@ -297,39 +297,3 @@
 		}
 	})
 }
-
-// Room counts the descriptors that the process may still open, and knows the connections that may be given up when
-// they run short: those that have asked for nothing, and those that have had their last line.
-type Room struct {
-	free, least int
-	spare       list.List // of func(), the longest there first
-}
-
-const leastFree = 8 // one in so many is kept for those who come next
-
-func NewRoom(most int) *Room { return &Room{free: most, least: most / leastFree} }
-
-func (r *Room) Take(n int) { r.free -= n }
-func (r *Room) Give(n int) { r.free += n }
-func (r *Room) Free() int  { return r.free }
-
-// Spares is how many connections are spare.
-func (r *Room) Spares() int { return r.spare.Len() }
-
-// Spare names what gives a connection up.
-func (r *Room) Spare(giveUp func()) *list.Element { return r.spare.PushBack(giveUp) }
-
-// Keep takes that back; nil and one that was given up are fine.
-func (r *Room) Keep(spare *list.Element) {
-	if spare != nil {
-		r.spare.Remove(spare)
-	}
-}
-
-// Relieve gives up the connection that has been spare longest, if descriptors are short and it is not the only one.
-// It guards against silent clients by the hundred: one goes for each that comes.
-func (r *Room) Relieve() {
-	if r.free < r.least && r.spare.Len() > 1 {
-		r.spare.Remove(r.spare.Front()).(func())()
-	}
-}
