--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -292,8 +292,12 @@
 	case quiet:
 		c.Answer(line.Busy(0), "client-broken")
 	case waits:
+		last := []byte("ERR\r\n")
+		if c.ex != nil { // it is not there yet while the module places the session
+			last = c.ex.FailureLine()
+		}
 		c.ended(socket.Reset)
-		c.Answer([]byte("ERR\r\n"), "client-broken")
+		c.Answer(last, "client-broken")
 	case passes:
 		c.ex.ClientBroken()
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -134,15 +134,21 @@
 		if ex.state == open {
 			continue
 		}
-		last := line.Busy(0)
-		if ex.dials > 0 || ex.state == resuming {
-			last = []byte("ERR\r\n")
-		}
+		last := ex.FailureLine()
 		ex.ClientEnded(socket.Reset)
 		ex.client.Answer(last, "proxy-leaves")
 	}
 }
 
+// FailureLine is the last line of a session that is given up before it is open: BUSY where no dial went out, so that trying
+// again is harmless, and ERR where one may have run.
+func (ex *Exchange) FailureLine() []byte {
+	if ex.dials > 0 || ex.state == resuming {
+		return []byte("ERR\r\n")
+	}
+	return line.Busy(0)
+}
+
 // Len is the number of sessions.
 func (t *Table) Len() int { return len(t.sessions) }
 
