--- a/cmd/chalkferry/process_faults_test.go
+++ b/cmd/chalkferry/process_faults_test.go
@@ -25,12 +25,16 @@
 	file   string // its configuration
 	listen string
 	ended  chan error
+
+	replace *strings.Replacer // parts of its configuration
 }
 
-// serveOne starts a proxy whose output goes to a file, nil for this test's; plan may make its calls fail.
-func serveOne(t *testing.T, output *os.File, plan *faultinject.Plan) *served {
+// serveOne starts a proxy whose output goes to a file, nil for nowhere; plan may make its calls fail. Parts of the usual
+// configuration may be replaced.
+func serveOne(t *testing.T, output *os.File, plan *faultinject.Plan, replace ...string) *served {
 	t.Helper()
-	s := &served{T: t, listen: freshAddress(t), file: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
+	s := &served{T: t, listen: freshAddress(t), file: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1),
+		replace: strings.NewReplacer(replace...)}
 	s.configure(platform(t))
 	s.cmd = exec.Command(os.Args[0], "serve", s.file)
 	s.cmd.Stdout, s.cmd.Stderr = output, os.Stderr
@@ -69,8 +73,8 @@
 // configure writes the configuration with another discovery.
 func (s *served) configure(discovery string) {
 	s.Helper()
-	text := fmt.Appendf(nil, configuration, s.listen, discovery)
-	if err := os.WriteFile(s.file, text, 0o600); err != nil {
+	text := s.replace.Replace(fmt.Sprintf(configuration, s.listen, discovery))
+	if err := os.WriteFile(s.file, []byte(text), 0o600); err != nil {
 		s.Fatal(err)
 	}
 }
@@ -209,6 +213,40 @@
 	})
 }
 
+// TestLeavesWithQueue: accepting fails while a proxy leaves. What the kernel has taken by then is answered, though the proxy has
+// nothing else left to do.
+func TestLeavesWithQueue(t *testing.T) {
+	const (
+		failFrom = 2 * time.Second // since the process's start
+		failTo   = 2600 * time.Millisecond
+		leaveAt  = failFrom - 250*time.Millisecond
+		comeAt   = failFrom + 100*time.Millisecond // within the 0.4 s in which connections go on coming
+		clients  = 10
+	)
+	plan := &faultinject.Plan{Seed: 1, Faults: []faultinject.Fault{
+		{Call: unix.SYS_ACCEPT4, Errno: unix.ENFILE, Every: 1, From: failFrom, To: failTo}}}
+	began := time.Now()
+	s := serveOne(t, nil, plan, `"mode":"proxy"`, `"mode":"pass"`)
+	s.awaitSession(10 * time.Second)
+	time.Sleep(time.Until(began.Add(leaveAt)))
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(time.Until(began.Add(comeAt)))
+	answers := make(chan string, clients)
+	for range clients {
+		go func() { answers <- s.ask(open(), 2*time.Second) }()
+	}
+	for range clients {
+		if answer := <-answers; answer == "" {
+			t.Error("a client that the kernel had taken is not answered")
+		}
+	}
+	select {
+	case <-s.ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the proxy goes on")
+	}
+}
+
 // pipe is a pipe whose ends are closed with the test, if not before.
 func pipe(t *testing.T) (reader, writer *os.File) {
 	t.Helper()
