The judge knows a client whose proxy left as rerouted; the standard log goes through the queue

A fault of the stand-ins, no system call was involved. Change: ClientRerouted; one that is not told at all is still reported (judge_test, both ways). Beside it: the diode's and net/http's own words go to the standard logger, whose standard error may be the pipe that nobody reads: it writes through the queue too. Measured: standin and rehearse pass under -race; TestProcessFaults with standard error in the same pipe passes twice.

--- a/cmd/chalkferry/aggregate.go
+++ b/cmd/chalkferry/aggregate.go
@@ -38,7 +38,7 @@
 	signal.Ignore(syscall.SIGPIPE) // of a log whose reader has gone
 	output := asynclog.New(os.Stdout)
 	defer output.Close(logPatience)
-	log := zerolog.New(output).Level(level).With().Timestamp().Logger()
+	log := output.Logger(level)
 	var aggregator *sharing.Aggregator
 	err = failure.RetryFor(startPatience, failure.Listen, failure.NewLog(log), func() (err error) {
 		aggregator, err = sharing.StartAggregator(*config, log)
--- a/cmd/chalkferry/process_faults_test.go
+++ b/cmd/chalkferry/process_faults_test.go
@@ -38,6 +38,9 @@
 	s.configure(platform(t))
 	s.cmd = exec.Command(os.Args[0], "serve", s.file)
 	s.cmd.Stdout, s.cmd.Stderr = output, os.Stderr
+	if output != nil {
+		s.cmd.Stderr = output // a supervisor often gives both one pipe
+	}
 	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	// The race detector has a process sleep for 1 s as it ends; that is no time of the proxy's.
 	s.cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
--- a/cmd/chalkferry/serve.go
+++ b/cmd/chalkferry/serve.go
@@ -41,7 +41,7 @@
 	}
 	output := asynclog.New(os.Stdout)
 	defer output.Close(logPatience)
-	log := zerolog.New(output).Level(level).With().Timestamp().Logger()
+	log := output.Logger(level)
 	failures := failure.NewLog(log)
 	text, err := readStart(c.File, failures)
 	if err != nil {
--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"io"
+	stdlog "log"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 )
 
@@ -35,6 +37,15 @@
 		to: destination}
 }
 
+// Logger makes a logger that writes here, and has the standard library's default logger write here, too: the queue and
+// net/http use that one, and standard error may be the same pipe that nobody reads.
+func (w *Writer) Logger(level zerolog.Level) zerolog.Logger {
+	log := zerolog.New(w).Level(level).With().Timestamp().Logger()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.With().Str("from", "library").Logger())
+	return log
+}
+
 // Write queues one line.
 func (w *Writer) Write(line []byte) (int, error) { return w.queue.Write(line) }
 
--- a/internal/standin/client/stream.go
+++ b/internal/standin/client/stream.go
@@ -96,6 +96,7 @@
 			return rejoin
 		}
 		if c.behavior.PassThrough && c.ProxyGone(proxy) {
+			c.judge.ClientRerouted(s.id)
 			next, resumed := s.resume(ctx)
 			if next != nil {
 				conn.Close()
--- a/internal/standin/judge/judge_test.go
+++ b/internal/standin/judge/judge_test.go
@@ -72,6 +72,15 @@
 				j.ClientLeft(900*ms, "s")
 			}
 		}},
+		{"end not passed on as the proxy leaves", SessionLost, func(j *Judge, broken bool) {
+			open(j, "s")
+			j.ServerEnded(100*ms, "s", true)
+			if !broken { // what the client was told counts, though it takes it for its proxy's end and comes by another
+				j.ClientRerouted("s")
+			}
+			j.ProxyDied(0)
+			j.ProxyStarted(900*ms, 0)
+		}},
 		{"two dials out", DuplicateEffect, func(j *Judge, broken bool) {
 			j.Requested(0, "s", 0, repeatable)
 			d := j.DialArrived(5*ms, 5*ms, "s", 0, false)
