TestFaults: outages, in which every call of a kind fails for 200 ms

Cause: single failures in many calls are not what 'for a moment' means. Change: the plan outages: accept4, read, write, epoll_ctl, socket, connect, fcntl and eventfd writes fail whole, one kind after the other.

--- a/cmd/chalkferry/faults_test.go
+++ b/cmd/chalkferry/faults_test.go
@@ -78,8 +78,27 @@
 		}
 		return faults
 	}
+	// outage has each such call fail for a while, one kind after the other.
+	const outageLength, outageStep = 200 * time.Millisecond, 300 * time.Millisecond
+	outages := func(faults ...faultinject.Fault) []faultinject.Fault {
+		for i := range faults {
+			faults[i].Every, faults[i].From = 1, begin+time.Duration(i)*outageStep
+			faults[i].To = faults[i].From + outageLength
+		}
+		return faults
+	}
 	for name, faults := range map[string][]faultinject.Fault{
 		"none": nil,
+		"outages": outages(fault(unix.SYS_ACCEPT4, faultinject.AnyTarget, unix.ENFILE, 1, 1),
+			fault(unix.SYS_READ, faultinject.Socket, unix.EINTR, 1, 1),
+			fault(unix.SYS_WRITE, faultinject.Socket, unix.ENOBUFS, 1, 1),
+			fault(unix.SYS_EPOLL_CTL, faultinject.NotEventFD, unix.ENOMEM, 1, 1),
+			fault(unix.SYS_WRITE, faultinject.Socket, unix.EINTR, 1, 1),
+			fault(unix.SYS_SOCKET, faultinject.AnyTarget, unix.EMFILE, 1, 1),
+			fault(unix.SYS_CONNECT, faultinject.AnyTarget, unix.EADDRNOTAVAIL, 1, 1),
+			fault(unix.SYS_FCNTL, faultinject.Socket, unix.EMFILE, 1, 1),
+			fault(unix.SYS_READ, faultinject.Socket, unix.ENOMEM, 1, 1),
+			fault(unix.SYS_WRITE, faultinject.EventFD, unix.EINTR, 1, 1)),
 		"accept": anyOf(unix.SYS_ACCEPT4, faultinject.AnyTarget, 4, 2, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM,
 			unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENETUNREACH, unix.EPERM),
 		"read":  anyOf(unix.SYS_READ, faultinject.Socket, 10, 2, unix.EINTR, unix.EAGAIN, unix.ENOMEM),
