--- a/cmd/chalkferry/faults_test.go
+++ b/cmd/chalkferry/faults_test.go
@@ -33,9 +33,13 @@
 	for _, err := range controller.Troubles() {
 		t.Errorf("the injection itself failed: %v", err)
 	}
-	failures := controller.Failures()
+	failures, injected := controller.Failures(), 0
 	for _, f := range plan.Faults {
 		t.Logf("%d times %v", failures[f.String()], f)
+		injected += failures[f.String()]
+	}
+	if len(plan.Faults) > 0 && injected == 0 { // guards against a filter that catches nothing any more
+		t.Errorf("no call failed: %v", plan)
 	}
 	for _, text := range r.Failed {
 		t.Error(text)
