The event loop lets a descriptor rest whose events bring nothing

Cause: a level-triggered poller reports a descriptor again at once until a read or write clears its state. Reads that fail for want of memory, reads that find nothing though an error or a hang-up is reported, a listener whose removal failed and a descriptor that nobody handles had the loop ask the kernel with a time-out of 0 for as long as that lasted.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -25,6 +25,7 @@
 	isBorrowed bool   // pending lies in the loop's buffer
 	out        []byte // what waits to be written
 	pause      failure.BackOff
+	rest       rest
 
 	isRegistered bool // with the poller
 	wantsWrite   bool // as the poller has it
@@ -91,16 +92,20 @@
 			c.fail(io.EOF)
 			return
 		}
+		c.rest.reset()
 		c.received(c.loop.buffer[:n])
 	case failure.NotReady:
 		if isError {
 			c.checkError()
 		}
+		c.readNothing(err)
 	case failure.Interrupted, failure.Exhausted:
-		c.loop.failures.Note(failure.Read, err, meaning) // the event comes again
+		c.loop.failures.Note(failure.Read, err, meaning)
+		c.restFromEvents()
 	case failure.Broken:
 		c.loop.failures.Note(failure.Read, err, meaning)
 		c.loop.handler.OnBroken(c, os.NewSyscallError("read", err))
+		c.restFromEvents() // where the owner still waits for the other end
 	default:
 		c.fail(os.NewSyscallError("read", err))
 	}
@@ -132,7 +137,7 @@
 	c.isBorrowed = false
 }
 
-// checkError looks for the error of an event that a read did not return: it would come again and again.
+// checkError looks for the error of an event that a read did not return.
 func (c *Conn) checkError() {
 	errno, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
 	if err == nil && errno != 0 {
@@ -219,7 +224,7 @@
 // updateInterest tells the poller what to wait for: input always, and output while something waits to be written.
 func (c *Conn) updateInterest() {
 	wantsWrite := len(c.out) > 0 && !c.isPaused
-	if c.isClosed || c.isRegistered && wantsWrite == c.wantsWrite {
+	if c.isClosed || c.rest.isActive || c.isRegistered && wantsWrite == c.wantsWrite {
 		return
 	}
 	err := c.register(wantsWrite)
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -17,8 +17,9 @@
 
 // listener is the listening socket, and the pauses between calls that fail.
 type listener struct {
-	fd    int
-	pause failure.BackOff
+	fd       int
+	pause    failure.BackOff
+	isPaused bool // accepting goes on after a back-off
 }
 
 // listen opens a listening socket. Its port can be shared by processes, and its connections send small writes at once.
@@ -68,6 +69,10 @@
 
 // accept takes connections from the queue. Another event comes while there are more.
 func (l *Loop) accept() {
+	if l.listener.isPaused {
+		l.removeListener()
+		return
+	}
 	failures := 0
 	for range maxAccepts {
 		fd, err := acceptConnection(l.listener.fd)
@@ -102,11 +107,20 @@
 
 // pauseAccept leaves the listener alone for a moment: its event would come again and again.
 func (l *Loop) pauseAccept() {
-	l.poller.Delete(l.listener.fd) // if that fails, the event comes again
+	l.listener.isPaused = true
+	l.removeListener()
 	l.after(l.listener.pause.Next(), l.resumeAccept)
 }
 
+// removeListener takes the listener from the poller. If that fails it is tried again at the next event.
+func (l *Loop) removeListener() {
+	if err := l.poller.Delete(l.listener.fd); err != nil && !errors.Is(err, syscall.ENOENT) {
+		l.failures.Note(failure.Register, err, failure.Classify(failure.Register, err))
+	}
+}
+
 func (l *Loop) resumeAccept() {
+	l.listener.isPaused = false
 	err := l.poller.AddRead(&netpoll.PollAttachment{FD: l.listener.fd}, false)
 	if err != nil && !errors.Is(err, syscall.EEXIST) {
 		l.failures.Note(failure.Register, err, failure.Classify(failure.Register, err))
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -47,7 +47,8 @@
 	buffer   []byte
 	done     chan struct{}
 
-	isStopping bool // set on the loop
+	isStopping  bool // set on the loop
+	strayEvents int  // since the last event of a connection
 
 	mu       sync.Mutex // guards all below, and the waker's descriptor
 	tasks    []func()
@@ -131,13 +132,19 @@
 
 // event handles one event of the poller. An error would end the poller's loop, so there is none but at the end.
 func (l *Loop) event(fd int, events netpoll.IOEvent, _ netpoll.IOFlags) error {
-	switch c := l.conns[fd]; {
+	c := l.conns[fd]
+	if c != nil {
+		l.strayEvents = 0
+	}
+	switch {
 	case c != nil:
 		c.event(events)
 	case fd == l.listener.fd:
 		l.accept()
 	case fd == l.waker:
 		l.runTasks()
+	default:
+		l.removeStray(fd)
 	}
 	if l.isStopping {
 		return gneterrors.ErrEngineShutdown
@@ -145,6 +152,19 @@
 	return nil
 }
 
+// errStray is of an event of a descriptor that is no connection of the loop.
+var errStray = errors.New("an event of a descriptor that is not the loop's")
+
+// removeStray takes a descriptor from the poller that nobody handles: its event would come again and again. One may be left
+// by an earlier call that failed, or by a duplicate of a descriptor that was closed. An event of a connection that was closed
+// a moment ago has nothing to be taken, which is no failure unless it comes again and again.
+func (l *Loop) removeStray(fd int) {
+	l.strayEvents++
+	if err := l.poller.Delete(fd); err == nil || l.strayEvents > maxEmptyEvents {
+		l.failures.Note(failure.Register, errors.Join(errStray, err), failure.Discarded)
+	}
+}
+
 // Execute runs a task on the loop, from any goroutine; tasks run in order. A task for a loop that has ended is dropped.
 func (l *Loop) Execute(task func()) {
 	l.mu.Lock()
