--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -20,27 +20,27 @@
 
 // Clients has what all clients share.
 type Clients struct {
-	table     *exchange.Table
-	timers    *timers.Timers
-	room      *socket.ConnectionLimit
-	now       func() time.Duration
-	hello     time.Duration // for a connection to ask for a session
-	holder    func(name []byte) choice.ServerID
-	listeners map[string]choice.ListenerID
-	tenants   map[string]choice.TenantID
-	groups    bool
-	ids       map[string]*Client // of sessions that wait for an answer or are open
-	quiet     map[*Client]bool   // those that have asked for nothing
-	holds     bool               // PINGs are not answered yet
-	held      []*Client          // for each of those
-	log       zerolog.Logger
+	table           *exchange.Table
+	timers          *timers.Timers
+	connectionLimit *socket.ConnectionLimit
+	now             func() time.Duration
+	hello           time.Duration // for a connection to ask for a session
+	holder          func(name []byte) choice.ServerID
+	listeners       map[string]choice.ListenerID
+	tenants         map[string]choice.TenantID
+	groups          bool
+	ids             map[string]*Client // of sessions that wait for an answer or are open
+	idle            map[*Client]bool   // those that have asked for nothing
+	holds           bool               // PINGs are not answered yet
+	held            []*Client          // for each of those
+	log             zerolog.Logger
 }
 
-func New(table *exchange.Table, t *timers.Timers, room *socket.ConnectionLimit, now func() time.Duration, hello time.Duration,
-	holder func(name []byte) choice.ServerID, listeners map[string]choice.ListenerID,
+func New(table *exchange.Table, t *timers.Timers, connectionLimit *socket.ConnectionLimit, now func() time.Duration,
+	hello time.Duration, holder func(name []byte) choice.ServerID, listeners map[string]choice.ListenerID,
 	tenants map[string]choice.TenantID, groups bool, log zerolog.Logger) *Clients {
-	return &Clients{table: table, timers: t, room: room, now: now, hello: hello, holder: holder, listeners: listeners,
-		tenants: tenants, groups: groups, ids: map[string]*Client{}, quiet: map[*Client]bool{}, log: log}
+	return &Clients{table: table, timers: t, connectionLimit: connectionLimit, now: now, hello: hello, holder: holder,
+		listeners: listeners, tenants: tenants, groups: groups, ids: map[string]*Client{}, idle: map[*Client]bool{}, log: log}
 }
 
 // Change takes what other settings say; connections that have asked for a session go on with it.
@@ -63,12 +63,12 @@
 	c.held = nil
 }
 
-// Quiet is how many connections have asked for nothing.
-func (c *Clients) Quiet() int { return len(c.quiet) }
+// Idle is how many connections have asked for nothing.
+func (c *Clients) Idle() int { return len(c.idle) }
 
 // Dismiss ends those in good order.
 func (c *Clients) Dismiss() {
-	for client := range c.quiet { // each stands for itself, in any order
+	for client := range c.idle { // each stands for itself, in any order
 		client.dismiss()
 	}
 }
@@ -76,7 +76,7 @@
 type state int
 
 const (
-	quiet  state = iota // nothing has been asked
+	idle   state = iota // nothing has been asked
 	waits               // for its answer
 	passes              // lines pass
 	over
@@ -101,29 +101,29 @@
 func (c *Clients) New() *Client {
 	client := &Client{clients: c, since: c.now()}
 	client.waitsToAsk()
-	c.quiet[client] = true
-	client.spare = c.room.Spare(func() { client.drop("crowded-out") })
+	c.idle[client] = true
+	client.spare = c.connectionLimit.Spare(func() { client.drop("crowded-out") })
 	return client
 }
 
 // waitsToAsk guards against clients that connect and say nothing, or never end a line: each holds a descriptor.
 func (c *Client) waitsToAsk() {
 	c.clients.timers.Stop(c.idle)
-	if c.state == quiet {
+	if c.state == idle {
 		c.idle = c.clients.timers.After(c.clients.hello, c.dismiss)
 	}
 }
 
 // dismiss ends in good order what has asked for nothing: a line that crosses the answer costs the client nothing.
 func (c *Client) dismiss() {
-	if c.state == quiet {
+	if c.state == idle {
 		c.Answer([]byte("BUSY\r\n"), "idle")
 	}
 }
 
 // drop ends at once what has asked for nothing.
 func (c *Client) drop(reason string) {
-	if c.state == quiet {
+	if c.state == idle {
 		c.logEnd(socket.Finished, reason)
 		c.conn.Drop([]byte("BUSY\r\n"))
 	}
@@ -132,7 +132,7 @@
 // Admit makes room for a connection that has just come, or turns it away: it could not be read any more without
 // risk to all others.
 func (c *Client) Admit() {
-	if c.clients.room.Relieve(); c.clients.room.Free() < 0 {
+	if c.clients.connectionLimit.Relieve(); c.clients.connectionLimit.Free() < 0 {
 		c.drop("no-room")
 	}
 }
@@ -143,7 +143,7 @@
 // Read takes whole lines.
 func (c *Client) Read(buf []byte) int {
 	used := 0
-	for c.state == quiet {
+	for c.state == idle {
 		text, size, err := line.Next(buf[used:])
 		if err != nil {
 			c.wrong(err)
@@ -203,7 +203,7 @@
 		c.Answer([]byte("ERR\r\n"), "id-in-use")
 		return
 	}
-	if c.clients.room.Free() < perSession { // it could not be sent anywhere
+	if c.clients.connectionLimit.Free() < perSession { // it could not be sent anywhere
 		c.Answer([]byte("BUSY\r\n"), "no-room")
 		return
 	}
@@ -227,7 +227,7 @@
 }
 
 func (c *Client) pong() {
-	if c.state == quiet {
+	if c.state == idle {
 		c.conn.Write([]byte("PONG\r\n"))
 	}
 }
@@ -235,9 +235,9 @@
 // asked takes the connection from those that have asked for nothing.
 func (c *Client) asked() {
 	c.clients.timers.Stop(c.idle)
-	c.clients.room.Keep(c.spare)
+	c.clients.connectionLimit.Keep(c.spare)
 	c.spare = nil
-	delete(c.clients.quiet, c)
+	delete(c.clients.idle, c)
 }
 
 // pass hands all whole lines on at once.
@@ -279,7 +279,7 @@
 		return
 	}
 	reason := "client-left"
-	if c.state == quiet {
+	if c.state == idle {
 		reason = "unused"
 	}
 	c.End(how, reason)
@@ -289,7 +289,7 @@
 // broken ends a connection that is broken, with the answer that its state is due.
 func (c *Client) broken() {
 	switch c.state {
-	case quiet:
+	case idle:
 		c.Answer(line.Busy(0), "client-broken")
 	case waits:
 		last := []byte("ERR\r\n")
--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -140,7 +140,7 @@
 				w.Again(1)
 				fmt.Fprint(<-calls, half)
 				hear(t, told, "failed: "+ErrUnopened.Error(), 4*time.Second)
-				if took := time.Since(began); took > Told-300*time.Millisecond {
+				if took := time.Since(began); took > SilenceLimit-300*time.Millisecond {
 					t.Errorf("two dead watches take %v", took)
 				}
 			})
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -19,13 +19,13 @@
 // Heartbeat is how often a watch with no changes brings an empty line.
 const Heartbeat = 2 * time.Second
 
-// Told is, by the protocol, how long after a watch has fallen silent what it misses counts as told.
-const Told = 6 * time.Second
+// SilenceLimit is, by the protocol, how long after a watch has fallen silent what it misses counts as known.
+const SilenceLimit = 6 * time.Second
 
 const (
-	silence  = Heartbeat * 3 / 2        // without a byte: the watch is dead
-	opening  = (Told - silence) * 5 / 6 // for the next one to begin; the rest is for one more, as that may say nothing either
-	mostList = 4 << 20                  // bytes
+	silence  = Heartbeat * 3 / 2                // without a byte: the watch is dead
+	opening  = (SilenceLimit - silence) * 5 / 6 // for the next one to begin; the rest is for one more, as that may say nothing either
+	mostList = 4 << 20                          // bytes
 )
 
 // What a watch may fail by that has others follow at once: until the next one begins, what has been missed is not known,
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -73,9 +73,9 @@
 	dialedAt time.Duration
 	asks     int           // client's lines that nothing has come back for
 	askedAt  time.Duration // the first of them
-	told     levels
-	slot     int // among the open ones
-	askSlot  int // among those that nothing has come back for
+	levels   levels        // that the server has reported on this connection
+	slot     int           // among the open ones
+	askSlot  int           // among those that nothing has come back for
 }
 
 // Table has all sessions of a proxy.
@@ -93,10 +93,8 @@
 	open     []*Exchange
 	asking   []*Exchange             // the open ones with a line out: few, however many are open
 	held     map[choice.ServerID]int // open ones
-	sweeping []*Exchange
-	quiet    map[choice.ServerID]quiet
+	silences silences
 	suspect  map[choice.ServerID]time.Duration // when it was last silent to one session or dial
-	swept    time.Duration
 	next     choice.SessionID
 }
 
@@ -104,8 +102,8 @@
 func NewTable(dialer Dialer, now func() time.Duration, later func(func()), after func(time.Duration, func()),
 	retry, stillFor time.Duration, delays *Delays) *Table {
 	return &Table{dialer: dialer, now: now, later: later, after: after, retry: retry, stillFor: stillFor,
-		held: map[choice.ServerID]int{}, heard: map[choice.ServerID]time.Duration{}, quiet: map[choice.ServerID]quiet{}, suspect: map[choice.ServerID]time.Duration{},
-		delays: delays, sessions: map[choice.SessionID]*Exchange{}}
+		held: map[choice.ServerID]int{}, heard: map[choice.ServerID]time.Duration{}, suspect: map[choice.ServerID]time.Duration{},
+		silences: silences{servers: map[choice.ServerID]silentServer{}}, delays: delays, sessions: map[choice.SessionID]*Exchange{}}
 }
 
 // Serve names the module that decides.
@@ -430,25 +428,25 @@
 	ex.client.Write(lines)
 }
 
-// Told takes the number of a LOAD line.
-func (ex *Exchange) Told(level float64) {
+// NoteLoad takes the number of a LOAD line.
+func (ex *Exchange) NoteLoad(level float64) {
 	t := ex.table
 	if ex.state != open {
 		return
 	}
-	isDelay, newly := t.delays.isDelay(t.now(), ex.at, &ex.told, level)
+	isDelay, newly := t.delays.isDelay(t.now(), ex.at, &ex.levels, level)
 	if newly { // the one before was no load either
-		ex.told.load = ex.told.before
-		ex.loadIs(ex.told.load)
+		ex.levels.load = ex.levels.before
+		ex.loadIs(ex.levels.load)
 	}
 	if isDelay {
 		t.balancer.DelayNoted(t.now(), ex.at, time.Duration(level*float64(time.Millisecond)))
 		return
 	}
-	if wait, may := t.delays.mayBe(&ex.told, level); may {
+	if wait, may := t.delays.mayBe(&ex.levels, level); may {
 		t.balancer.DelayNoted(t.now(), ex.at, wait)
 	}
-	ex.told = levels{ex.told.n + 1, t.now(), level, ex.told.load}
+	ex.levels = levels{ex.levels.n + 1, t.now(), level, ex.levels.load}
 	ex.loadIs(level)
 }
 
@@ -474,74 +472,6 @@
 	ex.settled(outcome, true)
 }
 
-// quiet is what a sweep finds of a server that has answered nobody since some lines went out.
-type quiet struct {
-	held  int // sessions there
-	late  int // of them, with a line out for longer than the mark
-	still int // for longer than a server may say nothing
-}
-
-// alone is how many times as long a line must be out to tell something by itself.
-const alone = 3
-
-// Sweep looks for sessions that nothing comes back for. Two or more of a server that says nothing to anyone show that
-// it hangs or is cut off. One alone may be a connection that carries nothing any more while its server is well: it
-// counts for less, and is moved once it is out for longer; the next silence there counts in full, unless the server
-// has spoken since. A sweep is to come every so often. One that comes late
-// shows that this process stood still: what servers have said meanwhile is not read yet.
-func (t *Table) Sweep(every time.Duration) {
-	late := t.now()-t.swept > 2*every
-	if t.swept = t.now(); late {
-		return
-	}
-	t.sweeping = append(t.sweeping[:0], t.asking...)
-	clear(t.quiet)
-	for _, ex := range t.sweeping {
-		q := t.quiet[ex.at]
-		q.held = t.held[ex.at]
-		if waited := t.now() - ex.askedAt; t.heard[ex.at] <= ex.askedAt {
-			if waited > t.delays.mark {
-				q.late++
-			}
-			if waited >= t.stillFor {
-				q.still++
-			}
-		}
-		t.quiet[ex.at] = q
-	}
-	for _, ex := range t.sweeping {
-		if ex.state != open || ex.asks == 0 {
-			continue
-		}
-		waited, q, speaks := t.now()-ex.askedAt, t.quiet[ex.at], t.heard[ex.at] > ex.askedAt
-		switch {
-		case !speaks && (q.still > 1 || q.still == 1 && t.suspect[ex.at] > t.heard[ex.at] ||
-			q.held == 1 && waited >= alone*t.stillFor):
-			t.abandon(ex.at, waited)
-		case waited >= alone*t.stillFor:
-			t.suspect[ex.at] = t.now()
-			ex.move(choice.Cancelled, "silent")
-		case !speaks && q.late > 1:
-			t.delays.Waiting(t.now(), ex.at, waited)
-		case !speaks:
-			t.delays.Waiting(t.now(), ex.at, min(waited, t.delays.nearlyLate()))
-		}
-	}
-	clear(t.sweeping)
-}
-
-// abandon moves all sessions off a server that is still: it hangs, or its machine is cut off. The module would
-// relieve it bit by bit, as of one that is overloaded, but a server that serves some of its sessions says so. It is
-// told of the delay once they are gone, so that their clients don't come back there and no limit is learnt.
-func (t *Table) abandon(at choice.ServerID, waited time.Duration) {
-	for i := len(t.open) - 1; i >= 0; i-- {
-		if ex := t.open[i]; ex.at == at {
-			ex.move(choice.Cancelled, "still")
-		}
-	}
-	t.later(func() { t.balancer.DelayNoted(t.now(), at, waited) })
-}
-
 // MoveSome sends up to n open sessions away before the proxy leaves.
 func (t *Table) MoveSome(n int) {
 	for ; n > 0 && len(t.open) > 0; n-- {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -274,7 +274,7 @@
 					d.over = true
 					r.do(func() { d.ex.ServerEnded(choice.Outcome(1+chance.Intn(7)), socket.Reset, "broken") })
 				case d.up:
-					r.do(func() { d.ex.Told(float64(chance.Intn(5000))) })
+					r.do(func() { d.ex.NoteLoad(float64(chance.Intn(5000))) })
 				}
 			}
 			if len(r.clients) > 0 {
@@ -335,8 +335,8 @@
 		reason   string
 		after    time.Duration
 		comeBack bool
-	}{{1, false, true, true, "silent", alone * stillFor, true}, {1, false, false, true, "silent", alone * stillFor, true},
-		{1, true, true, true, "silent", alone * stillFor, true}, {1, true, false, false, "still", stillFor, false},
+	}{{1, false, true, true, "silent", aloneFactor * stillFor, true}, {1, false, false, true, "silent", aloneFactor * stillFor, true},
+		{1, true, true, true, "silent", aloneFactor * stillFor, true}, {1, true, false, false, "still", stillFor, false},
 		{2, false, false, false, "still", stillFor, false}, {2, false, false, false, "still", stillFor, false}} {
 		r := newRig(1)
 		r.now = sec
--- a/internal/proxy/connections.go
+++ b/internal/proxy/connections.go
@@ -22,8 +22,8 @@
 }
 
 func (p *Proxy) take(conn *eventloop.Conn, owner socket.Owner) *socket.Conn {
-	p.room.Take(1)
-	c := socket.New(conn, owner, p.room, p.timers, p.later, p.linger(), mostWaiting)
+	p.connectionLimit.Take(1)
+	c := socket.New(conn, owner, p.connectionLimit, p.timers, p.later, p.linger(), mostWaiting)
 	conn.SetContext(c)
 	return c
 }
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -645,7 +645,7 @@
 			for range strings.Count(before, "PING") {
 				d.hear("PONG\r\n")
 			}
-			r.until("it is there", func() bool { return r.p.clients.Quiet() == 1 })
+			r.until("it is there", func() bool { return r.p.clients.Idle() == 1 })
 			release := r.stall()
 			time.Sleep(r.p.terms.hello + 100*time.Millisecond)
 			fmt.Fprint(d.Conn, strings.TrimPrefix(opening(), before))
@@ -699,10 +699,10 @@
 	d := connect(t, r.at)
 	fmt.Fprint(d.Conn, "PING\r\n")
 	d.hear("PONG\r\n")
-	if took := time.Since(began); took > discovery.Told*3/4 {
+	if took := time.Since(began); took > discovery.SilenceLimit*3/4 {
 		t.Errorf("it is ready after %v", took)
 	}
-	if took := (<-calls).at.Sub(began); took > discovery.Told*5/4 {
+	if took := (<-calls).at.Sub(began); took > discovery.SilenceLimit*5/4 {
 		t.Errorf("it asks again after %v", took)
 	}
 }
@@ -711,15 +711,15 @@
 func TestCrowdedOut(t *testing.T) {
 	r := rigged(t)
 	d := connect(t, r.at)
-	r.until("it is there", func() bool { return r.p.clients.Quiet() == 1 })
+	r.until("it is there", func() bool { return r.p.clients.Idle() == 1 })
 	release := r.stall()
 	fmt.Fprint(d.Conn, opening())
 	done := make(chan bool)
 	r.p.execute(func() {
-		r.p.room.Take(250)
-		r.p.room.Spare(func() {})
-		r.p.room.Relieve()
-		r.p.room.Give(250)
+		r.p.connectionLimit.Take(250)
+		r.p.connectionLimit.Spare(func() {})
+		r.p.connectionLimit.Relieve()
+		r.p.connectionLimit.Give(250)
 		close(done)
 	})
 	release()
@@ -984,7 +984,7 @@
 				}
 				again.opens(entry(2, "127.0.0.1:1", "draining"))
 				r.until("the drain is known", func() bool { return r.p.revision == 2 })
-				if took := time.Since(silent); took > discovery.Told {
+				if took := time.Since(silent); took > discovery.SilenceLimit {
 					t.Errorf("it is known %v after the silence began", took)
 				}
 			})
@@ -1031,7 +1031,7 @@
 			first.Conn.(*net.TCPConn).SetLinger(0)
 			first.Close()
 			cut := time.Now()
-			if again := <-calls; again.at.Sub(cut) > discovery.Told/2 {
+			if again := <-calls; again.at.Sub(cut) > discovery.SilenceLimit/2 {
 				t.Errorf("it is back after %v", again.at.Sub(cut))
 			}
 		})
--- a/internal/proxy/crowd_test.go
+++ b/internal/proxy/crowd_test.go
@@ -102,7 +102,7 @@
 			}
 			failedCalls[0](watch)
 			stop := crowd(t, r.at, 400)
-			r.until("descriptors are short", func() bool { return r.p.room.Free() <= (sockets-keptSockets)/8 })
+			r.until("descriptors are short", func() bool { return r.p.connectionLimit.Free() <= (sockets-keptSockets)/8 })
 			for step := range 4 {
 				for i, d := range open {
 					d.say(fmt.Sprintf("M %d\r\n", step), fmt.Sprintf("M %d\r\n", step))
@@ -113,12 +113,12 @@
 					}
 				}
 				r.servedAmong(func() string { return "PING\r\n" }, "PONG\r\n").Close()
-				fail(next(t, calls, discovery.Told))
+				fail(next(t, calls, discovery.SilenceLimit))
 			}
 			back := time.Now()
-			next(t, calls, discovery.Told).opens(entry(2, server, "draining"))
+			next(t, calls, discovery.SilenceLimit).opens(entry(2, server, "draining"))
 			r.until("the drain is known", func() bool { return r.p.revision == 2 })
-			if took := time.Since(back); took > discovery.Told {
+			if took := time.Since(back); took > discovery.SilenceLimit {
 				t.Errorf("the drain is known %v after discovery is back", took)
 			}
 			connect(t, r.at).say(opening(), "BUSY\r\n")
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -37,7 +37,7 @@
 	}
 	p.phase = next
 	p.log.Info().Stringer("phase", next).Int("sessions", p.table.Len()).Int("open", p.table.Open()).
-		Int("idle", p.clients.Quiet()).Int("connecting", p.connector.Out()).Msg("phase")
+		Int("idle", p.clients.Idle()).Int("connecting", p.connector.Out()).Msg("phase")
 }
 
 // Leave is told that the process is to end: what comes is still served. Where sessions end at the proxy they
@@ -99,9 +99,9 @@
 		p.came = true
 	case p.came:
 		p.came = false
-	case p.clients.Quiet() > 0: // a line that crosses the answer is answered by it
+	case p.clients.Idle() > 0: // a line that crosses the answer is answered by it
 		p.clients.Dismiss()
-	case p.now() < p.endsBy && (p.room.Spares() > 0 || p.connector.Out() > 0):
+	case p.now() < p.endsBy && (p.connectionLimit.Spares() > 0 || p.connector.Out() > 0):
 	default:
 		p.end()
 		return
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,37 +42,37 @@
 
 // Proxy is one proxy.
 type Proxy struct {
-	log       zerolog.Logger
-	failures  *failure.Log
-	start     time.Time
-	loop      *eventloop.Loop
-	depth     int
-	waiting   []func()
-	timers    *timers.Timers
-	alarm     *time.Timer
-	room      *socket.ConnectionLimit
-	balancer  *choice.Balancer
-	ready     chan struct{} // closed once the loop runs
-	begin     func()        // startBalancer with what the configuration says
-	table     *exchange.Table
-	clients   *clients.Clients
-	connector *servers.Connector
-	watcher   *discovery.Watcher
-	directory *directory
-	revision  uint64
-	failed    int // watches in a row
-	peers     *peers.Peers
-	share     func([]sharing.Fact) // nil where nothing is shared
-	phase     phase
-	came      bool            // a client has connected since the last look at what is left
-	endsBy    time.Duration   // once nothing new is taken: how long last lines have
-	reloading chan struct{}   // holds the one configuration that is being taken over
-	left      chan struct{}   // closed when the process is to end with its connections as they are
-	at        start.Addresses // by the configuration as read last
-	limits    start.Limits    // the same
-	terms     *terms          // the same
-	text      []byte          // that configuration
-	settings  []byte          // and its settings
+	log             zerolog.Logger
+	failures        *failure.Log
+	start           time.Time
+	loop            *eventloop.Loop
+	depth           int
+	waiting         []func()
+	timers          *timers.Timers
+	alarm           *time.Timer
+	connectionLimit *socket.ConnectionLimit
+	balancer        *choice.Balancer
+	ready           chan struct{} // closed once the loop runs
+	begin           func()        // startBalancer with what the configuration says
+	table           *exchange.Table
+	clients         *clients.Clients
+	connector       *servers.Connector
+	watcher         *discovery.Watcher
+	directory       *directory
+	revision        uint64
+	failed          int // watches in a row
+	peers           *peers.Peers
+	share           func([]sharing.Fact) // nil where nothing is shared
+	phase           phase
+	came            bool            // a client has connected since the last look at what is left
+	endsBy          time.Duration   // once nothing new is taken: how long last lines have
+	reloading       chan struct{}   // holds the one configuration that is being taken over
+	left            chan struct{}   // closed when the process is to end with its connections as they are
+	at              start.Addresses // by the configuration as read last
+	limits          start.Limits    // the same
+	terms           *terms          // the same
+	text            []byte          // that configuration
+	settings        []byte          // and its settings
 }
 
 // New makes a proxy from the text of its configuration.
@@ -143,14 +143,14 @@
 func (p *Proxy) connectParts() {
 	t := p.terms
 	p.timers = timers.New(p.now, p.wake)
-	p.room = socket.NewConnectionLimit(p.limits.Sockets - keptSockets)
+	p.connectionLimit = socket.NewConnectionLimit(p.limits.Sockets - keptSockets)
 	p.directory = newDirectory(t.zones, startClock{began: p.start, now: p.now, wall: time.Now}, t.list.DrainsBindAlone, t.models)
-	p.connector = servers.NewConnector(p.execute, p.room, p.take, t.connect, p.failures)
-	dialer := servers.New(p.connector, p.directory, p.timers, p.room, p.now, p.log)
+	p.connector = servers.NewConnector(p.execute, p.connectionLimit, p.take, t.connect, p.failures)
+	dialer := servers.New(p.connector, p.directory, p.timers, p.connectionLimit, p.now, p.log)
 	after := func(d time.Duration, call func()) { p.timers.After(d, call) }
 	delays := exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay)
 	p.table = exchange.NewTable(dialer, p.now, p.later, after, t.connect, t.still, delays)
-	p.clients = clients.New(p.table, p.timers, p.room, p.now, t.hello, p.directory.holder, t.listenerIDs,
+	p.clients = clients.New(p.table, p.timers, p.connectionLimit, p.now, t.hello, p.directory.holder, t.listenerIDs,
 		t.tenantIDs, t.groups, p.log)
 	p.watcher = discovery.New(p.at.Discovery, t.ask, t.answer, p.execute, p.listed, p.watchFailed)
 }
@@ -179,7 +179,7 @@
 	p.table.Serve(p.balancer)
 	if t.pushed {
 		p.clients.HoldPings()
-		p.timers.After(discovery.Told/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
+		p.timers.After(discovery.SilenceLimit/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
 	}
 	p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
 	p.sweep()
@@ -230,7 +230,7 @@
 	defer p.leave()
 	p.begin()
 	close(p.ready)
-	p.log.Info().Str("listen", p.at.Listen).Int("sockets", p.room.Free()).Msg("serving")
+	p.log.Info().Str("listen", p.at.Listen).Int("sockets", p.connectionLimit.Free()).Msg("serving")
 }
 
 // stopLoop ends the event loop and what is open there.
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -36,7 +36,7 @@
 		differ := changed(p.text, text)
 		p.text = text
 		p.limitMemory(next.limits)
-		p.room.Take(p.limits.Sockets - next.limits.Sockets)
+		p.connectionLimit.Take(p.limits.Sockets - next.limits.Sockets)
 		p.limits = next.limits
 		if end != nil {
 			p.peers = end
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -260,12 +260,12 @@
 // rig is a proxy with servers, a list and the way to them under the test's control.
 type rig struct {
 	*testing.T
-	p     *Proxy
-	at    string
-	lists chan string
-	ended chan error
-	room  int
-	text  string // of its configuration
+	p               *Proxy
+	at              string
+	lists           chan string
+	ended           chan error
+	freeConnections int
+	text            string // of its configuration
 }
 
 // rigged starts a proxy by the usual configuration with some parts replaced; the list names nothing yet.
@@ -294,8 +294,8 @@
 		r.p.stopLoop()
 	})
 	r.until("the proxy's own first connection has ended", func() bool {
-		r.room = r.p.room.Free()
-		return r.room == r.p.limits.Sockets-keptSockets
+		r.freeConnections = r.p.connectionLimit.Free()
+		return r.freeConnections == r.p.limits.Sockets-keptSockets
 	})
 	return r
 }
@@ -327,7 +327,7 @@
 func (r *rig) over() {
 	r.Helper()
 	r.until("sessions, connects and descriptors are given back", func() bool {
-		return r.p.table.Len() == 0 && r.p.connector.Out() == 0 && r.p.room.Free() == r.room
+		return r.p.table.Len() == 0 && r.p.connector.Out() == 0 && r.p.connectionLimit.Free() == r.freeConnections
 	})
 }
 
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -36,21 +36,21 @@
 
 // Connector connects beside the event loop.
 type Connector struct {
-	Loop     Loop
-	execute  func(func()) // on the event loop
-	room     *socket.ConnectionLimit
-	take     func(*eventloop.Conn, socket.Owner) *socket.Conn
-	timeout  time.Duration
-	failures *failure.Log
-	out      int // under way
+	Loop            Loop
+	execute         func(func()) // on the event loop
+	connectionLimit *socket.ConnectionLimit
+	take            func(*eventloop.Conn, socket.Owner) *socket.Conn
+	timeout         time.Duration
+	failures        *failure.Log
+	out             int // under way
 	// Dial connects; a test may put its own here before the first dial.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // NewConnector makes a connector that gives up after a timeout.
-func NewConnector(execute func(func()), room *socket.ConnectionLimit, take func(*eventloop.Conn, socket.Owner) *socket.Conn,
+func NewConnector(execute func(func()), connectionLimit *socket.ConnectionLimit, take func(*eventloop.Conn, socket.Owner) *socket.Conn,
 	timeout time.Duration, failures *failure.Log) *Connector {
-	return &Connector{execute: execute, room: room, take: take, timeout: timeout, failures: failures,
+	return &Connector{execute: execute, connectionLimit: connectionLimit, take: take, timeout: timeout, failures: failures,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			var dialer net.Dialer
 			return dialer.DialContext(ctx, "tcp", address)
@@ -71,12 +71,12 @@
 
 // connect calls either opener.Open or failed, on the event loop.
 func (c *Connector) connect(address string, opener Opener, failed func(error)) context.CancelFunc {
-	c.room.Take(connecting)
+	c.connectionLimit.Take(connecting)
 	c.out++
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	ended := func() {
 		c.out--
-		c.room.Give(connecting)
+		c.connectionLimit.Give(connecting)
 	}
 	dial := c.Dial
 	go func() {
@@ -135,23 +135,23 @@
 
 // Servers makes dials.
 type Servers struct {
-	connector *Connector
-	directory Directory
-	timers    *timers.Timers
-	room      *socket.ConnectionLimit
-	now       func() time.Duration
-	log       zerolog.Logger
+	connector       *Connector
+	directory       Directory
+	timers          *timers.Timers
+	connectionLimit *socket.ConnectionLimit
+	now             func() time.Duration
+	log             zerolog.Logger
 }
 
-func New(connector *Connector, directory Directory, t *timers.Timers, room *socket.ConnectionLimit, now func() time.Duration,
+func New(connector *Connector, directory Directory, t *timers.Timers, connectionLimit *socket.ConnectionLimit, now func() time.Duration,
 	log zerolog.Logger) *Servers {
-	return &Servers{connector: connector, directory: directory, timers: t, room: room, now: now, log: log}
+	return &Servers{connector: connector, directory: directory, timers: t, connectionLimit: connectionLimit, now: now, log: log}
 }
 
 // Dial starts a dial. The limit covers connecting and the answer.
 func (s *Servers) Dial(at choice.ServerID, limit time.Duration, ex *exchange.Exchange) exchange.Server {
 	address, _, known := s.directory.Address(at)
-	if !known || s.room.Free() < connecting {
+	if !known || s.connectionLimit.Free() < connecting {
 		return nil
 	}
 	d := &Dial{servers: s, ex: ex, at: at, edition: s.directory.Edition(at), since: s.now(), wait: limit}
@@ -307,7 +307,7 @@
 		switch string(line.Verb(text)) {
 		case "LOAD":
 			if level, ok := line.Level(text); ok {
-				d.ex.Told(level)
+				d.ex.NoteLoad(level)
 			}
 			continue
 		case "BYE":
