stallwatch: names the proxy that holds up a bench of proxies that run in step

Cause: the one proxy that the bench held for hung left nothing but its number; the bench ends it, and its logs say nothing of its threads. It is a tool beside the proxy; run is as it was.

--- /dev/null
+++ b/cmd/stallwatch/main_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+)
+
+// roleVariable says what a process of this test's own program does.
+const roleVariable = "STALLWATCH_TEST_ROLE"
+
+const (
+	idleFor     = 3 * time.Second
+	spinFor     = time.Minute // much longer than the test lets it
+	workingSpin = 1500 * time.Millisecond
+)
+
+func TestMain(m *testing.M) {
+	switch role := os.Getenv(roleVariable); role {
+	case "":
+		os.Exit(m.Run())
+	case "idle":
+		time.Sleep(idleFor)
+	case "spin":
+		spin(spinFor)
+	case "work":
+		spin(workingSpin)
+	default:
+		os.Exit(runChildren(strings.Fields(role)))
+	}
+}
+
+func spin(length time.Duration) {
+	for began := time.Now(); time.Since(began) < length; {
+	}
+}
+
+// runChildren starts a child for each role and returns the last exit code that was not 0.
+func runChildren(roles []string) (exitCode int) {
+	var children []*exec.Cmd
+	for _, role := range roles {
+		child := exec.Command(os.Args[0])
+		child.Env = append(os.Environ(), roleVariable+"="+role)
+		if err := child.Start(); err != nil {
+			return 1
+		}
+		children = append(children, child)
+	}
+	for _, child := range children {
+		var exit *exec.ExitError
+		if errors.As(child.Wait(), &exit) {
+			exitCode = exit.ExitCode()
+		}
+	}
+	return exitCode
+}
+
+// TestWatch: of three processes that run in step one spins and the others wait for it: it is named and asked for its
+// goroutines, by which a program of Go ends with exit code 2. Where all work, nothing is reported and nobody is signalled.
+func TestWatch(t *testing.T) {
+	const exitedBySIGQUIT = 2
+	for name, test := range map[string]struct {
+		roles     string
+		exitCode  int
+		isStalled bool
+	}{
+		"one spins": {"idle spin idle", exitedBySIGQUIT, true},
+		"all work":  {"work work work", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Setenv(roleVariable, test.roles)
+			var report strings.Builder
+			o := &options{Name: "stallwatch.test", Every: 100 * time.Millisecond, Span: time.Second, Idle: 60 * time.Millisecond,
+				MinProcesses: 3, Command: []string{os.Args[0]}}
+			exitCode, err := o.run(&report)
+			if err != nil || exitCode != test.exitCode {
+				t.Errorf("exit code %d, %v", exitCode, err)
+			}
+			if isStalled := strings.Contains(report.String(), "SIGQUIT to thread"); isStalled != test.isStalled {
+				t.Errorf("reported: %q", report.String())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/stall/stall.go
@@ -0,0 +1,138 @@
+// Package stall finds a process that holds up others which run in step with it, and says what its threads do. It is for a bench
+// that lets many proxies run by turns: one that neither waits nor ends stops them all, and is killed before it can be looked at.
+// The package only reads procfs(5); what is done about a stall is its user's.
+package stall
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/prometheus/procfs"
+)
+
+// Usage is the processor time that each process has used, by its id.
+type Usage map[int]time.Duration
+
+// ReadUsage reads the processor time of the descendants of a process that have a command name, see proc_pid_comm(5). Processes
+// that end meanwhile are left out. The error is that of reading /proc.
+func ReadUsage(root int, command string) (Usage, error) {
+	processes, err := procfs.AllProcs()
+	if err != nil {
+		return nil, err
+	}
+	stats := map[int]procfs.ProcStat{}
+	for _, process := range processes {
+		if stat, err := process.Stat(); err == nil {
+			stats[process.PID] = stat
+		}
+	}
+	usage := Usage{}
+	for pid, stat := range stats {
+		if stat.Comm == command && descends(stats, pid, root) {
+			usage[pid] = time.Duration(stat.CPUTime() * float64(time.Second))
+		}
+	}
+	return usage, nil
+}
+
+// descends reports whether a process is a child of root, or of one that is.
+func descends(stats map[int]procfs.ProcStat, pid, root int) bool {
+	for pid != 0 && pid != root {
+		pid = stats[pid].PPID
+	}
+	return pid == root
+}
+
+// Stall is a span in which all processes but one stood still.
+type Stall struct {
+	Busiest      int           // the process that used the most processor time
+	BusiestUsed  time.Duration // by it
+	OthersUsed   time.Duration // by all others together
+	ProcessCount int           // of those that lived through the span
+}
+
+// Find compares the usage at the two ends of a span. It reports a stall if all processes but the busiest one used less than
+// idle together. Fewer processes than minProcesses show nothing.
+func Find(before, after Usage, idle time.Duration, minProcesses int) (found Stall, isStalled bool) {
+	for pid, usedAfter := range after {
+		usedBefore, wasThere := before[pid]
+		if !wasThere {
+			continue
+		}
+		found.ProcessCount++
+		used := usedAfter - usedBefore
+		found.OthersUsed += used
+		if used > found.BusiestUsed || found.Busiest == 0 {
+			found.Busiest, found.BusiestUsed = pid, used
+		}
+	}
+	found.OthersUsed -= found.BusiestUsed
+	return found, found.ProcessCount >= minProcesses && found.OthersUsed < idle
+}
+
+// Thread is the state of one thread.
+type Thread struct {
+	ID          int
+	State       string // a letter, see proc_pid_stat(5)
+	Used        time.Duration
+	WaitChannel string // where in the kernel it waits, "" where that is not shown
+	SystemCall  string // its number and arguments, or "running", see proc_pid_syscall(5)
+}
+
+// ReadThreads reads the threads of a process, by their ids. The error is that of reading /proc; threads that end meanwhile are
+// left out.
+func ReadThreads(pid int) ([]Thread, error) {
+	all, err := procfs.AllThreads(pid)
+	if err != nil {
+		return nil, err
+	}
+	var threads []Thread
+	for _, one := range all {
+		stat, err := one.Stat()
+		if err != nil {
+			continue
+		}
+		folder := fmt.Sprintf("/proc/%d/task/%d/", pid, one.PID)
+		threads = append(threads, Thread{ID: one.PID, State: stat.State, Used: time.Duration(stat.CPUTime() * float64(time.Second)),
+			WaitChannel: readLine(folder + "wchan"), SystemCall: readLine(folder + "syscall")})
+	}
+	sort.Slice(threads, func(i, j int) bool { return threads[i].ID < threads[j].ID })
+	return threads, nil
+}
+
+func readLine(file string) string {
+	text, _ := os.ReadFile(file) // "" for a thread that has ended, or one that must not be read
+	return strings.TrimSpace(string(text))
+}
+
+// Pattern is what a process's threads do, in a form that is the same for processes that do the same: addresses are left out.
+func Pattern(threads []Thread) string {
+	var parts []string
+	for _, thread := range threads {
+		call, _, _ := strings.Cut(thread.SystemCall, " ")
+		parts = append(parts, strings.Join([]string{thread.State, thread.WaitChannel, call}, " "))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
+
+// Suspect is the process that holds up the others: the busiest one if it has used as much as busy, else one whose threads do
+// what no other process's do. isKnown is false if there is none such.
+func Suspect(found Stall, busy time.Duration, patterns map[int]string) (pid int, isKnown bool) {
+	if found.BusiestUsed >= busy {
+		return found.Busiest, true
+	}
+	byPattern := map[string][]int{}
+	for pid, pattern := range patterns {
+		byPattern[pattern] = append(byPattern[pattern], pid)
+	}
+	for _, pids := range byPattern {
+		if len(pids) == 1 && len(patterns) > 1 {
+			pid, isKnown = max(pid, pids[0]), true // any of several would do; this one does not depend on the map's order
+		}
+	}
+	return pid, isKnown
+}
