Soak draws outages, in which each call of a kind fails for up to a quarter second

Cause: what the spinning loop showed are failures that last; the soak drew only calls that fail now and then.

--- a/cmd/chalkferry/soak_test.go
+++ b/cmd/chalkferry/soak_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -135,9 +136,33 @@
 			plan.Faults = append(plan.Faults, f)
 		}
 	}
+	if d.chance(3) {
+		plan.Faults = append(plan.Faults, d.outage())
+	}
 	return plan
 }
 
+// outage draws a span in which each call of a kind fails: what the kernel reports comes again and again meanwhile.
+func (d *soakDraw) outage() faultinject.Fault {
+	f := soakOutages[d.Intn(len(soakOutages))]
+	f.Every, f.Run = 1, 1
+	f.From = time.Duration(500+d.Intn(soakBusyMs)) * time.Millisecond
+	f.To = f.From + time.Duration(50+d.Intn(200))*time.Millisecond
+	return f
+}
+
+// soakOutages are the calls that may fail each time for a while.
+var soakOutages = []faultinject.Fault{
+	{Call: unix.SYS_ACCEPT4, Errno: unix.ENFILE},
+	{Call: unix.SYS_READ, Target: faultinject.Socket, Errno: unix.ENOMEM},
+	{Call: unix.SYS_READ, Target: faultinject.Socket, Errno: unix.EAGAIN},
+	{Call: unix.SYS_WRITE, Target: faultinject.Socket, Errno: unix.ENOBUFS},
+	{Call: unix.SYS_EPOLL_CTL, Target: faultinject.NotEventFD, Errno: unix.ENOMEM},
+	{Call: unix.SYS_SOCKET, Errno: unix.ENFILE},
+	{Call: unix.SYS_FCNTL, Target: faultinject.Socket, Errno: unix.EMFILE},
+	{Call: unix.SYS_GETSOCKOPT, Target: faultinject.Socket, Errno: unix.ENOBUFS},
+}
+
 // soakFaults are what TestSoak draws from, each at its most frequent.
 var soakFaults = []faultinject.Fault{
 	{Call: unix.SYS_ACCEPT4, Errno: unix.ENFILE, Every: 10}, {Call: unix.SYS_ACCEPT4, Errno: unix.EMFILE, Every: 10},
