--- a/cmd/stallwatch/main.go
+++ b/cmd/stallwatch/main.go
@@ -1,6 +1,6 @@
 // Stallwatch runs a bench that lets many proxies run in step, and watches them from outside. When all but one of them stand
-// still for some seconds it prints the state of their threads, and asks the proxy that holds up the others for its goroutines
-// (SIGQUIT, which ends it): a stall is evidence only while it lasts. Nothing is done to a run without one.
+// still for some seconds it prints the state of their threads, and asks one that spins for its goroutines (SIGQUIT, which ends
+// it): a stall is evidence only while it lasts. Where all wait nobody is signalled: the bench itself may reckon.
 //
 //	stallwatch lbreal score SITE --quick --env GOTRACEBACK=system --logs DIR --why TEXT
 package main
@@ -103,34 +103,41 @@
 	return w.tellStall(found, usage)
 }
 
-// tellStall prints what all processes do, those that do the same as one, and asks the one that differs for its goroutines.
+// tellStall prints what all processes do, those that do the same as one, and asks one that spins for its goroutines.
 func (w *watch) tellStall(found stall.Stall, usage stall.Usage) error {
 	fmt.Fprintf(w.report, "STALL: %d processes; %d has used %v of the last %v, the others %v\n", found.ProcessCount, found.Busiest,
 		found.BusiestUsed, w.Span, found.OthersUsed)
-	threads, patterns, counts := map[int][]stall.Thread{}, map[int]string{}, map[string]int{}
+	threads, alike := map[int][]stall.Thread{}, map[string][]int{}
 	for pid := range usage {
 		of, err := stall.ReadThreads(pid)
 		if err != nil {
 			continue // it has ended
 		}
-		threads[pid], patterns[pid] = of, stall.Pattern(of)
-		counts[patterns[pid]]++
+		threads[pid] = of
+		alike[stall.Pattern(of)] = append(alike[stall.Pattern(of)], pid)
 	}
-	for pattern, count := range counts {
-		fmt.Fprintf(w.report, "%d of them: %s\n", count, pattern)
+	for pattern, pids := range alike {
+		fmt.Fprintf(w.report, "%d of them: %s\n", len(pids), pattern)
+		if len(pids) == 1 {
+			w.tellThreads(pids[0], threads[pids[0]])
+		}
 	}
-	pid, isKnown := stall.Suspect(found, time.Duration(busyShare*float64(w.Span)), patterns)
-	if !isKnown {
+	if !found.Spins(time.Duration(busyShare * float64(w.Span))) {
 		return nil
 	}
-	for _, thread := range threads[pid] {
-		fmt.Fprintf(w.report, "process %d %+v\n", pid, thread)
-	}
+	pid := found.Busiest
+	w.tellThreads(pid, threads[pid])
 	thread := w.busiestThread(pid, threads[pid])
 	fmt.Fprintf(w.report, "SIGQUIT to thread %d of process %d\n", thread, pid)
 	return unix.Tgkill(pid, thread, unix.SIGQUIT)
 }
 
+func (w *watch) tellThreads(pid int, threads []stall.Thread) {
+	for _, thread := range threads {
+		fmt.Fprintf(w.report, "process %d %+v\n", pid, thread)
+	}
+}
+
 // busiestThread looks at the threads once more, a moment later, and returns the one that has used the most since. The signal
 // has to be handled there: where one thread runs at a time, no other one does.
 func (w *watch) busiestThread(pid int, before []stall.Thread) (id int) {
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -108,31 +109,18 @@
 	return strings.TrimSpace(string(text))
 }
 
-// Pattern is what a process's threads do, in a form that is the same for processes that do the same: addresses are left out.
+// Pattern is what a process's threads do, in a form that is the same for processes that do the same: addresses are left out, and
+// how many threads do it.
 func Pattern(threads []Thread) string {
 	var parts []string
 	for _, thread := range threads {
 		call, _, _ := strings.Cut(thread.SystemCall, " ")
 		parts = append(parts, strings.Join([]string{thread.State, thread.WaitChannel, call}, " "))
 	}
-	sort.Strings(parts)
-	return strings.Join(parts, ", ")
+	slices.Sort(parts)
+	return strings.Join(slices.Compact(parts), ", ")
 }
 
-// Suspect is the process that holds up the others: the busiest one if it has used as much as busy, else one whose threads do
-// what no other process's do. isKnown is false if there is none such.
-func Suspect(found Stall, busy time.Duration, patterns map[int]string) (pid int, isKnown bool) {
-	if found.BusiestUsed >= busy {
-		return found.Busiest, true
-	}
-	byPattern := map[string][]int{}
-	for pid, pattern := range patterns {
-		byPattern[pattern] = append(byPattern[pattern], pid)
-	}
-	for _, pids := range byPattern {
-		if len(pids) == 1 && len(patterns) > 1 {
-			pid, isKnown = max(pid, pids[0]), true // any of several would do; this one does not depend on the map's order
-		}
-	}
-	return pid, isKnown
-}
+// Spins reports whether the busiest process has used as much as busy. Only such a one holds up the others for certain: where all
+// wait, the bench itself may reckon.
+func (s Stall) Spins(busy time.Duration) bool { return s.BusiestUsed >= busy }
