A rehearsal binds its proxies only to processors that nothing else is bound to

Two rehearsals beside one another measured each other's proxies, and named figures as those of a core of their own.

Cause: rehearse bound its proxies to the last processors, always the same ones, whatever else was bound there. The scheduler can move neither away, and gives the processes of each session (autogroup) one share together, so that niced ones of a session whose work is elsewhere get next to none there.

Change: package affinity reserves processors. Free is what no other run has locked (flock on the processor's folder in sysfs, which ends with the process) and no process of others is bound to, or to a part of the processors that it is in. Where there are too few the proxies are not bound, the report says "NOT BOUND" and why, and so do comparisons and climbs. A run whose processor another process is bound to later gives way within a second. Several runs of one process no longer leave it bound: each restored what it had found, in any order.

Tests, which failed before ("two proxies are bound to processor 7", "the proxy is bound to processor 7, which others are bound to", and no word of it in the report): TestRehearsalsBesideOneAnother, TestNoProcessorIsFree, TestGivesWay; and those of affinity. internal/rehearse passes under -race in 34 s.

--- /dev/null
+++ b/internal/rehearse/binding_test.go
@@ -0,0 +1,147 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chalkferry/internal/affinity"
+)
+
+func smallScenario(t *testing.T, length string) *Scenario {
+	t.Helper()
+	s, err := Parse("small.toml", fmt.Appendf(nil, small, length, "", "repeatable", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// proxiesOf are the processes that serve by a program of this test, by their ids.
+func proxiesOf(t *testing.T) (ids []int) {
+	t.Helper()
+	commands, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range commands {
+		text, _ := os.ReadFile(file) // "" for one that has ended
+		if strings.Contains(string(text), "/"+t.Name()) && strings.Contains(string(text), "\x00serve\x00") {
+			id, _ := strconv.Atoi(filepath.Base(filepath.Dir(file)))
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// awaitProxies waits until as many proxies of this test run.
+func awaitProxies(t *testing.T, count int) []int {
+	t.Helper()
+	for limit := time.Now().Add(maxStartTime); time.Now().Before(limit); time.Sleep(10 * time.Millisecond) {
+		if ids := proxiesOf(t); len(ids) == count {
+			return ids
+		}
+	}
+	t.Fatalf("%d proxies run, not %d", len(proxiesOf(t)), count)
+	return nil
+}
+
+// onlyProcessor is the processor that a process is bound to, anyCPU if it may use several.
+func onlyProcessor(t *testing.T, id int) int {
+	t.Helper()
+	var set unix.CPUSet
+	if err := unix.SchedGetaffinity(id, &set); err != nil {
+		t.Fatal(err)
+	}
+	for processor := range 64 * len(set) {
+		if set.IsSet(processor) && set.Count() == 1 {
+			return processor
+		}
+	}
+	return anyCPU
+}
+
+// TestRehearsalsBesideOneAnother: two rehearsals at once don't bind their proxies to the same processor.
+func TestRehearsalsBesideOneAnother(t *testing.T) {
+	reports := make(chan *Report, 2)
+	for range cap(reports) {
+		go func() { reports <- runAs(t, context.Background(), smallScenario(t, "3s"), "kind") }()
+	}
+	taken := map[int]bool{}
+	for _, id := range awaitProxies(t, cap(reports)) {
+		processor := onlyProcessor(t, id)
+		if processor != anyCPU && taken[processor] {
+			t.Errorf("two proxies are bound to processor %d", processor)
+		}
+		taken[processor] = true
+	}
+	for range cap(reports) {
+		if r := <-reports; len(r.Failed) > 0 {
+			t.Error(r.Failed)
+		}
+	}
+}
+
+// bindForeign has a process that is no descendant of this one bound to a processor until the test ends.
+func bindForeign(t *testing.T, processor int) {
+	t.Helper()
+	shell := exec.Command("sh", "-c", "sleep 60 >/dev/null 2>&1 & echo $!") // the sleep outlives its parent, the shell
+	var output strings.Builder
+	shell.Stdout = &output
+	if err := affinity.StartOn(shell, processor); err != nil {
+		t.Fatal(err)
+	}
+	if err := shell.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	id, err := strconv.Atoi(strings.TrimSpace(output.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Kill(id, unix.SIGKILL) })
+}
+
+// TestNoProcessorIsFree: where all processors have processes of others bound to them a rehearsal doesn't bind its own, and says so.
+func TestNoProcessorIsFree(t *testing.T) {
+	var own unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &own); err != nil {
+		t.Fatal(err)
+	}
+	for processor := range 64 * len(own) {
+		if own.IsSet(processor) {
+			bindForeign(t, processor)
+		}
+	}
+	report := make(chan *Report, 1)
+	go func() { report <- runAs(t, context.Background(), smallScenario(t, "2s"), "kind") }()
+	if processor := onlyProcessor(t, awaitProxies(t, 1)[0]); processor != anyCPU {
+		t.Errorf("the proxy is bound to processor %d, which others are bound to", processor)
+	}
+	if r := <-report; !strings.Contains(r.Unbound, "bound to it") || len(r.Failed) > 0 {
+		t.Errorf("%q, %v", r.Unbound, r.Failed)
+	}
+}
+
+// TestGivesWay: once a process of others is bound to its proxy's processor a rehearsal unbinds the proxy, and says so.
+func TestGivesWay(t *testing.T) {
+	report := make(chan *Report, 1)
+	go func() { report <- runAs(t, context.Background(), smallScenario(t, "4s"), "kind") }()
+	id := awaitProxies(t, 1)[0]
+	processor := onlyProcessor(t, id)
+	if processor == anyCPU {
+		t.Fatalf("the proxy is not bound: %q", (<-report).Unbound)
+	}
+	bindForeign(t, processor)
+	r := <-report
+	if !strings.Contains(r.Unbound, fmt.Sprintf("processor %d has process", processor)) || len(r.Failed) > 0 {
+		t.Errorf("%q, %v", r.Unbound, r.Failed)
+	}
+}
--- a/internal/rehearse/build.go
+++ b/internal/rehearse/build.go
@@ -5,7 +5,6 @@
 	"math/rand"
 	"os"
 	"path/filepath"
-	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -148,7 +147,7 @@
 		binary:   o.Proxy,
 		address:  address,
 		folder:   filepath.Join(r.folder, fmt.Sprintf("p%d", i)),
-		cpu:      anyCPU,
+		cpu:      r.binding.processorOf(i),
 		memoryMB: s.Proxies.MemoryMB,
 		sockets:  s.Proxies.Sockets,
 	}
@@ -158,9 +157,6 @@
 	if o.Arguments != nil {
 		p.arguments = o.Arguments(i)
 	}
-	if s.Proxies.Pin {
-		p.cpu = runtime.NumCPU() - 1 - i%runtime.NumCPU()
-	}
 	if err := os.Mkdir(p.folder, 0o700); err != nil {
 		return err
 	}
--- a/internal/rehearse/capacity.go
+++ b/internal/rehearse/capacity.go
@@ -17,6 +17,7 @@
 	Refused  int64        `json:"refused"`
 	Late     bool         `json:"late"` // the generator was
 	Failed   []string     `json:"failed"`
+	Unbound  string       `json:"unbound,omitempty"` // why the proxies had no processors of their own
 }
 
 // CapacitySearch is how far a rate could be raised.
@@ -88,12 +89,16 @@
 		Refused:  r.Clients.Refused,
 		Late:     r.Late,
 		Failed:   r.Failed,
+		Unbound:  r.Unbound,
 	}
 }
 
 func printStep(out io.Writer, step CapacityStep, r *Report) {
 	fmt.Fprintf(out, "%8.0f a second: handshake p50 %7.2f p99 %8.2f ms, message p50 %6.2f p99 %7.2f ms, CPU %.2f, %d refused, lateness p99 %.2f ms\n",
 		step.Rate, r.Connects.P50, r.Connects.P99, r.Messages.P50, r.Messages.P99, step.CPU, r.Clients.Refused, r.Lateness.P99)
+	if step.Unbound != "" {
+		fmt.Fprintf(out, "NOT BOUND: %s\n", step.Unbound)
+	}
 }
 
 // WriteJSON keeps the search in a file.
--- a/internal/rehearse/compare.go
+++ b/internal/rehearse/compare.go
@@ -56,7 +56,8 @@
 	Scenario string   `json:"scenario"`
 	Pairs    int      `json:"pairs"`
 	Ratios   []Ratio  `json:"ratios"`
-	Failed   []string `json:"failed"` // runs that broke a rule, or in which the generator was late
+	Failed   []string `json:"failed"`  // runs that broke a rule, or in which the generator was late
+	Unbound  []string `json:"unbound"` // runs whose proxies had no processors of their own, with the reason
 }
 
 // buildNames are those of the two builds in what is printed.
@@ -65,7 +66,7 @@
 // Compare runs a scenario by two builds in pairs, each pair with a seed of its own and in alternating order, so that
 // drift of the machine affects both alike.
 func Compare(ctx context.Context, s *Scenario, a, b string, pairs int, progress io.Writer) (*Comparison, error) {
-	c := &Comparison{Scenario: s.Name, Pairs: pairs, Failed: []string{}}
+	c := &Comparison{Scenario: s.Name, Pairs: pairs, Failed: []string{}, Unbound: []string{}}
 	values := make([][2][]float64, len(comparedFigures))
 	for pair := range pairs {
 		reports, err := c.runPair(ctx, s, pair, [2]string{a, b}, progress)
@@ -103,6 +104,9 @@
 		if report.Late {
 			c.Failed = append(c.Failed, fmt.Sprintf("pair %d, %s: the generator was late", pair+1, buildNames[build]))
 		}
+		if report.Unbound != "" {
+			c.Unbound = append(c.Unbound, fmt.Sprintf("pair %d, %s: %s", pair+1, buildNames[build], report.Unbound))
+		}
 		reports[build] = report
 	}
 	return reports, nil
@@ -148,6 +152,9 @@
 	for _, r := range c.Ratios {
 		fmt.Fprintf(to, "%-20s A %9.3f  B %9.3f  ratio %.3f (%.3f to %.3f)  %s\n", r.Figure, r.A, r.B, r.Ratio, r.Low, r.High, r.conclusion())
 	}
+	for _, text := range c.Unbound {
+		fmt.Fprintf(to, "NOT BOUND: %s\n", text)
+	}
 	for _, text := range c.Failed {
 		fmt.Fprintf(to, "FAILED: %s\n", text)
 	}
--- a/internal/rehearse/monitor.go
+++ b/internal/rehearse/monitor.go
@@ -28,6 +28,7 @@
 			continue
 		}
 		sampled = r.now()
+		r.checkIntruder()
 		sample := r.sample()
 		if progress != nil {
 			r.printProgress(progress, sample, sessions)
--- a/internal/rehearse/print.go
+++ b/internal/rehearse/print.go
@@ -18,6 +18,10 @@
 		fmt.Fprintf(to, "LATE: the generator was behind its own schedule: %d of %d sends by more than %g ms (p99 %.1f ms). "+
 			"The times below are its own as well as the proxies'.\n", r.LateSends, r.Lateness.N, r.LateBoundMs, r.Lateness.P99)
 	}
+	if r.Unbound != "" {
+		fmt.Fprintf(to, "NOT BOUND: the proxies had no processors of their own: %s. The times and the CPU below are not those of proxies that have.\n",
+			r.Unbound)
+	}
 	if r.Interrupted {
 		fmt.Fprintf(to, "interrupted: what was seen until then\n")
 	}
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -8,8 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/prometheus/procfs"
 	"golang.org/x/sys/unix"
 
+	"chalkferry/internal/affinity"
 	"chalkferry/internal/standin/judge"
 	"chalkferry/internal/standin/list"
 )
@@ -52,7 +51,7 @@
 	arguments []string // further ones of its command
 
 	// changing is held by the fault that changes the configuration or restarts the process: several may meet at one proxy.
-	changing sync.Mutex
+	changing sync.Mutex // guards cpu, too
 
 	mu               sync.Mutex
 	state            processState
@@ -135,23 +134,12 @@
 	return nil
 }
 
-// startOn starts a command bound to one processor: a process inherits the binding of its parent's thread.
+// startOn starts a command bound to one processor, or to none.
 func startOn(cmd *exec.Cmd, cpu int) error {
 	if cpu == anyCPU {
 		return cmd.Start()
 	}
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	var was, is unix.CPUSet
-	if err := unix.SchedGetaffinity(0, &was); err != nil {
-		return err
-	}
-	is.Set(cpu)
-	if err := unix.SchedSetaffinity(0, &is); err != nil {
-		return err
-	}
-	defer unix.SchedSetaffinity(0, &was)
-	return cmd.Start()
+	return affinity.StartOn(cmd, cpu)
 }
 
 func (p *process) wait(cmd *exec.Cmd, exited chan struct{}) {
@@ -209,32 +197,6 @@
 	}
 }
 
-// bindAwayFrom binds this process's threads to the processors that no proxy has to itself, so that what is measured of a
-// proxy is not the generator's. It returns what takes that back.
-func bindAwayFrom(pinned []int) (func(), error) {
-	var all, rest unix.CPUSet
-	if err := unix.SchedGetaffinity(0, &all); err != nil {
-		return nil, err
-	}
-	rest = all
-	for _, cpu := range pinned {
-		rest.Clear(cpu)
-	}
-	if rest.Count() == 0 { // as many proxies as processors: all share them
-		return func() {}, nil
-	}
-	bind := func(set *unix.CPUSet) {
-		tasks, _ := os.ReadDir("/proc/self/task") // without them the run is only less exact
-		for _, task := range tasks {
-			if id, err := strconv.Atoi(task.Name()); err == nil {
-				unix.SchedSetaffinity(id, set) // one that has ended meanwhile needs none
-			}
-		}
-	}
-	bind(&rest)
-	return func() { bind(&all) }, nil
-}
-
 // hasCrashed reports whether it ended by itself, or was killed for its memory.
 func (p *process) hasCrashed() bool {
 	p.mu.Lock()
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -56,6 +56,7 @@
 	Cores       int                `json:"cores"` // of the machine
 	LengthMs    float64            `json:"length_ms"`
 	Interrupted bool               `json:"interrupted"`
+	Unbound     string             `json:"unbound,omitempty"` // why proxies that were to have processors of their own had none
 	Scheduled   int                `json:"scheduled"`
 	Sessions    int64              `json:"sessions"`
 	Answers     map[string]int64   `json:"answers"`
@@ -118,6 +119,7 @@
 		BadClients:  r.badClients.report(),
 		Samples:     r.samples,
 		Trouble:     r.troubles,
+		Unbound:     r.unbound,
 	}
 	report.Rules, report.RuleCounts = r.judge.Violations()
 	if report.Rules == nil {
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -37,6 +37,7 @@
 	front         *front.Front
 	clients       *client.Clients
 	processes     []*process
+	binding       binding
 	badClients    badClients
 	folder        string
 	openAtEnd     int
@@ -46,6 +47,7 @@
 	samples    []Sample
 	troubles   []string // of the rehearsal itself
 	addedNodes int      // spare nodes that were started
+	unbound    string   // why proxies that were to be bound to processors are not, "" where they are
 }
 
 // Options say how a run is done.
@@ -74,18 +76,18 @@
 		return nil, err
 	}
 	defer os.RemoveAll(r.folder)
-	r.startIn(2 * maxStartTime)
-	defer r.close()
-	if err := r.build(o); err != nil {
-		return nil, err
-	}
-	if s.Proxies.Pin {
-		release, err := bindAwayFrom(r.pinnedCPUs())
+	if s.Proxies.Pin && !o.Direct {
+		release, err := r.bindProxies()
 		if err != nil {
 			return nil, err
 		}
 		defer release()
 	}
+	r.startIn(2 * maxStartTime)
+	defer r.close()
+	if err := r.build(o); err != nil {
+		return nil, err
+	}
 	whileRunning, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.front.Run(whileRunning)
@@ -115,15 +117,6 @@
 // startIn sets the run's start.
 func (r *rehearsal) startIn(d time.Duration) { r.startedAt.Store(time.Now().Add(d).UnixNano()) }
 
-// pinnedCPUs are the processors that proxies have to themselves.
-func (r *rehearsal) pinnedCPUs() []int {
-	var cpus []int
-	for _, p := range r.processes {
-		cpus = append(cpus, p.cpu)
-	}
-	return cpus
-}
-
 // waitReady waits until the front has taken all proxies in.
 func (r *rehearsal) waitReady(ctx context.Context) error {
 	for limit := time.Now().Add(maxStartTime); ; {
