A rehearsal's proxies end with it, also behind a wrapper

Cause: a rehearsal killed the program that it had started.

Change: a proxy has had a process group of its own; once its first process has ended, for whatever reason, the rest of the group is killed. That is done before the id of the first one is given back, so that the group can't be another's.

Not covered: a wrapper whose rehearsal itself is killed by SIGKILL, as nobody is left to end the wrapper's child.

--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -142,7 +142,17 @@
 	return affinity.StartOn(cmd, cpu)
 }
 
+// endGroup waits for a process to end, and kills what is left of its group: the child of a wrapper does not end with it. The id of
+// the ended process is not given to another one before that is waited for again.
+func endGroup(leader int) {
+	var info unix.Siginfo
+	for unix.Waitid(unix.P_PID, leader, &info, unix.WEXITED|unix.WNOWAIT, nil) == unix.EINTR {
+	}
+	unix.Kill(-leader, unix.SIGKILL) // nothing may be left
+}
+
 func (p *process) wait(cmd *exec.Cmd, exited chan struct{}) {
+	endGroup(cmd.Process.Pid)
 	err := cmd.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
