TestInterrupted looks for left processes by the name that their folder really has

The check looked for the test's name followed by a slash in the commands of all processes. A test's temporary folder has digits behind the name, so that no process could ever match and the check could not fail. It uses proxiesOf now, by which other tests wait for proxies that run: it finds them. TestInterrupted passes under -race.

--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -236,11 +236,8 @@
 	if !r.Interrupted || r.Sessions == 0 || r.Sessions >= int64(r.Scheduled) || len(r.Rules) > 0 {
 		t.Fatalf("interrupted %v, %d of %d sessions, %v", r.Interrupted, r.Sessions, r.Scheduled, r.Rules)
 	}
-	commands, _ := filepath.Glob("/proc/[0-9]*/cmdline")
-	for _, file := range commands {
-		if text, _ := os.ReadFile(file); bytes.Contains(text, []byte(t.Name()+"/")) && bytes.Contains(text, []byte("serve")) {
-			t.Errorf("left behind: %q", text)
-		}
+	for _, id := range proxiesOf(t) {
+		t.Errorf("process %d is left behind", id)
 	}
 	for _, write := range []func(string) error{r.WriteJSON, r.WriteHTML} {
 		file := filepath.Join(t.TempDir(), "report")
