--- a/cmd/chalkferry/lasting_failures_test.go
+++ b/cmd/chalkferry/lasting_failures_test.go
@@ -13,13 +13,7 @@
 	"chalkferry/internal/faultinject"
 )
 
-// TestLastingFailures: a call fails each time for a second while its descriptor stays ready. The poller is level-triggered, so
-// it reports the descriptor again at once; a loop that only makes the call again asks the kernel without a pause for as long as
-// the failure lasts, takes a core, and, where one thread of the process runs at a time, holds up all others. So each descriptor
-// is left alone for a back-off after a failure that brings nothing, and sessions go on once the failure has passed.
-//
-// Seen before the mend, by the controller's count of the calls that it had fail in that second: 36,131 reads with ENOMEM, 38,580
-// with EAGAIN though bytes had come.
+// TestLastingFailures guards against a loop that asks the kernel without a pause while a call fails each time and its descriptor stays ready.
 func TestLastingFailures(t *testing.T) {
 	const (
 		failFrom = 2 * time.Second // since the process's start
--- a/cmd/stallwatch/main_test.go
+++ b/cmd/stallwatch/main_test.go
@@ -67,9 +67,7 @@
 	return exitCode
 }
 
-// TestWatch: of three processes that run in step one spins and the others wait for it: it is named and asked for its
-// goroutines, by which a program of Go ends with exit code 2. Where all work, nothing is reported; where all wait, that is, and
-// nobody is signalled, also if one of them waits elsewhere and has a thread more: the bench itself may reckon.
+// TestWatch guards against a watch that signals a healthy process: only one that spins while the others wait is asked for its goroutines.
 func TestWatch(t *testing.T) {
 	const exitedBySIGQUIT = 2
 	for name, test := range map[string]struct {
