After a standstill no first line goes out before what discovery has sent is known

What callers saw: requests that came while a proxy's process got no processor went to servers that had drained, or been given up, for seconds: 9 to 14 of 40, and 23 of 40 to an address that was no longer listed, with a list of 3,000 servers.

Cause: the event loop and the reader of discovery's watch come back at once, and the loop is faster than a large list is read. It places by the list before, and the checks before a first line ask a directory that does not have the next one yet. A watch also counted as silent for the time in which the process itself stood still, and was dropped with its bytes unread.

Evidence: a process stopped for 3.5 s by SIGSTOP, a drain published, then 40 requests, SIGCONT. With a list of two servers the drain was kept, with 3,000 it was not.

After one a first line waits until the watch is drained, that is, its reader waits in read and the kernel holds nothing for it; the lists are then before it in the loop's queue, and the checks see them. 0.15 s at most, so that no discovery holds requests up. A watch with bytes unread is not silent. Nothing is asked of the kernel where there was no standstill.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,7 +10,9 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"chalkferry/internal/failure"
@@ -100,6 +102,7 @@
 	cancel  context.CancelCauseFunc
 	answer  time.Duration // for a watch to begin
 	watch   int
+	conn    atomic.Pointer[watchConn] // of the watch that has begun, nil for none
 }
 
 // New makes a watcher that tells lists and failures on the event loop; answer is how long a watch may take to begin.
@@ -127,7 +130,10 @@
 			conn, err = new(net.Dialer).DialContext(ctx, network, address)
 			return err
 		})
-		return conn, err
+		if err != nil {
+			return nil, err
+		}
+		return &watchConn{Conn: conn}, nil
 	}
 }
 
@@ -180,6 +186,13 @@
 // Move names another address, for the watches to come.
 func (w *Watcher) Move(address string) { w.address = address }
 
+// IsDrained reports whether all that has come on the watch was read and handed to the event loop, as tasks that may still wait
+// there. It is true where there is no watch.
+func (w *Watcher) IsDrained() bool {
+	conn := w.conn.Load()
+	return conn == nil || conn.isDrained()
+}
+
 // Drop ends the watch at hand; nothing of it is told any more.
 func (w *Watcher) Drop() {
 	w.watch++
@@ -193,6 +206,10 @@
 	// Both guard against a machine that is cut off, or takes calls and says nothing.
 	begins := time.AfterFunc(begin.within, func() { cancel(begin.missed) })
 	defer begins.Stop()
+	var conn *watchConn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, _ = info.Conn.(*watchConn)
+	}})
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -208,7 +225,13 @@
 	if !begin.body {
 		begins.Stop()
 	}
-	quiet := time.AfterFunc(silence, func() { cancel(ErrSilent) })
+	w.conn.Store(conn)
+	defer w.conn.CompareAndSwap(conn, nil)
+	quiet := time.AfterFunc(silence, func() {
+		if conn == nil || !conn.hasUnread() { // else this process stood still, and not the watch
+			cancel(ErrSilent)
+		}
+	})
 	defer quiet.Stop()
 	body := &pulse{from: answer.Body, beat: func() {
 		begins.Stop()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -64,6 +64,8 @@
 	peers           *peers.Peers
 	share           func([]sharing.Fact) // nil where nothing is shared
 	phase           phase
+	lastEvent       time.Duration   // when the event at hand began
+	standstill      standstill      // the last one
 	came            bool            // a client has connected since the last look at what is left
 	endsBy          time.Duration   // once nothing new is taken: how long last lines have
 	reloading       chan struct{}   // holds the one configuration that is being taken over
@@ -146,7 +148,7 @@
 	p.connectionLimit = socket.NewConnectionLimit(p.limits.Sockets - keptSockets)
 	p.directory = newDirectory(t.zones, startClock{began: p.start, now: p.now, wall: time.Now}, t.list.DrainsBindAlone, t.models)
 	p.connector = servers.NewConnector(p.execute, p.connectionLimit, p.take, t.connect, p.failures)
-	dialer := servers.New(p.connector, p.directory, p.timers, p.connectionLimit, p.now, p.log)
+	dialer := servers.New(p.connector, p.directory, p.timers, p.connectionLimit, p.now, p.whenListIsKnown, p.log)
 	after := func(d time.Duration, call func()) { p.timers.After(d, call) }
 	delays := exchange.NewDelays(t.mark, noteSpan, t.tellsLoad, t.tellsDelay)
 	p.table = exchange.NewTable(dialer, p.now, p.later, after, t.connect, t.still, delays)
@@ -250,7 +252,12 @@
 
 // The event loop.
 
-func (p *Proxy) enter() { p.depth++ }
+func (p *Proxy) enter() {
+	if p.depth == 0 {
+		p.noteEvent()
+	}
+	p.depth++
+}
 
 // leave calls what had to wait for the end of the event.
 func (p *Proxy) leave() {
@@ -285,8 +292,8 @@
 
 // sweep looks after sessions that wait for messages.
 func (p *Proxy) sweep() {
-	p.table.Sweep(noteSpan / sweeps)
-	p.timers.After(noteSpan/sweeps, p.sweep)
+	p.table.Sweep(sweepEvery)
+	p.timers.After(sweepEvery, p.sweep)
 }
 
 // front is what the module asks of the proxy.
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -110,7 +110,7 @@
 type state int
 
 const (
-	reaching state = iota // the connection does not stand yet
+	reaching state = iota // the first line is not sent: the connection does not stand yet, or the list is awaited
 	asked                 // the first line is out
 	up
 	over
@@ -140,12 +140,15 @@
 	timers          *timers.Timers
 	connectionLimit *socket.ConnectionLimit
 	now             func() time.Duration
+	whenListIsKnown func(call func())
 	log             zerolog.Logger
 }
 
+// New makes the side of the servers. whenListIsKnown calls back at once, or as soon as the directory has what discovery has sent.
 func New(connector *Connector, directory Directory, t *timers.Timers, connectionLimit *socket.ConnectionLimit, now func() time.Duration,
-	log zerolog.Logger) *Servers {
-	return &Servers{connector: connector, directory: directory, timers: t, connectionLimit: connectionLimit, now: now, log: log}
+	whenListIsKnown func(call func()), log zerolog.Logger) *Servers {
+	return &Servers{connector: connector, directory: directory, timers: t, connectionLimit: connectionLimit, now: now,
+		whenListIsKnown: whenListIsKnown, log: log}
 }
 
 // Dial starts a dial. The limit covers connecting and the answer.
@@ -167,13 +170,21 @@
 	return d
 }
 
-// Open sends the first line. A server that has left the list by now takes nothing new, one that is listed anew is not
-// the one that was chosen, of a client that has left no byte goes out, and what the dial was placed by must still hold.
+// Open takes the connection over, and has the first line sent once the list is known.
 func (d *Dial) Open(conn *eventloop.Conn) {
 	d.conn = d.servers.connector.take(conn, d)
+	if d.state != reaching {
+		d.conn.Reset()
+		return
+	}
+	d.servers.whenListIsKnown(d.sendFirstLine)
+}
+
+// sendFirstLine sends the first line. A server that has left the list by now takes nothing new, one that is listed anew is not
+// the one that was chosen, of a client that has left no byte goes out, and what the dial was placed by must still hold.
+func (d *Dial) sendFirstLine() {
 	switch {
 	case d.state != reaching:
-		d.conn.Reset()
 		return
 	case !d.servers.directory.Ready(d.at) && !d.ex.Resumes():
 		d.fail(choice.Unreachable, socket.Reset, "drains")
@@ -333,6 +344,8 @@
 // Ended tells that the server has ended the connection.
 func (d *Dial) Ended(how socket.End) {
 	switch {
+	case d.state == reaching: // before the first line was sent
+		d.fail(choice.Unreachable, how, "unreachable")
 	case d.state == asked && d.conn.Unsent() > 0: // the line's last byte was never written
 		d.fail(choice.Unreachable, how, "unreachable")
 	case d.state == asked:
