A SIGTERM that is handled right after a standstill counts from its beginning

What callers saw: open sessions cut off without MOVE at a planned restart, where the machine gave the proxy no processor as it was told to end: 6 to 12 of 20 with a second of standstill, all 20 with 1.3 s, and 17 of 20 that had come meanwhile.

Cause: a proxy's time to leave counted from the moment at which it handled the signal, the platform's kill counts from the one at which that was sent.

Evidence: SIGSTOP, SIGTERM, SIGCONT after 0.4, 0.7, 1.0 and 1.3 s, SIGKILL 1.5 s after SIGTERM (dial timeout 0.8 s and 0.7 s).

Change: a signal handled within 100 ms of a standstill's end is taken to be as old as its beginning. Moves begin that much sooner, and all is answered and moved, again and again, until the earliest time of the kill. A proxy that lives on then was told later and serves until its usual last call, so that nothing is shut sooner.

--- a/cmd/chalkferry/standstill_test.go
+++ b/cmd/chalkferry/standstill_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 const (
 	stoppedClients   = 40
 	dialTimeout      = 800 * time.Millisecond // as the configuration has it
+	killMargin       = 700 * time.Millisecond // the kill follows SIGTERM after that and the dial timeout
 	settleTime       = time.Second
 	largeListServers = 3000
 )
@@ -112,6 +114,31 @@
 			t.Errorf("%d sessions at an address that was given up %v before", after-before, *standstillLength)
 		}
 	})
+	t.Run("SIGTERM", func(t *testing.T) {
+		for _, length := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, time.Second, 1300 * time.Millisecond} {
+			t.Run(length.String(), func(t *testing.T) {
+				t.Parallel()
+				p := startScripted(t)
+				conns := p.askForSessions(stoppedClients/2, dialTimeout)
+				established := answers(conns, settleTime)["UP"]
+				var signaled time.Time
+				var waiting []net.Conn
+				p.stop(length, func() {
+					signaled = time.Now()
+					p.proxy.cmd.Process.Signal(syscall.SIGTERM)
+					waiting = p.askForSessions(stoppedClients/2, dialTimeout)
+				})
+				kill := time.AfterFunc(time.Until(signaled.Add(dialTimeout+killMargin)), func() { p.proxy.cmd.Process.Kill() })
+				defer kill.Stop()
+				if counts := lastWords(conns, 2*time.Second); counts["MOVE"] != established || established == 0 {
+					t.Errorf("%d open sessions, %v", established, counts)
+				}
+				if counts := lastWords(waiting, time.Second); counts[""] > 0 || counts["UP"] > 0 {
+					t.Errorf("new sessions: %v", counts)
+				}
+			})
+		}
+	})
 }
 
 // listLarge lists thousands of draining servers, so that a list takes some time to read.
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -52,12 +52,17 @@
 		}
 		p.enterPhase(leaving)
 		p.log.Info().Int("sessions", p.table.Len()).Msg("leaving")
+		standstill := p.standstillJustNow()
 		p.timers.After(p.leaveSpan(1)+killMargin/2, p.lastCall)
+		if standstill > 0 { // the signal, and so the kill, may be that much older
+			killAt := p.now() + p.leaveSpan(1) + killMargin - standstill
+			p.timers.After(p.leaveSpan(1)+killMargin/2-standstill, func() { p.answerEarly(killAt) })
+		}
 		if p.terms.passes {
 			p.timers.After(max(p.leaveSpan(passShare), stillComes*5/4), p.windUp)
 			return
 		}
-		p.timers.After(max(p.leaveSpan(waitShare), stillComes), func() { p.moveSome(leaveSteps) })
+		p.timers.After(max(p.leaveSpan(waitShare), stillComes)-standstill, func() { p.moveSome(leaveSteps) })
 	})
 }
 
@@ -142,6 +147,16 @@
 	})
 }
 
+// answerEarly answers and moves all as lastCall does, and what still comes again and again until the time of a kill that may be
+// near. A proxy that goes on after that was told to leave later, and serves until its last call.
+func (p *Proxy) answerEarly(killAt time.Duration) {
+	if p.phase == gone || p.now() > killAt {
+		return
+	}
+	p.answerAll()
+	p.timers.After(killMargin/leaveSteps, func() { p.answerEarly(killAt) })
+}
+
 // answerAll gives each client that waits its answer, and moves what may be moved.
 func (p *Proxy) answerAll() {
 	p.table.GiveUp()
--- a/internal/proxy/standstill.go
+++ b/internal/proxy/standstill.go
@@ -17,6 +17,8 @@
 // has come meanwhile is read by several goroutines in any order, so that a request could be placed by a list that has been
 // replaced long ago.
 type standstill struct {
+	began, ended time.Duration
+
 	isListOld bool // what discovery has sent meanwhile may not be known yet
 	waiting   []func()
 }
@@ -30,6 +32,7 @@
 		return
 	}
 	s := &p.standstill
+	s.began, s.ended = before, now
 	p.log.Warn().Dur("ms", now-before).Msg("the event loop stood still")
 	if !s.isListOld {
 		s.isListOld = true
@@ -67,3 +70,13 @@
 	}
 	call()
 }
+
+// standstillJustNow is how long the loop has stood still, if that ended a moment ago, else 0. A signal that is handled now may
+// have been sent as it began.
+func (p *Proxy) standstillJustNow() time.Duration {
+	s := &p.standstill
+	if s.ended == 0 || p.now()-s.ended > sweepEvery {
+		return 0
+	}
+	return p.now() - s.began
+}
