Maxima, silences and delayed PINGs are named as such in proxy, discovery and clients

Cause: names of the earlier style were left (mostWaiting, mostStill, mostHello, mostPatient, stillComes, mostList, holds, held).

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -31,8 +31,8 @@
 	groups          bool
 	ids             map[string]*Client // of sessions that wait for an answer or are open
 	idle            map[*Client]bool   // those that have asked for nothing
-	holds           bool               // PINGs are not answered yet
-	held            []*Client          // for each of those
+	delaysPings     bool               // they are not answered yet
+	delayedPings    []*Client          // the client of each
 	log             zerolog.Logger
 }
 
@@ -49,18 +49,18 @@
 	c.hello, c.listeners, c.tenants, c.groups = hello, listeners, tenants, groups
 }
 
-// HoldPings has PINGs wait for AnswerPings: the front deals out connections to a proxy that has answered one, and to
+// DelayPings has PINGs wait for AnswerPings: the front deals out connections to a proxy that has answered one, and to
 // one that starts what the list has to tell may count as told before it has come.
-func (c *Clients) HoldPings() { c.holds = true }
+func (c *Clients) DelayPings() { c.delaysPings = true }
 
 // AnswerPings answers those that wait, and others at once from now on.
 func (c *Clients) AnswerPings() {
-	c.holds = false
-	for _, client := range c.held {
+	c.delaysPings = false
+	for _, client := range c.delayedPings {
 		client.waitsToAsk()
 		client.pong()
 	}
-	c.held = nil
+	c.delayedPings = nil
 }
 
 // Idle is how many connections have asked for nothing.
@@ -179,9 +179,9 @@
 func (c *Client) first(text []byte, more bool) {
 	if string(text) == "PING" { // as many as it likes: the connection ends unless it asks for a session soon
 		c.pings++
-		if c.clients.holds { // it is this proxy that lets it wait
+		if c.clients.delaysPings { // it is this proxy that lets it wait
 			c.clients.timers.Stop(c.idle)
-			c.clients.held = append(c.clients.held, c)
+			c.clients.delayedPings = append(c.clients.delayedPings, c)
 			return
 		}
 		c.pong()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,9 +25,9 @@
 const SilenceLimit = 6 * time.Second
 
 const (
-	silence  = Heartbeat * 3 / 2                // without a byte: the watch is dead
-	opening  = (SilenceLimit - silence) * 5 / 6 // for the next one to begin; the rest is for one more, as that may say nothing either
-	mostList = 4 << 20                          // bytes
+	silence      = Heartbeat * 3 / 2                // without a byte: the watch is dead
+	opening      = (SilenceLimit - silence) * 5 / 6 // for the next one to begin; the rest is for one more, as that may say nothing either
+	maxListBytes = 4 << 20
 )
 
 // What a watch may fail by that has others follow at once: until the next one begins, what has been missed is not known,
@@ -262,8 +262,8 @@
 }
 
 func (p *pulse) Read(to []byte) (int, error) {
-	if p.read > mostList {
-		return 0, fmt.Errorf("a list of over %d bytes", mostList)
+	if p.read > maxListBytes {
+		return 0, fmt.Errorf("a list of over %d bytes", maxListBytes)
 	}
 	n, err := p.from.Read(to)
 	if n > 0 {
--- a/internal/proxy/connections.go
+++ b/internal/proxy/connections.go
@@ -23,7 +23,7 @@
 
 func (p *Proxy) take(conn *eventloop.Conn, owner socket.Owner) *socket.Conn {
 	p.connectionLimit.Take(1)
-	c := socket.New(conn, owner, p.connectionLimit, p.timers, p.later, p.linger(), mostWaiting)
+	c := socket.New(conn, owner, p.connectionLimit, p.timers, p.later, p.linger(), maxUnsentBytes)
 	conn.SetContext(c)
 	return c
 }
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -300,15 +300,15 @@
 					t.Error(err)
 				}
 				r.p.Leave()
-				time.Sleep(time.Until(told.Add(stillComes - 20*time.Millisecond)))
+				time.Sleep(time.Until(told.Add(arrivalsAfterTerm - 20*time.Millisecond)))
 				late := ask() // connections go on coming for so long
 				for _, d := range []dialog{waits, late} {
 					if got, err := d.ReadString('\n'); got != "ERR\r\n" && !strings.HasPrefix(got, "BUSY") {
 						t.Errorf("%q, %v", got, err)
 					}
 				}
-				kill := min(timeout, mostPatient) + killMargin
-				if took := <-took; took < stillComes || took > kill {
+				kill := min(timeout, maxDialTimeout) + killMargin
+				if took := <-took; took < arrivalsAfterTerm || took > kill {
 					t.Errorf("it ended after %v, the kill comes after %v", took, kill)
 				}
 			})
--- a/internal/proxy/drawn_test.go
+++ b/internal/proxy/drawn_test.go
@@ -337,7 +337,7 @@
 					if kind == 1 {
 						select {
 						case took := <-took:
-							if took < stillComes || took > drawnWait+killMargin {
+							if took < arrivalsAfterTerm || took > drawnWait+killMargin {
 								j.wrong("the process ends after %v", took)
 							}
 						case <-time.After(5 * time.Second):
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -59,16 +59,16 @@
 			p.timers.After(p.leaveSpan(1)+killMargin/2-standstill, func() { p.answerEarly(killAt) })
 		}
 		if p.terms.passes {
-			p.timers.After(max(p.leaveSpan(passShare), stillComes*5/4), p.windUp)
+			p.timers.After(max(p.leaveSpan(passShare), arrivalsAfterTerm*5/4), p.windUp)
 			return
 		}
-		p.timers.After(max(p.leaveSpan(waitShare), stillComes)-standstill, func() { p.moveSome(leaveSteps) })
+		p.timers.After(max(p.leaveSpan(waitShare), arrivalsAfterTerm)-standstill, func() { p.moveSome(leaveSteps) })
 	})
 }
 
 // leaveSpan is a share of the time that a proxy surely has.
 func (p *Proxy) leaveSpan(share float64) time.Duration {
-	return time.Duration(share * float64(min(p.terms.patience, mostPatient)))
+	return time.Duration(share * float64(min(p.terms.patience, maxDialTimeout)))
 }
 
 // moveSome moves a part of what is open in each step, and what has come since in further ones.
@@ -97,7 +97,7 @@
 	case p.phase == leaving:
 		if p.stopAccepting() {
 			p.enterPhase(closing)
-			p.endsBy = p.now() + stillComes/2
+			p.endsBy = p.now() + arrivalsAfterTerm/2
 			p.came = true // two looks without one show that the queue is empty
 		}
 	case p.loop.HasWaiting(): // accepting may fail for a moment
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,11 +27,11 @@
 )
 
 const (
-	memoryShare = 0.75    // of the limit, for what the runtime counts
-	keptSockets = 32      // for discovery, the loop and what the runtime opens
-	mostWaiting = 1 << 18 // bytes for one slow reader
-	noteSpan    = time.Second
-	sweeps      = 10 // in a note's span
+	memoryShare    = 0.75    // of the limit, for what the runtime counts
+	keptSockets    = 32      // for discovery, the loop and what the runtime opens
+	maxUnsentBytes = 1 << 18 // bytes for one slow reader
+	noteSpan       = time.Second
+	sweeps         = 10 // in a note's span
 )
 
 // startPatience is how long calls of the start that fail for a moment are made again.
@@ -180,7 +180,7 @@
 		t.list, t.cold, t.words)
 	p.table.Serve(p.balancer)
 	if t.pushed {
-		p.clients.HoldPings()
+		p.clients.DelayPings()
 		p.timers.After(discovery.SilenceLimit/2, p.clients.AnswerPings) // a discovery that says nothing must not keep it out
 	}
 	p.balancer.List(p.now(), choice.ListCached, p.directory.entriesOf(known))
@@ -192,15 +192,15 @@
 
 // By the protocol page.
 const (
-	lineSpan    = 2 * time.Second        // clients of open sessions send a line so often
-	mostPatient = 3 * time.Second        // a kill follows no sooner after SIGTERM than that or the longest dial timeout,
-	killMargin  = 700 * time.Millisecond // and this
-	stillComes  = 400 * time.Millisecond // after SIGTERM, new connections
+	lineSpan          = 2 * time.Second        // clients of open sessions send a line so often
+	maxDialTimeout    = 3 * time.Second        // a kill follows no sooner after SIGTERM than that or the longest dial timeout,
+	killMargin        = 700 * time.Millisecond // and this
+	arrivalsAfterTerm = 400 * time.Millisecond // after SIGTERM, new connections
 )
 
 const (
-	mostStill = lineSpan / 2    // a session that brings nothing back must be ended or moved in seven seconds
-	mostHello = mostPatient / 2 // a client that asks for nothing
+	maxSilence   = lineSpan / 2       // a session that brings nothing back must be ended or moved in seven seconds
+	maxHelloWait = maxDialTimeout / 2 // a client that asks for nothing
 )
 
 func (p *Proxy) limitMemory(limits start.Limits) {
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -22,10 +22,10 @@
 	<-p.ready
 	p.reloading <- struct{}{} // one after the other: two at once would open the same end for words
 	defer func() { <-p.reloading }()
-	hears := make(chan bool)
-	p.execute(func() { hears <- p.peers != nil })
+	receives := make(chan bool)
+	p.execute(func() { receives <- p.peers != nil })
 	var end *peers.Peers
-	if !<-hears { // opened before anything changes, as it may fail; nothing else opens or closes one meanwhile
+	if !<-receives { // opened before anything changes, as it may fail; nothing else opens or closes one meanwhile
 		if end, err = p.listenPeers(next.at, next.terms); err != nil {
 			return err
 		}
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -47,7 +47,7 @@
 // read takes the terms from the text of the settings.
 func read(settings []byte) (*terms, error) {
 	t := &terms{listenerIDs: map[string]choice.ListenerID{}, tenantIDs: map[string]choice.TenantID{},
-		zones: map[string]choice.ZoneID{}, hello: mostHello, still: mostStill}
+		zones: map[string]choice.ZoneID{}, hello: maxHelloWait, still: maxSilence}
 	if err := start.Module(settings, &t.listeners, &t.dials, &t.budget, &t.list, &t.cold, &t.words); err != nil {
 		return nil, err
 	}
