--- a/cmd/chalkferry/fleet_rig_test.go
+++ b/cmd/chalkferry/fleet_rig_test.go
@@ -114,30 +114,39 @@
 	return l.Addr().String()
 }
 
-// platform is one server, and the list that names it.
-func platform(t *testing.T) (discovery string) {
-	server, err := net.Listen("tcp", "127.0.0.1:0")
+// serveConns listens until the test ends, and has each connection handled and then closed.
+func serveConns(t *testing.T, handle func(conn net.Conn)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { server.Close() })
+	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
-			conn, err := server.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
 				defer conn.Close()
-				for lines := bufio.NewScanner(conn); lines.Scan(); {
-					if strings.HasPrefix(lines.Text(), "OPEN ") {
-						fmt.Fprint(conn, "UP one\r\n")
-					}
-				}
+				handle(conn)
 			}()
 		}
 	}()
-	list := fmt.Sprintf(`{"revision":1,"complete":true,"members":[{"id":"one","host_port":%q,"locality":"a","phase":"ready","size":1}]}`, server.Addr())
+	return listener.Addr().String()
+}
+
+// platform is one server, and the list that names it.
+func platform(t *testing.T) (discovery string) {
+	server := serveConns(t, func(conn net.Conn) {
+		for lines := bufio.NewScanner(conn); lines.Scan(); {
+			if strings.HasPrefix(lines.Text(), "OPEN ") {
+				fmt.Fprint(conn, "UP one\r\n")
+			}
+		}
+	})
+	list := fmt.Sprintf(`{"revision":1,"complete":true,"members":[{"id":"one","host_port":%q,"locality":"a","phase":"ready","size":1}]}`, server)
 	door, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/chalkferry/scripted_platform_test.go
+++ b/cmd/chalkferry/scripted_platform_test.go
@@ -95,26 +95,12 @@
 // addServer starts a server and lists it as ready.
 func (p *scriptedPlatform) addServer(id string) (address string) {
 	p.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.Fatal(err)
-	}
-	p.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(id, conn)
-		}
-	}()
-	p.setMember(id, listener.Addr().String(), "ready")
-	return listener.Addr().String()
+	address = serveConns(p.T, func(conn net.Conn) { p.serve(id, conn) })
+	p.setMember(id, address, "ready")
+	return address
 }
 
 func (p *scriptedPlatform) serve(id string, conn net.Conn) {
-	defer conn.Close()
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
 		words := strings.Fields(lines.Text())
 		if len(words) < 2 || words[0] != "OPEN" {
--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -11,27 +11,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
 
-// foreignProcess starts a process that is not a descendant of this one, bound to a processor, and ends it with the test.
-func foreignProcess(t *testing.T, processor int) (id int) {
-	t.Helper()
-	shell := exec.Command("sh", "-c", "sleep 60 >/dev/null 2>&1 & echo $!") // the sleep outlives its parent, the shell
-	var output strings.Builder
-	shell.Stdout = &output
-	if err := StartOn(shell, processor); err != nil {
-		t.Fatal(err)
-	}
-	if err := shell.Wait(); err != nil {
-		t.Fatal(err)
-	}
-	id, err := strconv.Atoi(strings.TrimSpace(output.String()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { unix.Kill(id, unix.SIGKILL) })
-	return id
-}
+	"chalkferry/internal/affinity/affinitytest"
+)
 
 // reservePatience is how long a test waits for processors that another run or process has.
 const reservePatience = 30 * time.Second
@@ -110,7 +92,7 @@
 	if intruder, err := held.Intruder(); err != nil || intruder != "" {
 		t.Errorf("%q, %v", intruder, err)
 	}
-	foreign := foreignProcess(t, processor)
+	foreign := affinitytest.ForeignProcess(t, func(shell *exec.Cmd) error { return StartOn(shell, processor) })
 	intruder, err := held.Intruder()
 	if err != nil || !strings.Contains(intruder, strconv.Itoa(foreign)) {
 		t.Errorf("%q, %v", intruder, err)
--- a/internal/affinity/reservation.go
+++ b/internal/affinity/reservation.go
@@ -50,7 +50,7 @@
 
 // Reserve takes as many processors as are wanted, the highest ones that are free, and leaves one at least. A processor is free if
 // no other run has reserved it, and no process of others is bound to it or to a part of the processors that it is in. The error is
-// an *UnavailableError, or that of a system call.
+// an *UnavailableError, or that of reading /proc or this process's own binding.
 func Reserve(wanted int) (*Reservation, error) {
 	allowed, err := own.allowed()
 	if err != nil {
@@ -72,9 +72,8 @@
 		case err == unix.EWOULDBLOCK:
 			unavailable.Reserved = append(unavailable.Reserved, processor)
 			unavailable.note(processor, "is reserved by another run")
-		case err != nil:
-			r.unlock()
-			return nil, err
+		case err != nil: // without sysfs nothing is known of other runs
+			unavailable.note(processor, fmt.Sprintf("can't be locked: %v", err))
 		case holder != nil:
 			lock.Close()
 			unavailable.note(processor, holder.String())
--- a/internal/rehearse/binding_test.go
+++ b/internal/rehearse/binding_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"chalkferry/internal/affinity"
+	"chalkferry/internal/affinity/affinitytest"
 )
 
 func smallScenario(t *testing.T, length string) *Scenario {
@@ -93,20 +94,7 @@
 // bindForeign has a process that is no descendant of this one bound to a processor until the test ends.
 func bindForeign(t *testing.T, processor int) {
 	t.Helper()
-	shell := exec.Command("sh", "-c", "sleep 60 >/dev/null 2>&1 & echo $!") // the sleep outlives its parent, the shell
-	var output strings.Builder
-	shell.Stdout = &output
-	if err := affinity.StartOn(shell, processor); err != nil {
-		t.Fatal(err)
-	}
-	if err := shell.Wait(); err != nil {
-		t.Fatal(err)
-	}
-	id, err := strconv.Atoi(strings.TrimSpace(output.String()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { unix.Kill(id, unix.SIGKILL) })
+	affinitytest.ForeignProcess(t, func(shell *exec.Cmd) error { return affinity.StartOn(shell, processor) })
 }
 
 // TestNoProcessorIsFree: where all processors have processes of others bound to them a rehearsal doesn't bind its own, and says so.
