After a standstill first lines wait for the list for a second at most, not for 0.15 s

Cause: the bound on the wait, 0.15 s, was about what a list of 3,000 servers takes to be read under the race detector; past it the proxy went on by the old list.

Evidence: twelve waits printed under -race: 104 to 154 ms, the watch drained at the end of each.

The bound is there for a discovery that sends without end; each session has a limit of its own besides, and where nothing is unread nobody waits.

Test: TestStandstill, unchanged, 8 of 8 under -race beside four busy loops.

--- a/internal/proxy/standstill.go
+++ b/internal/proxy/standstill.go
@@ -8,9 +8,10 @@
 	allowedDelay = 150 * time.Millisecond
 	// standstillLimit is the time between two events from which on the loop has stood still: a sweep is due more often.
 	standstillLimit = sweepEvery + allowedDelay
-	// drainCheckEvery is how often the watch of the list is looked at after a standstill, and drainPatience how long.
+	// drainCheckEvery is how often the watch of the list is looked at after a standstill, and drainPatience how long: a discovery
+	// that sends without end must not hold up all sessions. Each has its own limit besides.
 	drainCheckEvery = time.Millisecond
-	drainPatience   = allowedDelay
+	drainPatience   = time.Second
 )
 
 // standstill is a span in which the event loop did not run: the process was stopped, or the machine gave it no processor. What
