Tests of the fleet never get one address twice

Cause: the rig asks the kernel for a free port for each of ten addresses and closes it again, so that two of them may be the same.

Change: an address that was returned before is drawn again. No check changed.

--- a/cmd/chalkferry/fleet_rig_test.go
+++ b/cmd/chalkferry/fleet_rig_test.go
@@ -96,7 +96,21 @@
 // home has no other sockets than this test's, so that nobody takes a port between its choice and its use.
 const home = "127.91.7.1"
 
+// given are the addresses that free has returned: the kernel may choose one again that nobody listens at yet.
+var given sync.Map
+
+// free is an address that nobody has and that was not returned before.
 func free(t *testing.T, network string) string {
+	t.Helper()
+	for {
+		address := unusedAddress(t, network)
+		if _, isGiven := given.LoadOrStore(network+" "+address, true); !isGiven {
+			return address
+		}
+	}
+}
+
+func unusedAddress(t *testing.T, network string) string {
 	t.Helper()
 	if network == "udp4" {
 		c, err := net.ListenPacket(network, home+":0")
