--- a/cmd/stallwatch/main.go
+++ b/cmd/stallwatch/main.go
@@ -1,6 +1,7 @@
 // Stallwatch runs a bench that lets many proxies run in step, and watches them from outside. When all but one of them stand
 // still for some seconds it prints the state of their threads, and asks one that spins for its goroutines (SIGQUIT, which ends
-// it): a stall is evidence only while it lasts. Where all wait nobody is signalled: the bench itself may reckon.
+// it): a stall is evidence only while it lasts. Where all wait nobody is signalled: the bench itself may reckon. It also prints
+// the threads of the run, of any command, that are ready to run and get no processor, and what else is ready there.
 //
 //	stallwatch lbreal score SITE --quick --env GOTRACEBACK=system --logs DIR --why TEXT
 package main
@@ -74,12 +75,13 @@
 	*options
 	root   int
 	report io.Writer
-	seen   []sample // of the last span
+	seen   []sample // of the last span, oldest first
 }
 
 type sample struct {
-	at    time.Time
-	usage stall.Usage
+	at       time.Time
+	usage    stall.Usage
+	runnable stall.Runnable
 }
 
 // look compares the processes with what they were a span ago.
@@ -88,23 +90,33 @@
 	if err != nil {
 		return err
 	}
+	runnable, err := stall.ReadRunnable()
+	if err != nil {
+		return err
+	}
 	now := time.Now()
-	w.seen = append(w.seen, sample{now, usage})
+	w.seen = append(w.seen, sample{now, usage, runnable})
 	if now.Sub(w.seen[0].at) < w.Span {
 		return nil
 	}
-	before := w.seen[0].usage
+	before := w.seen[0]
 	w.seen = w.seen[1:]
-	found, isStalled := stall.Find(before, usage, w.Idle, w.MinProcesses)
+	isStarved, err := w.reportStarved(before.runnable, runnable)
+	if err != nil {
+		return err
+	}
+	found, isStalled := stall.Find(before.usage, usage, w.Idle, w.MinProcesses)
+	if isStarved || isStalled {
+		w.seen = nil // the next report is a span away at least
+	}
 	if !isStalled {
 		return nil
 	}
-	w.seen = nil // the next report is a span away at least
-	return w.tellStall(found, usage)
+	return w.reportStall(found, usage)
 }
 
-// tellStall prints what all processes do, those that do the same as one, and asks one that spins for its goroutines.
-func (w *watch) tellStall(found stall.Stall, usage stall.Usage) error {
+// reportStall prints what all processes do, those that do the same as one, and asks one that spins for its goroutines.
+func (w *watch) reportStall(found stall.Stall, usage stall.Usage) error {
 	fmt.Fprintf(w.report, "STALL: %d processes; %d has used %v of the last %v, the others %v\n", found.ProcessCount, found.Busiest,
 		found.BusiestUsed, w.Span, found.OthersUsed)
 	threads, alike := map[int][]stall.Thread{}, map[string][]int{}
@@ -119,20 +131,20 @@
 	for pattern, pids := range alike {
 		fmt.Fprintf(w.report, "%d of them: %s\n", len(pids), pattern)
 		if len(pids) == 1 {
-			w.tellThreads(pids[0], threads[pids[0]])
+			w.printThreads(pids[0], threads[pids[0]])
 		}
 	}
 	if !found.Spins(time.Duration(busyShare * float64(w.Span))) {
 		return nil
 	}
 	pid := found.Busiest
-	w.tellThreads(pid, threads[pid])
+	w.printThreads(pid, threads[pid])
 	thread := w.busiestThread(pid, threads[pid])
 	fmt.Fprintf(w.report, "SIGQUIT to thread %d of process %d\n", thread, pid)
 	return unix.Tgkill(pid, thread, unix.SIGQUIT)
 }
 
-func (w *watch) tellThreads(pid int, threads []stall.Thread) {
+func (w *watch) printThreads(pid int, threads []stall.Thread) {
 	for _, thread := range threads {
 		fmt.Fprintf(w.report, "process %d %+v\n", pid, thread)
 	}
--- a/cmd/stallwatch/main_test.go
+++ b/cmd/stallwatch/main_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"chalkferry/internal/stall"
 )
 
 // roleVariable says what a process of this test's own program does.
@@ -98,3 +100,30 @@
 		})
 	}
 }
+
+// TestReportStarved: a thread of the run that got no processor is printed, and what is ready beside it; others' are not reported.
+func TestReportStarved(t *testing.T) {
+	const noProcess = 1 << 30
+	own := stall.Schedule{ThreadKey: stall.ThreadKey{Process: os.Getpid(), Thread: os.Getpid()}, Command: "starves", Processor: 1}
+	beside := stall.Schedule{ThreadKey: stall.ThreadKey{Process: os.Getppid(), Thread: os.Getppid()}, Command: "runs", Processor: 1}
+	before := stall.Runnable{own.ThreadKey: own, beside.ThreadKey: beside}
+	ran := beside
+	ran.Slices++
+	now := stall.Runnable{own.ThreadKey: own, ran.ThreadKey: ran}
+	for _, test := range []struct {
+		root      int
+		isStarved bool
+	}{{os.Getppid(), true}, {noProcess, false}} {
+		var report strings.Builder
+		w := &watch{options: &options{Span: time.Second}, root: test.root, report: &report}
+		isStarved, err := w.reportStarved(before, now)
+		if err != nil || isStarved != test.isStarved {
+			t.Errorf("%v, %v", isStarved, err)
+		}
+		for _, part := range []string{"STARVED: 1 threads", "(starves) on processor 1", "(runs) on processor 1"} {
+			if strings.Contains(report.String(), part) != test.isStarved {
+				t.Errorf("%q: %s", part, report.String())
+			}
+		}
+	}
+}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -1,6 +1,7 @@
 // Package stall finds a process that holds up others which run in step with it, and says what its threads do. It is for a bench
 // that lets many proxies run by turns: one that neither waits nor ends stops them all, and is killed before it can be looked at.
-// The package only reads procfs(5); what is done about a stall is its user's.
+// It also finds threads that are ready to run and get no processor, which look like one that hangs. The package only reads
+// procfs(5); what is done about a stall is its user's.
 package stall
 
 import (
@@ -20,16 +21,10 @@
 // ReadUsage reads the processor time of the descendants of a process that have a command name, see proc_pid_comm(5). Processes
 // that end meanwhile are left out. The error is that of reading /proc.
 func ReadUsage(root int, command string) (Usage, error) {
-	processes, err := procfs.AllProcs()
+	stats, err := readStats()
 	if err != nil {
 		return nil, err
 	}
-	stats := map[int]procfs.ProcStat{}
-	for _, process := range processes {
-		if stat, err := process.Stat(); err == nil {
-			stats[process.PID] = stat
-		}
-	}
 	usage := Usage{}
 	for pid, stat := range stats {
 		if stat.Comm == command && descends(stats, pid, root) {
@@ -39,6 +34,36 @@
 	return usage, nil
 }
 
+// Descendants returns the ids of the processes that are children of root, or of one that is. The error is that of reading /proc.
+func Descendants(root int) (map[int]bool, error) {
+	stats, err := readStats()
+	if err != nil {
+		return nil, err
+	}
+	descendants := map[int]bool{}
+	for pid := range stats {
+		if descends(stats, pid, root) {
+			descendants[pid] = true
+		}
+	}
+	return descendants, nil
+}
+
+// readStats reads the state of all processes, by their ids.
+func readStats() (map[int]procfs.ProcStat, error) {
+	processes, err := procfs.AllProcs()
+	if err != nil {
+		return nil, err
+	}
+	stats := map[int]procfs.ProcStat{}
+	for _, process := range processes {
+		if stat, err := process.Stat(); err == nil {
+			stats[process.PID] = stat
+		}
+	}
+	return stats, nil
+}
+
 // descends reports whether a process is a child of root, or of one that is.
 func descends(stats map[int]procfs.ProcStat, pid, root int) bool {
 	for pid != 0 && pid != root {
