--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -15,15 +15,15 @@
 	// slowMessage is how long a message takes at a slow server: over the target of 100 ms.
 	slowMessage = 130 * time.Millisecond
 	// slowSpan is how long one server is slow before the next one is.
-	slowSpan = 4 * time.Second
+	slowSpan = 3 * time.Second
 	// movedServers is the number of servers; one of them is slow at a time.
 	movedServers = 8
-	movedClients = 320
+	movedClients = 400
 	// lineInterval is the time between two lines of a client.
 	lineInterval = 2 * time.Second
 	// crossings is how many lines may have crossed a MOVE on the wire: they were not read when the proxy decided. A line
-	// crosses if it is written within the half millisecond before; with 300 moved sessions and a line every 2 s that is
-	// 0.1 in a run.
+	// crosses if it is written within the half millisecond before; with 600 moved sessions and a line every 2 s that is
+	// 0.15 in a run.
 	crossings = 2
 )
 
@@ -114,14 +114,14 @@
 			defer clients.Done()
 			rng := rand.New(rand.NewSource(int64(key)))
 			time.Sleep(time.Duration(rng.Int63n(int64(lineInterval))))
-			for !stop.Load() {
-				movedClient(rec, table, p.listen, fmt.Sprintf("c%d", number.Add(1)), key, 2+rng.Intn(8))
+			for comesAgain := false; !stop.Load(); {
+				comesAgain = movedClient(rec, table, p.listen, fmt.Sprintf("c%d", number.Add(1)), key, 2+rng.Intn(8), comesAgain)
 				time.Sleep(time.Duration(50+rng.Intn(500)) * time.Millisecond)
 			}
 		}()
 	}
 	time.Sleep(6 * time.Second)
-	for i := int64(0); i < 2*movedServers; i++ {
+	for i := int64(0); i < 3*movedServers; i++ {
 		if trouble {
 			slow.Store(i%movedServers + 1)
 			rec.line("trouble: s%d takes %v for each message", i%movedServers+1, slowMessage)
@@ -135,17 +135,24 @@
 	return judgeMoved(rec, table)
 }
 
-// movedClient plays one session of a client: it sends the lines, one each lineInterval, until the session ends.
-func movedClient(rec *record, table *movedTable, address, id string, key, lines int) {
+// movedClient plays one session of a client: it sends the lines, one each lineInterval, until the session ends. It reports
+// whether the client was moved. comesAgain marks a client that was moved before.
+func movedClient(rec *record, table *movedTable, address, id string, key, lines int, comesAgain bool) bool {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
-		return
+		return false
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "OPEN %s %016x c=page,d=2000\r\n", id, key)
+	open := fmt.Sprintf("OPEN %s %016x c=page,d=2000", id, key)
+	if comesAgain {
+		open += ",again=1"
+	}
+	fmt.Fprintf(conn, "%s\r\n", open)
 	r := bufio.NewReader(conn)
-	if text, _ := readLine(r); !strings.HasPrefix(text, "UP ") {
-		return
+	text, _ := readLine(r)
+	rec.line("client: sent %q, got %q", open, text)
+	if !strings.HasPrefix(text, "UP ") {
+		return false
 	}
 	s := table.get(id)
 	ended := make(chan struct{})
@@ -174,7 +181,7 @@
 		fmt.Fprintf(conn, "%s\r\n", text)
 		select {
 		case <-ended:
-			return
+			i = lines
 		case <-time.After(lineInterval):
 		}
 	}
@@ -182,6 +189,9 @@
 	case <-ended:
 	case <-time.After(lineInterval):
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.movedAt > 0
 }
 
 // judgeMoved reports whether all lines arrived that servers wrote before their clients got MOVE.
