--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -178,6 +178,7 @@
 		if i == lines {
 			text += "/last"
 		}
+		rec.line("client: session %s: sends %q", id, text)
 		fmt.Fprintf(conn, "%s\r\n", text)
 		select {
 		case <-ended:
