--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,7 @@
 
 func main() {
 	runtime.LockOSThread() // the proxies die with the thread that started them
-	cases := map[string]func(rec *record, dir string) bool{"moved": moved, "holder": holder, "switched": switched}
+	cases := map[string]func(rec *record, dir string) bool{"moved": moved}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		cannotRun("usage: review-standin CASE FOLDER")
 	}
