A session is moved behind all lines that its server has sent, read by the proxy or not

Cause: a move ended the session inside the event that decided on it. Lines received before lay in that event's buffer (behind the delay of an answer, or a LOAD line) or in a socket that was due later in the round or after a timer, and went with the session.

Change: startMove only marks the session. Once the event is handled, outside the Balancer's call, continueMove reads the server's connection, relays whole lines and sends MOVE behind them; a session whose server has said BYE or MOVE ends as that says. All moves go this way; the last call before the process ends tries once (MoveAll). The log of a moved session says what was read and what was left.

Why it works: no decision to move is carried out while a line is being handled, and nothing that the kernel has received before the move is left unread.

--- a/cmd/chalkferry/scripted_platform_test.go
+++ b/cmd/chalkferry/scripted_platform_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"chalkferry/internal/faultinject"
 )
 
 // firstScriptedRevision is the revision of the first scripted list. It is above that of the list that a proxy starts with,
@@ -32,11 +34,18 @@
 	changed  chan struct{}       // closed at the next change of the list
 	opened   map[string][]string // ids of the sessions that each server was sent
 	isSilent map[string]bool     // servers that answer nothing
+	accepted []net.Conn          // of the sessions that servers have accepted, in the order in which they did
 }
 
 // startScripted starts a proxy with one server, "one", and returns once the proxy dials it. replace holds pairs of an old and
 // a new text for the configuration.
 func startScripted(t *testing.T, replace ...string) *scriptedPlatform {
+	t.Helper()
+	return startScriptedUnderFaults(t, nil, replace...)
+}
+
+// startScriptedUnderFaults does so with a proxy whose system calls fail as planned; nil for none.
+func startScriptedUnderFaults(t *testing.T, plan *faultinject.Plan, replace ...string) *scriptedPlatform {
 	t.Helper()
 	p := &scriptedPlatform{T: t, revision: firstScriptedRevision, members: map[string]string{}, changed: make(chan struct{}),
 		opened: map[string][]string{}, isSilent: map[string]bool{}}
@@ -46,7 +55,7 @@
 	}
 	t.Cleanup(func() { listener.Close() })
 	go http.Serve(listener, http.HandlerFunc(p.watch))
-	p.proxy = startProxyProcess(t, nil, nil, replace...)
+	p.proxy = startProxyProcess(t, nil, plan, replace...)
 	p.proxy.waitReady(platformTimeout)
 	p.addServer("one")
 	p.proxy.configure(listener.Addr().String())
@@ -112,6 +121,9 @@
 		p.mu.Lock()
 		p.opened[id] = append(p.opened[id], fields[1])
 		isSilent := p.isSilent[id]
+		if !isSilent {
+			p.accepted = append(p.accepted, conn)
+		}
 		p.mu.Unlock()
 		if !isSilent {
 			fmt.Fprintf(conn, "UP %s\r\n", id)
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -88,20 +88,27 @@
 // read makes one read and handles its result. The poller is level-triggered and reports again while more data waits. isError
 // says that the event reports an error or a hang-up.
 func (c *Conn) read(isError bool) {
-	n, err := c.readSocket()
+	data, err := c.readSocket(c.loop.buffer)
+	if failure.Classify(failure.Read, err) == failure.NotReady {
+		if isError {
+			c.failOnSocketError()
+		}
+		c.recordEmptyRead(err)
+		return
+	}
+	c.handleReadResult(data, err)
+}
+
+// handleReadResult acts on the result of a read that found the socket ready: no data and no error is the end of the stream.
+func (c *Conn) handleReadResult(data []byte, err error) {
 	switch meaning := failure.Classify(failure.Read, err); meaning {
 	case failure.None:
-		if n == 0 {
+		if len(data) == 0 {
 			c.fail(io.EOF)
 			return
 		}
 		c.readBackOff.reset()
-		c.deliver(c.loop.buffer[:n])
-	case failure.NotReady:
-		if isError {
-			c.failOnSocketError()
-		}
-		c.recordEmptyRead(err)
+		c.deliver(data)
 	case failure.Interrupted, failure.Exhausted:
 		c.loop.failures.Record(failure.Read, err, meaning)
 		c.suspendEvents()
@@ -114,14 +121,49 @@
 	}
 }
 
-// readSocket reads into the loop's buffer, and repeats an interrupted read.
-func (c *Conn) readSocket() (n int, err error) {
+// ReadResult is what a call of Conn.ReadAvailable has come to.
+type ReadResult int
+
+const (
+	ReadAll   ReadResult = iota // nothing more has been received, or nothing more will be
+	ReadSome                    // more may have been received
+	ReadEnded                   // the connection has ended
+)
+
+// maxAvailableReads is how many reads one call of ReadAvailable makes at most. With the limit of readBufferBytes it keeps a peer
+// that sends without end from holding the loop up.
+const maxAvailableReads = 4
+
+// ReadAvailable reads the bytes that have been received but not been reported by the poller yet, and handles them as those of an
+// event. It returns their number. It must not be called while the handler uses Pending of this connection.
+func (c *Conn) ReadAvailable() (size int, result ReadResult) {
+	for reads := 0; reads < maxAvailableReads && size < readBufferBytes && !c.isClosed; reads++ {
+		data, err := c.readSocket(c.loop.availableBuffer)
+		meaning := failure.Classify(failure.Read, err)
+		if meaning == failure.NotReady {
+			return size, ReadAll
+		}
+		size += len(data)
+		c.handleReadResult(data, err)
+		if meaning == failure.Broken {
+			return size, ReadAll
+		}
+	}
+	if c.isClosed {
+		return size, ReadEnded
+	}
+	return size, ReadSome
+}
+
+// readSocket reads into the buffer and repeats an interrupted read. It returns the part of the buffer that was filled.
+func (c *Conn) readSocket(buffer []byte) (data []byte, err error) {
+	n := 0
 	for range maxInterruptRetries {
-		if n, err = unix.Read(c.fd, c.loop.buffer); failure.Classify(failure.Read, err) != failure.Interrupted {
+		if n, err = unix.Read(c.fd, buffer); failure.Classify(failure.Read, err) != failure.Interrupted {
 			break
 		}
 	}
-	return n, err
+	return buffer[:max(n, 0)], err
 }
 
 // deliver passes received bytes to the handler. Bytes that the handler does not discard are copied out of the loop's buffer and
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -47,8 +47,11 @@
 	listener listener
 	wakeFD   int           // an eventfd; a write to it wakes the loop to run tasks
 	conns    map[int]*Conn // by descriptor
-	buffer   []byte        // shared by all reads, readBufferBytes long
-	done     chan struct{} // closed once Run has ended
+	buffer   []byte        // shared by all reads of poller events, readBufferBytes long
+	// availableBuffer is shared by all calls of Conn.ReadAvailable, readBufferBytes long. Such a call may come while an event's
+	// bytes in buffer are still in use.
+	availableBuffer []byte
+	done            chan struct{} // closed once Run has ended
 
 	isStopping               bool // read and written on the loop only
 	consecutiveUnknownEvents int  // events of unknown descriptors since the last event of a connection
@@ -63,7 +66,7 @@
 // system calls in failures, which may be nil.
 func Open(address string, handler Handler, failures *failure.Log) (*Loop, error) {
 	l := &Loop{handler: handler, failures: failures, wakeFD: -1, conns: map[int]*Conn{}, buffer: make([]byte, readBufferBytes),
-		done: make(chan struct{})}
+		availableBuffer: make([]byte, readBufferBytes), done: make(chan struct{})}
 	if err := l.open(address); err != nil {
 		l.release()
 		return nil, err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,10 +35,22 @@
 type Server interface {
 	// Write sends whole lines.
 	Write(lines []byte)
+	// RelayAvailable relays the whole lines that the server of an open session has sent but that have not been read yet. If the
+	// last line announces the end of the session, it ends the session. It must not be called while a line is being handled.
+	RelayAvailable() RelayResult
 	// End ends the dial or the open connection. The reason goes into the log.
 	End(how socket.End, reason string)
 }
 
+// RelayResult is what a call of Server.RelayAvailable has come to.
+type RelayResult int
+
+const (
+	RelayedAll  RelayResult = iota // no further line has come
+	RelayedSome                    // more lines may have come
+	RelayEnded                     // the server has ended the session; HandleServerEnd was called, or is about to be
+)
+
 // Dialer starts dials.
 type Dialer interface {
 	// Dial connects to the server and sends it the session's first line. It times out if the server has not answered within
@@ -81,6 +93,7 @@
 	unanswered    int             // client's lines without an answer
 	waitingSince  time.Duration   // when the client last began to wait: its first unanswered line or the last partial answer
 	loadReports   loadReports     // LOAD lines on this connection
+	isMoving      bool            // open, with a call of continueMove under way
 	openIndex     int             // position in Table.openSessions
 	awaitingIndex int             // position in Table.awaiting
 }
@@ -296,20 +309,11 @@
 
 // Move implements choice.Front: it sends MOVE to the client of an open session.
 func (t *Table) Move(id choice.SessionID) {
-	if session := t.sessions[id]; session != nil && session.state == open {
-		session.move(choice.Cancelled, "moved")
+	if session := t.sessions[id]; session != nil {
+		session.startMove("moved")
 	}
 }
 
-// move closes an open session gracefully and asks its client to reconnect. The Balancer, which may be in the middle of a call
-// of Move, is notified once the current event is handled.
-func (s *Session) move(outcome choice.Outcome, reason string) {
-	s.enter(ended)
-	s.client.Finish([]byte("MOVE\r\n"), reason)
-	s.server.End(socket.Finished, reason)
-	s.table.runAfterEvent(func() { s.reportDialEnd(outcome, true) })
-}
-
 // reportDialEnd reports to the Balancer how the session's last dial, or the open session, ended.
 func (s *Session) reportDialEnd(outcome choice.Outcome, isOver bool) {
 	t := s.table
@@ -355,7 +359,7 @@
 // reconnects if it is still there.
 func (s *Session) HandleClientBroken() {
 	if s.state == open {
-		s.move(choice.Cancelled, "client-broken")
+		s.startMove("client-broken")
 	}
 }
 
@@ -441,16 +445,13 @@
 	if s.state != open {
 		return
 	}
+	s.client.Write(lines)
 	if answers > 0 && s.unanswered > 0 {
 		s.table.delays.RecordAnswer(s.table.now(), s.serverID, s.table.now()-s.waitingSince)
-		if s.state != open { // the Balancer may have moved it
-			return
-		}
 		if s.setUnanswered(max(s.unanswered-answers, 0)); s.unanswered > 0 {
 			s.waitingSince = s.table.now()
 		}
 	}
-	s.client.Write(lines)
 }
 
 // HandleLoadReport records the number of a LOAD line, which is the session's load in microseconds of work per second or the
@@ -498,13 +499,6 @@
 	s.reportDialEnd(outcome, true)
 }
 
-// MoveSome moves up to n open sessions, as the proxy is about to stop.
-func (t *Table) MoveSome(n int) {
-	for ; n > 0 && len(t.openSessions) > 0; n-- {
-		t.openSessions[len(t.openSessions)-1].move(choice.Cancelled, "proxy-leaves")
-	}
-}
-
 // ForEachOpen calls visit for each open session with its server and its OPEN line.
 func (t *Table) ForEachOpen(visit func(server choice.ServerID, openLine *line.Open)) {
 	for _, session := range t.openSessions {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -62,6 +62,8 @@
 	ended     bool
 	reason    string
 	written   string
+	sent      string   // all lines of the server after UP
+	unread    []string // of them, those that the proxy has not read; each is what one read takes
 }
 
 func (r *rig) fail(format string, args ...any) {
@@ -110,6 +112,47 @@
 
 func (d *dial) End(_ socket.End, reason string) { d.ended, d.reason = true, reason }
 
+// RelayAvailable reads once. The server's BYE ends the session.
+func (d *dial) RelayAvailable() RelayResult {
+	if d.ended || !d.isOpen {
+		d.rig.fail("server without an open session is read")
+	}
+	if len(d.unread) == 0 {
+		return RelayedAll
+	}
+	lines := d.unread[0]
+	d.unread = d.unread[1:]
+	d.session.RelayFromServer([]byte(lines), strings.Count(lines, "M "))
+	switch {
+	case strings.HasSuffix(lines, "BYE\r\n"):
+		d.ended = true
+		d.session.HandleServerEnd(choice.Accepted, socket.Finished, "ended")
+		return RelayEnded
+	case len(d.unread) > 0:
+		return RelayedSome
+	}
+	return RelayedAll
+}
+
+// send has the server send lines, which the proxy reads at once.
+func (d *dial) send(lines string) {
+	d.sent += lines
+	d.rig.runEvent(func() { d.session.RelayFromServer([]byte(lines), strings.Count(lines, "M ")) })
+}
+
+// sendUnread has the server send lines that the proxy does not read until it has to.
+func (d *dial) sendUnread(lines string) {
+	d.sent += lines
+	d.unread = append(d.unread, lines)
+}
+
+// read has the proxy read what the server has sent.
+func (d *dial) read() {
+	for !d.ended && len(d.unread) > 0 {
+		d.rig.runEvent(func() { d.RelayAvailable() })
+	}
+}
+
 func (r *rig) Dial(server choice.ServerID, timeout time.Duration, session *Session) Server {
 	if r.noDescriptors {
 		return nil
@@ -252,6 +295,17 @@
 			r.fail("session %d is open on %d connections", i, n)
 		case c.ended && c.lastLine == "" && c.reason != "client-left" && !c.isOpen:
 			r.fail("session %d has ended with reason %s and no answer", i, c.reason)
+		case c.lastLine == "MOVE\r\n":
+			r.checkMoved(c)
+		}
+	}
+}
+
+// checkMoved checks that the client of a session that the proxy has moved got all lines of its server, and MOVE behind them.
+func (r *rig) checkMoved(c *client) {
+	for _, d := range r.dials {
+		if want := "UP 1\r\n" + d.sent + "MOVE\r\n"; d.session == c.session && d.isOpen && (c.received != want || strings.Contains(want, "BYE")) {
+			r.fail("session %s: moved with reason %s, its client gets %q, want %q", c.session.ID(), c.reason, c.received, want)
 		}
 	}
 }
@@ -275,8 +329,13 @@
 				case !d.isOpen && what == 6:
 					d.ended = true
 					r.runEvent(func() { d.session.HandleEndBeforeOpen([]byte("BYE\r\n")) })
-				case d.isOpen && what < 5:
-					r.runEvent(func() { d.session.RelayFromServer([]byte("M 1\r\nLOAD 1\r\n"), 1) })
+				case d.isOpen && what < 4:
+					d.read()
+					if !d.ended {
+						d.send("M 1\r\nLOAD 1\r\n")
+					}
+				case d.isOpen && what == 4 && len(d.unread) < 2 && !strings.Contains(d.sent, "BYE"):
+					d.sendUnread([]string{"M 2\r\n", "M 2\r\nLOAD 1\r\n", "M 2\r\nBYE\r\n"}[chance.Intn(3)])
 				case d.isOpen && what == 5:
 					d.ended = true
 					r.runEvent(func() { d.session.HandleServerEnd(choice.Outcome(1+chance.Intn(7)), socket.Reset, "broken") })
@@ -466,6 +525,95 @@
 	}
 }
 
+// TestLineThatMovesItsSession guards against lines that are lost because they move the session that they belong to, by the delay
+// of an answer or by a LOAD line.
+func TestLineThatMovesItsSession(t *testing.T) {
+	const sessions, messageTime = 20, 290 * ms // three times the message target, below silenceLimit
+	for name, load := range map[string]float64{"the answer": 0, "LOAD behind the answer": 900} {
+		r := newRig(1)
+		r.delays.reconfigure(33*ms, false, true)
+		r.now = sec
+		for range sessions {
+			c, _ := r.newOpenSession()
+			r.runEvent(func() { c.session.RelayFromClient([]byte("M 1\r\n"), 1) })
+		}
+		r.advance(messageTime)
+		for _, d := range r.dials {
+			if d.ended {
+				continue // moved by the line of another session
+			}
+			d.sent = "M 1\r\n"
+			r.runEvent(func() {
+				if load > 0 {
+					d.sent += "LOAD 900\r\n"
+					d.session.HandleLoadReport(load)
+				}
+				d.session.RelayFromServer([]byte(d.sent), 1)
+			})
+		}
+		r.checkInvariants()
+		if r.fault != "" || r.OpenCount() == sessions {
+			t.Errorf("%s: %d of %d sessions are still open; %s", name, r.OpenCount(), sessions, r.fault)
+		}
+	}
+}
+
+// TestUnreadLinesOfMovedSession guards against lines that are lost because the proxy has not read them when it moves their session,
+// and against a MOVE behind the server's BYE.
+func TestUnreadLinesOfMovedSession(t *testing.T) {
+	moves := map[string]func(r *rig, c *client){
+		"the Balancer":       func(r *rig, c *client) { r.Move(c.session.arrival.ID) },
+		"the proxy leaves":   func(r *rig, _ *client) { r.MoveSome(1) },
+		"the proxy ends":     func(r *rig, _ *client) { r.MoveAll() },
+		"the server hangs":   func(r *rig, c *client) { r.abandonServer(c.session.serverID, sec) },
+		"the client's break": func(_ *rig, c *client) { c.session.HandleClientBroken() },
+	}
+	for name, move := range moves {
+		for _, lines := range []string{"", "M 1\r\n", "M 1\r\nBYE\r\n"} {
+			r := newRig(1)
+			c, d := r.newOpenSession()
+			if lines != "" {
+				d.sendUnread(lines)
+			}
+			r.runEvent(func() {
+				move(r, c)
+				move(r, c)
+			})
+			r.checkInvariants()
+			isServed := strings.HasSuffix(lines, "BYE\r\n")
+			want := "UP 1\r\n" + lines
+			if !isServed {
+				want += "MOVE\r\n"
+			}
+			if c.received != want || !c.ended || r.OpenCount() != 0 || r.fault != "" {
+				t.Errorf("%s, %q unread: the client gets %q, has ended: %v; %s", name, lines, c.received, c.ended, r.fault)
+			}
+		}
+	}
+}
+
+// TestEndlessServerIsMoved guards against a move that is held up by a server that sends without end.
+func TestEndlessServerIsMoved(t *testing.T) {
+	r := newRig(1)
+	c, d := r.newOpenSession()
+	for range 1000 {
+		d.sendUnread("M 1\r\n")
+	}
+	r.runEvent(func() { r.MoveSome(1) })
+	if c.ended {
+		t.Fatal("the session is moved though more lines have come")
+	}
+	for waited := time.Duration(0); !c.ended; waited += ms {
+		if waited > maxMoveDelay+ms {
+			t.Fatalf("the session is still open after %v", waited)
+		}
+		r.advance(ms)
+	}
+	if c.lastLine != "MOVE\r\n" {
+		t.Errorf("the client's last line is %q", c.lastLine)
+	}
+}
+
 // TestForget checks that what is recorded of a server that has left the list is dropped, unless it holds sessions.
 func TestForget(t *testing.T) {
 	r := newRig(2)
--- a/internal/exchange/silence.go
+++ b/internal/exchange/silence.go
@@ -41,7 +41,7 @@
 	t.sweep.waiting = append(t.sweep.waiting[:0], t.awaiting...)
 	t.countSilentSessions(now)
 	for _, session := range t.sweep.waiting {
-		if session.state == open && session.unanswered > 0 { // it may have been moved with the others of its server
+		if session.unanswered > 0 && !session.isMoving { // it may be moved with the others of its server
 			t.checkSilentSession(session)
 		}
 	}
@@ -81,7 +81,7 @@
 		t.abandonServer(session.serverID, waited)
 	case isLong:
 		t.suspectedAt[session.serverID] = t.now()
-		session.move(choice.Cancelled, "silent")
+		session.startMove("silent")
 	case !hasAnswered && server.late > 1:
 		t.delays.RecordWaiting(t.now(), session.serverID, waited)
 	case !hasAnswered:
@@ -93,9 +93,9 @@
 // overloaded server, but an overloaded one still answers some of its sessions. The delay is recorded once the sessions are gone:
 // it keeps their clients from coming back to the server, and the Balancer does not learn a capacity limit from it.
 func (t *Table) abandonServer(server choice.ServerID, waited time.Duration) {
-	for i := len(t.openSessions) - 1; i >= 0; i-- {
-		if session := t.openSessions[i]; session.serverID == server {
-			session.move(choice.Cancelled, "still")
+	for _, session := range t.openSessions {
+		if session.serverID == server {
+			session.startMove("still")
 		}
 	}
 	t.runAfterEvent(func() { t.balancer.RecordServerDelay(t.now(), server, waited) })
--- a/internal/exchange/slopes_test.go
+++ b/internal/exchange/slopes_test.go
@@ -26,6 +26,8 @@
 func (idleSide) EnsureWaiting() bool     { return true }
 func (idleSide) HasStoppedWaiting() bool { return false }
 
+func (idleSide) RelayAvailable() RelayResult { return RelayedAll }
+
 // idleDialer keeps the session of the latest dial, for the benchmark to open it.
 type idleDialer struct{ latest *Session }
 
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -167,7 +167,7 @@
 	p.table.AbortPending()
 	p.clients.CloseIdle()
 	if !p.settings.passThrough {
-		p.table.MoveSome(p.table.OpenCount())
+		p.table.MoveAll()
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/move_test.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// movingServer is a server that answers UP. The test has it write on the connection of each session.
+type movingServer struct {
+	*testServer
+	conns chan *net.TCPConn // of the sessions, in the order in which they were opened
+}
+
+// startMovingServer starts a server and has the proxy list it.
+func startMovingServer(r *testProxy) *movingServer {
+	s := &movingServer{conns: make(chan *net.TCPConn, 64)}
+	s.testServer = startTestServer(r.T, func(conn *net.TCPConn, _ int, _ string) {
+		fmt.Fprint(conn, "UP 1\r\n")
+		s.conns <- conn
+	})
+	r.applyList(1, serverEntry("s-1", s.address, "ready"))
+	return s
+}
+
+// open opens a session and returns its client and its connection at the server.
+func (s *movingServer) open(r *testProxy) (clientConn, *net.TCPConn) {
+	r.Helper()
+	client := connect(r.T, r.address)
+	client.sendAndExpect(openLine(), "UP 1\r\n")
+	return client, <-s.conns
+}
+
+// moveAfter stalls the event loop while write writes on the servers' connections, and then moves all open sessions before the loop
+// has read any of it.
+func (r *testProxy) moveAfter(write func()) {
+	r.Helper()
+	stalled, resume := make(chan bool), make(chan bool)
+	r.p.execute(func() {
+		stalled <- true
+		<-resume
+		r.p.table.MoveSome(r.p.table.OpenCount())
+	})
+	<-stalled
+	write()
+	close(resume)
+}
+
+// expectAll checks everything that comes until the connection ends gracefully.
+func (d clientConn) expectAll(what, want string) {
+	d.t.Helper()
+	if got, err := io.ReadAll(d.Reader); string(got) != want || err != nil {
+		d.t.Errorf("%s: the client gets %q, %v, want %q", what, got, err, want)
+	}
+}
+
+// TestLinesUnreadAtMove guards against lines of a server that are lost because the proxy moves the session before it has read them.
+func TestLinesUnreadAtMove(t *testing.T) {
+	r := startTestProxy(t)
+	s := startMovingServer(r)
+	long := strings.Repeat(strings.Repeat("x", 98)+"\r\n", 1500) // more than one read takes
+	for lines, want := range map[string]string{
+		"":                       "MOVE\r\n",
+		"M 1\r\nM 2\r\n":         "M 1\r\nM 2\r\nMOVE\r\n",
+		"M 1\r\nLOAD 7\r\n":      "M 1\r\nLOAD 7\r\nMOVE\r\n",
+		"M 1\r\nM 2\r":           "M 1\r\nMOVE\r\n",
+		"M 1\r\nBYE\r\n":         "M 1\r\nBYE\r\n",
+		"M 1\r\nMOVE\r\n":        "M 1\r\nMOVE\r\n",
+		"M 1\r\nBYE\r\nM 2\r\n":  "M 1\r\nBYE\r\nM 2\r\nMOVE\r\n",
+		"M 1\r\nBYE\r\nM 2\r":    "M 1\r\nBYE\r\n",
+		long + "M 1\r\nBYE\r\n":  long + "M 1\r\nBYE\r\n",
+		long + "M 1\r\nLOAD 1\r": long + "M 1\r\nMOVE\r\n",
+	} {
+		client, server := s.open(r)
+		r.moveAfter(func() { fmt.Fprint(server, lines) })
+		client.expectAll(fmt.Sprintf("%.40q", lines), want)
+		client.Close()
+		r.expectIdle()
+	}
+}
+
+// TestServerEndsUnreadAtMove guards against lines that are lost where the server has ended its connection before the move.
+func TestServerEndsUnreadAtMove(t *testing.T) {
+	for _, lines := range []string{"M 1\r\nBYE\r\n", "M 1\r\nMOVE\r\n", "M 1\r\n"} {
+		r := startTestProxy(t)
+		client, server := startMovingServer(r).open(r)
+		r.moveAfter(func() {
+			fmt.Fprint(server, lines)
+			server.CloseWrite()
+		})
+		client.expectAll("the end", lines)
+		client.Close()
+		r.expectIdle()
+	}
+}
+
+// TestAnswersThatMoveSessions guards against lines that are lost because an answer or a LOAD line in the same round of the event
+// loop has the proxy move sessions of their server.
+func TestAnswersThatMoveSessions(t *testing.T) {
+	const sessions, messageTime = 8, 300 * time.Millisecond // three times the message target
+	for name, lines := range map[string]string{"answer": "M 1\r\n", "answer, LOAD": "M 1\r\nLOAD 400\r\n", "answer, BYE": "M 1\r\nBYE\r\n",
+		"LOAD, answer, BYE": "LOAD 400\r\nM 1\r\nBYE\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			r := startTestProxy(t)
+			s := startMovingServer(r)
+			var clients [sessions]clientConn
+			var servers [sessions]*net.TCPConn
+			for i := range clients {
+				clients[i], servers[i] = s.open(r)
+			}
+			for _, client := range clients {
+				fmt.Fprint(client.Conn, "M 1\r\n")
+			}
+			r.waitFor("the server has got all lines", func() bool {
+				text, _, _ := s.summary()
+				return strings.Count(text, "M 1\r\n") == sessions
+			})
+			release := r.stallLoop() // a sweep would move sessions before their answers come
+			time.Sleep(messageTime)
+			for _, server := range servers {
+				fmt.Fprint(server, lines)
+				if strings.HasSuffix(lines, "BYE\r\n") {
+					server.CloseWrite()
+				}
+			}
+			release()
+			moved := 0
+			for _, client := range clients {
+				client.SetReadDeadline(time.Now().Add(300 * time.Millisecond)) // those that are not moved stay open
+				got, _ := io.ReadAll(client.Reader)
+				text, isMoved := strings.CutSuffix(string(got), "MOVE\r\n")
+				if isMoved {
+					moved++
+				}
+				if text != lines || isMoved && strings.HasSuffix(lines, "BYE\r\n") {
+					t.Errorf("the server writes %q, the client gets %q", lines, got)
+				}
+			}
+			if moved == 0 && !strings.HasSuffix(lines, "BYE\r\n") {
+				t.Error("no session was moved")
+			}
+		})
+	}
+}
--- a/internal/proxy/slopes_test.go
+++ b/internal/proxy/slopes_test.go
@@ -123,6 +123,8 @@
 func (silentPeer) EnsureWaiting() bool     { return true }
 func (silentPeer) HasStoppedWaiting() bool { return false }
 
+func (silentPeer) RelayAvailable() exchange.RelayResult { return exchange.RelayedAll }
+
 // instantDialer records the latest dial, which the test then completes itself.
 type instantDialer struct{ latest *exchange.Session }
 
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -140,7 +140,23 @@
 	conn      *socket.Conn
 	announced choice.Outcome // how the session ends according to the server's last line; 0 if that was neither BYE nor MOVE
 
-	connectErr error // why no connection was established
+	connectErr error     // why no connection was established
+	lastRead   *lastRead // of the last RelayAvailable; nil if there was none
+}
+
+// lastRead is what a read ahead of the end of a session has come to.
+type lastRead struct {
+	bytes        int  // received
+	partialBytes int  // of them, behind the last whole line; these are not relayed
+	mayHaveMore  bool // the server may have sent more
+}
+
+// addTo adds the fields that say what was read, and what was not relayed, to the log line of a dial.
+func (r *lastRead) addTo(e *zerolog.Event) *zerolog.Event {
+	if r == nil {
+		return e
+	}
+	return e.Int("last_bytes", r.bytes).Int("partial_bytes", r.partialBytes).Bool("may_have_more", r.mayHaveMore)
 }
 
 // Servers starts the dials of a proxy. It implements exchange.Dialer, and is used on the event loop only.
@@ -239,6 +255,22 @@
 // Write implements exchange.Server.
 func (d *Dial) Write(lines []byte) { d.conn.Write(lines) }
 
+// RelayAvailable implements exchange.Server.
+func (d *Dial) RelayAvailable() exchange.RelayResult {
+	size, result := d.conn.ReadAvailable()
+	d.lastRead = &lastRead{bytes: size, partialBytes: d.conn.PendingSize(), mayHaveMore: result == eventloop.ReadSome}
+	switch {
+	case d.state != open || result == eventloop.ReadEnded:
+		return exchange.RelayEnded
+	case d.announced != 0:
+		d.endAnnounced(socket.Finished)
+		return exchange.RelayEnded
+	case result == eventloop.ReadSome:
+		return exchange.RelayedSome
+	}
+	return exchange.RelayedAll
+}
+
 // End implements exchange.Server. Anything that the server sends from then on is ignored.
 func (d *Dial) End(how socket.End, reason string) {
 	previous := d.state
@@ -269,7 +301,7 @@
 	if d.connectErr != nil {
 		e = e.AnErr("cause", d.connectErr)
 	}
-	e.Send()
+	d.lastRead.addTo(e).Send()
 }
 
 // Read implements socket.Owner: it handles the whole lines in the buffer.
@@ -343,7 +375,7 @@
 			answers++
 		}
 	}
-	if used > 0 && d.state == open {
+	if used > 0 {
 		d.session.RelayFromServer(buf[:used], answers)
 	}
 	return used
@@ -355,6 +387,15 @@
 	d.session.HandleServerEnd(outcome, how, reason)
 }
 
+// endAnnounced ends the dial and its open session as the server's last line says.
+func (d *Dial) endAnnounced(how socket.End) {
+	reason := "ended"
+	if d.announced == choice.Cancelled {
+		reason = "sent-away"
+	}
+	d.endOpenSession(d.announced, how, reason)
+}
+
 // HandleEnd implements socket.Owner: the server has ended the connection, or the network has broken it.
 func (d *Dial) HandleEnd(how socket.End) {
 	switch {
@@ -364,10 +405,8 @@
 		d.fail(choice.Unreachable, how, "unreachable")
 	case d.state == awaitingAnswer:
 		d.fail(choice.ConnectionLost, how, "broken")
-	case d.state == open && d.announced == choice.Accepted:
-		d.endOpenSession(choice.Accepted, afterLastLine(how), "ended")
-	case d.state == open && d.announced == choice.Cancelled:
-		d.endOpenSession(choice.Cancelled, afterLastLine(how), "sent-away")
+	case d.state == open && d.announced != 0:
+		d.endAnnounced(afterLastLine(how))
 	case d.state == open:
 		d.endOpenSession(choice.ConnectionLost, how, "broken")
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -97,6 +97,25 @@
 // ReadAgain passes the bytes that the owner has left in the buffer to it once more.
 func (c *Conn) ReadAgain() { c.HandleTraffic() }
 
+// ReadAvailable passes bytes to the owner that have been received but not been read by the event loop yet, and returns their
+// number. It must not be called while the owner handles a call of Read.
+func (c *Conn) ReadAvailable() (size int, result eventloop.ReadResult) {
+	if c.state != open {
+		return 0, eventloop.ReadEnded
+	}
+	size, result = c.conn.ReadAvailable()
+	switch {
+	case c.state != open: // ended by its owner
+		result = eventloop.ReadEnded
+	case result == eventloop.ReadAll && c.PeerState() == PeerSent: // the last read found nothing, though bytes wait
+		result = eventloop.ReadSome
+	}
+	return size, result
+}
+
+// PendingSize returns how many bytes have been read that the owner has left in the buffer.
+func (c *Conn) PendingSize() int { return len(c.conn.Pending()) }
+
 // Write sends whole lines. A connection whose other end reads too slowly is reset, so that the send buffer stays bounded; the owner
 // is notified once the current event is handled.
 func (c *Conn) Write(lines []byte) {
