Whole lines ahead of a malformed one are relayed before it ends the session

Seen by callers: a side that sends whole lines and then a malformed one in the same write loses the whole lines, too; a server's BYE among them makes a session that was served a broken one, and its client is reset.

Cause: servers.Dial.relay and clients.Client.relay collect the whole lines of a buffer for one write, and ended the session in the middle of that.

Change: the malformed line ends the session after the lines ahead of it were relayed. Behind BYE or MOVE of a server the session ends as those say.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -255,17 +255,14 @@
 	delete(c.clients.idleClients, c)
 }
 
-// relay passes all whole lines in the buffer on to the session, in one call.
+// relay passes all whole lines in the buffer on to the session, in one call. A malformed one behind them ends the session.
 func (c *Client) relay(buf []byte) int {
 	used, n := 0, 0
+	var malformed error
 	for {
 		_, size, err := line.Next(buf[used:])
-		if err != nil {
-			c.endSession(socket.Finished)
-			c.reject(err)
-			return len(buf)
-		}
 		if size == 0 {
+			malformed = err
 			break
 		}
 		used += size
@@ -274,6 +271,11 @@
 	if n > 0 {
 		c.session.RelayFromClient(buf[:used], n)
 	}
+	if malformed != nil {
+		c.endSession(socket.Finished)
+		c.reject(malformed)
+		return len(buf)
+	}
 	return used
 }
 
--- a/internal/proxy/move_test.go
+++ b/internal/proxy/move_test.go
@@ -145,3 +145,43 @@
 		})
 	}
 }
+
+// TestLinesBeforeMalformed guards against whole lines that are lost because a malformed one behind them ends the session.
+func TestLinesBeforeMalformed(t *testing.T) {
+	malformed := strings.Repeat("x", 5<<10)
+	t.Run("of the server", func(t *testing.T) {
+		r := startTestProxy(t)
+		s := startMovingServer(r)
+		client, server := s.open(r)
+		release := r.stallLoop()
+		fmt.Fprint(server, "M 1\r\nM 2\r\n", malformed)
+		release()
+		client.expectLine("M 1\r\n")
+		client.expectLine("M 2\r\n")
+		r.expectIdle()
+	})
+	t.Run("behind BYE", func(t *testing.T) {
+		r := startTestProxy(t)
+		client, server := startMovingServer(r).open(r)
+		release := r.stallLoop()
+		fmt.Fprint(server, "M 1\r\nBYE\r\n", malformed)
+		release()
+		client.expectAll("malformed", "M 1\r\nBYE\r\n")
+		client.Close()
+		r.expectIdle()
+	})
+	t.Run("of the client", func(t *testing.T) {
+		r := startTestProxy(t)
+		s := startMovingServer(r)
+		client, _ := s.open(r)
+		release := r.stallLoop()
+		fmt.Fprint(client.Conn, "M 1\r\nM 2\r\n", malformed)
+		release()
+		client.expectAll("malformed", "ERR\r\n")
+		client.Close()
+		r.expectIdle()
+		if text, _, _ := s.summary(); !strings.HasSuffix(text, "\r\nM 1\r\nM 2\r\n") {
+			t.Errorf("the server gets %q", text)
+		}
+	})
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -347,16 +347,14 @@
 	}
 }
 
-// relay passes all whole lines in the buffer on to the session, in one call.
+// relay passes all whole lines in the buffer on to the session, in one call. A malformed one behind them ends the session.
 func (d *Dial) relay(buf []byte) int {
 	used, answers := 0, 0
+	var malformed error
 	for {
 		text, size, err := line.Next(buf[used:])
-		if err != nil {
-			d.endOpenSession(choice.ConnectionLost, socket.Reset, "malformed")
-			return len(buf)
-		}
 		if size == 0 {
+			malformed = err
 			break
 		}
 		used += size
@@ -378,7 +376,15 @@
 	if used > 0 {
 		d.session.RelayFromServer(buf[:used], answers)
 	}
-	return used
+	switch {
+	case malformed == nil:
+		return used
+	case d.announced != 0:
+		d.endAnnounced(socket.Finished)
+	default:
+		d.endOpenSession(choice.ConnectionLost, socket.Reset, "malformed")
+	}
+	return len(buf)
 }
 
 // endOpenSession ends the dial and its open session, which the server has ended.
