Lines of a server are relayed where a write finds the path to it broken before they are read

Seen by callers: a server's answer, or BYE, has arrived at the proxy's machine, and the client gets MOVE without it, as a write to the server has failed with EHOSTUNREACH or ETIMEDOUT just before.

Cause: Dial.HandleEnd ended the session at once, though a break that a write reports says nothing of what was received before.

Change: an open session's connection is read once more before the break ends the session; BYE or MOVE of the server among the lines ends it as those say.

--- a/internal/proxy/move_test.go
+++ b/internal/proxy/move_test.go
@@ -7,6 +7,11 @@
 	"strings"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chalkferry/internal/eventloop"
+	"chalkferry/internal/servers"
 )
 
 // movingServer is a server that answers UP. The test has it write on the connection of each session.
@@ -185,3 +190,44 @@
 		}
 	})
 }
+
+// connRecorder is a Loop that records the connections to servers.
+type connRecorder struct {
+	servers.Loop
+	latest *eventloop.Conn // used on the event loop only
+}
+
+// Adopt implements servers.Loop.
+func (c *connRecorder) Adopt(conn net.Conn, context any, done func()) error {
+	return c.Loop.Adopt(conn, recordedOpener{context.(servers.Opener), c}, done)
+}
+
+// recordedOpener is an Opener whose connection is recorded.
+type recordedOpener struct {
+	servers.Opener
+	recorder *connRecorder
+}
+
+// Open implements servers.Opener.
+func (o recordedOpener) Open(conn *eventloop.Conn) {
+	o.recorder.latest = conn
+	o.Opener.Open(conn)
+}
+
+// TestLinesBeforeBreak guards against lines of a server that are lost because a write finds the network path to it broken before
+// the proxy has read them.
+func TestLinesBeforeBreak(t *testing.T) {
+	for lines, want := range map[string]string{"M 1\r\n": "M 1\r\nMOVE\r\n", "M 1\r\nBYE\r\n": "M 1\r\nBYE\r\n", "M 1\r\nM 2\r": "M 1\r\nMOVE\r\n"} {
+		r := startTestProxy(t)
+		recorder := &connRecorder{Loop: r.p.connector.Loop}
+		r.onLoop(func() { r.p.connector.Loop = recorder })
+		client, server := startMovingServer(r).open(r)
+		r.onLoop(func() {
+			fmt.Fprint(server, lines)
+			r.p.OnBroken(recorder.latest, unix.EHOSTUNREACH)
+		})
+		client.expectAll(fmt.Sprintf("%q", lines), want)
+		client.Close()
+		r.expectIdle()
+	}
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -404,6 +404,9 @@
 
 // HandleEnd implements socket.Owner: the server has ended the connection, or the network has broken it.
 func (d *Dial) HandleEnd(how socket.End) {
+	if how == socket.Broken && d.state == open {
+		d.RelayAvailable() // a write may have found the path broken while lines of the server waited to be read
+	}
 	switch {
 	case d.state == connecting: // the first line was not sent
 		d.fail(choice.Unreachable, how, "unreachable")
