A connection that a write finds reset is read to its end before it is closed

Seen by callers: a server answers, says BYE and closes over a line of the client, which makes the close a reset. A further line of the client that the loop handles in the same round, before the server's, fails to be written, and the client is reset without the answer and the BYE. The other way a server misses the last lines of a client.

Cause: eventloop.Conn closed a connection as soon as a write failed with ECONNRESET or EPIPE; what had been received before went unread. Linux keeps it readable, and reports the reset behind it.

Change: such a connection is read in the loop's next task, 16 times 64 KiB at most, and is then closed with the write's error. Until then its writes are kept as unsent, as before, and no flush is tried.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -25,6 +25,7 @@
 	pending     []byte          // received bytes that the handler has not discarded
 	isBorrowed  bool            // pending points into the loop's read buffer, which the next read overwrites
 	unsent      []byte          // bytes accepted by Write that the kernel has not taken yet
+	writeError  error           // with which a write has found the connection ended; it is about to be closed
 	backOff     failure.BackOff // of failed writes and of failed registrations with the poller
 	readBackOff readBackOff
 
@@ -66,15 +67,36 @@
 	unix.Close(c.fd) // Linux releases the descriptor even when close returns an error
 }
 
-// fail calls the handler's OnClose with the error and closes the connection.
+// fail calls the handler's OnClose with the error and closes the connection. The error of a write that failed before takes
+// precedence: the kernel reports a reset once, and the end of the stream from then on.
 func (c *Conn) fail(err error) {
 	if c.isClosed {
 		return
 	}
+	if c.writeError != nil {
+		err = c.writeError
+	}
 	c.loop.handler.OnClose(c, err)
 	c.Close()
 }
 
+// maxFinalReads is how many calls of ReadAvailable are made at most for a connection that a write has found ended.
+const maxFinalReads = 16
+
+// failAfterReading has the connection fail once the bytes are handled that the peer had sent before it ended the connection. They
+// are read in a task of their own: the caller of Write may be handling bytes of this connection.
+func (c *Conn) failAfterReading(err error) {
+	c.writeError = err
+	c.loop.Execute(func() {
+		for range maxFinalReads {
+			if _, result := c.ReadAvailable(); result != ReadSome {
+				break
+			}
+		}
+		c.fail(err)
+	})
+}
+
 // handleEvents handles the events that the poller reports for the connection.
 func (c *Conn) handleEvents(events netpoll.IOEvent) {
 	if events&(netpoll.WriteEvents|netpoll.ErrEvents) != 0 && !c.isWritePaused {
@@ -193,7 +215,7 @@
 }
 
 // Write sends bytes, at once or as soon as the kernel accepts them. If the peer has closed the connection or a write fails for
-// good, the connection is closed and the handler's OnClose is called.
+// good, what the peer had sent is handled, the handler's OnClose is called and the connection is closed, in a later task.
 func (c *Conn) Write(data []byte) {
 	if c.isClosed {
 		return
@@ -209,7 +231,7 @@
 
 // flush writes unsent bytes.
 func (c *Conn) flush() {
-	if c.isClosed || len(c.unsent) == 0 {
+	if c.isClosed || len(c.unsent) == 0 || c.writeError != nil {
 		return
 	}
 	n, err := c.writeSocket(c.unsent)
@@ -251,7 +273,7 @@
 		c.flushLater()
 		c.loop.handler.OnBroken(c, os.NewSyscallError("write", err))
 	default:
-		c.fail(os.NewSyscallError("write", err))
+		c.failAfterReading(os.NewSyscallError("write", err))
 		return
 	}
 	c.updateInterest()
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -35,7 +35,7 @@
 	// gone, the next call on it closes it.
 	OnBroken(c *Conn, err error)
 	// OnClose is called when the peer has closed the connection, with io.EOF, or with the error of a failed call. It may be
-	// called during Conn.Write. It is not called for a connection that Conn.Close closes.
+	// called during Conn.Write and Conn.ReadAvailable. It is not called for a connection that Conn.Close closes.
 	OnClose(c *Conn, err error)
 }
 
--- a/internal/proxy/move_test.go
+++ b/internal/proxy/move_test.go
@@ -231,3 +231,53 @@
 		r.expectIdle()
 	}
 }
+
+// TestLinesBeforeFailedWrite guards against lines that are lost because a write finds that their sender has ended the connection
+// before the proxy has read them.
+func TestLinesBeforeFailedWrite(t *testing.T) {
+	const settle = 20 * time.Millisecond // until the event loop has handled what was written before
+	t.Run("of the server", func(t *testing.T) {
+		r := startTestProxy(t)
+		listener := listenWithSmallBuffer(t)
+		r.applyList(1, serverEntry("s-1", listener.Addr().String(), "ready"))
+		client := connect(r.T, r.address)
+		fmt.Fprint(client.Conn, openLine())
+		server, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		server.Read(make([]byte, 100))
+		fmt.Fprint(server, "UP 1\r\n")
+		client.expectLine("UP 1\r\n")
+		fmt.Fprint(client.Conn, "M 1\r\n") // the server does not read it, so that its close is a reset
+		time.Sleep(settle)
+		release := r.stallLoop()
+		fmt.Fprint(client.Conn, "M 2\r\n") // the first event that the loop handles
+		time.Sleep(settle)
+		fmt.Fprint(server, "M 1\r\nBYE\r\n")
+		server.Close()
+		time.Sleep(settle)
+		release()
+		client.expectLine("M 1\r\n")
+		client.expectLine("BYE\r\n")
+		r.expectIdle()
+	})
+	t.Run("of the client", func(t *testing.T) {
+		r := startTestProxy(t)
+		s := startMovingServer(r)
+		client, server := s.open(r)
+		fmt.Fprint(server, "M 1\r\n") // the client does not read it, so that its close is a reset
+		time.Sleep(settle)
+		release := r.stallLoop()
+		fmt.Fprint(server, "M 2\r\n") // the first event that the loop handles
+		time.Sleep(settle)
+		fmt.Fprint(client.Conn, "M 7\r\nM 8\r\n")
+		client.Close()
+		time.Sleep(settle)
+		release()
+		r.expectIdle()
+		if text, _, _ := s.summary(); !strings.HasSuffix(text, "\r\nM 7\r\nM 8\r\n") {
+			t.Errorf("the server gets %q", text)
+		}
+	})
+}
