--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -189,45 +189,73 @@
 
 // handleFirstLine handles a line of an idle connection. hasMore is set if more bytes follow it in the buffer.
 func (c *Client) handleFirstLine(text []byte, hasMore bool) {
-	if string(text) == "PING" { // their number needs no limit: the idle timer ends the connection
-		c.pingCount++
-		if c.clients.holdsPings { // the idle timer stops: it is this proxy that keeps the client waiting
-			c.clients.timers.Stop(c.idleTimer)
-			c.clients.heldPings = append(c.clients.heldPings, c)
-			return
-		}
-		c.sendPong()
+	if string(text) == "PING" {
+		c.handlePing()
 		return
 	}
 	openLine, err := line.ParseOpen(text)
+	if err == nil && hasMore { // a client must not send anything before its answer
+		err = line.ErrMalformed
+	}
 	if err != nil {
 		c.reject(err)
 		return
 	}
-	listener, isListenerKnown := c.clients.listeners[string(openLine.Listener)]
-	tenant, isTenantKnown := c.clients.tenants[string(openLine.Tenant)]
-	if !isListenerKnown || hasMore || !isTenantKnown && openLine.Tenant != nil {
+	arrival, isKnown := c.clients.arrivalOf(&openLine)
+	switch {
+	case !isKnown:
 		c.reject(line.ErrMalformed)
-		return
-	}
-	// Each connection uses a new id, except for a session in mid-flow whose packets a load balancer in front of the proxies sends
-	// to another proxy for a while.
-	if c.clients.byID[string(openLine.ID)] != nil && !openLine.MidFlow {
+	case c.clients.isIDInUse(&openLine):
 		c.Finish([]byte("ERR\r\n"), "id-in-use")
-		return
-	}
-	if c.clients.connectionLimit.Free() < descriptorsPerSession { // no server could be dialed
+	case c.clients.connectionLimit.Free() < descriptorsPerSession: // no server could be dialed
 		c.Finish([]byte("BUSY\r\n"), "no-room")
+	default:
+		c.startSession(&openLine, text, arrival)
+	}
+}
+
+// handlePing answers a PING, or holds the answer back until AnswerPings. The number of PINGs needs no limit: the idle timer ends the
+// connection. It stops while this proxy keeps the client waiting.
+func (c *Client) handlePing() {
+	c.pingCount++
+	if !c.clients.holdsPings {
+		c.sendPong()
 		return
 	}
-	arrival := choice.Arrival{Listener: listener, Tenant: tenant,
-		TimeLeft: openLine.Remaining - openLine.Remaining/answerTimeShare,
-		Load:     openLine.Load / 1000, // from thousandths of a core
-		Client:   choice.Key(line.NumericKey(openLine.Key)), MidFlow: openLine.MidFlow,
-		Reconnected: openLine.Returned}
-	if c.clients.usesGroups {
+	c.clients.timers.Stop(c.idleTimer)
+	c.clients.heldPings = append(c.clients.heldPings, c)
+}
+
+// arrivalOf returns the session that an OPEN line asks for. isKnown is false if the settings don't have its listener or tenant.
+func (c *Clients) arrivalOf(openLine *line.Open) (arrival choice.Arrival, isKnown bool) {
+	listener, isListenerKnown := c.listeners[string(openLine.Listener)]
+	tenant, isTenantKnown := c.tenants[string(openLine.Tenant)]
+	if !isListenerKnown || !isTenantKnown && openLine.Tenant != nil {
+		return choice.Arrival{}, false
+	}
+	arrival = choice.Arrival{
+		Listener:    listener,
+		Tenant:      tenant,
+		TimeLeft:    openLine.Remaining - openLine.Remaining/answerTimeShare,
+		Load:        openLine.Load / 1000, // from thousandths of a core
+		Client:      choice.Key(line.NumericKey(openLine.Key)),
+		MidFlow:     openLine.MidFlow,
+		Reconnected: openLine.Returned,
+	}
+	if c.usesGroups {
 		arrival.Group = choice.Key(line.NumericKey(openLine.Group))
 	}
+	return arrival, true
+}
+
+// isIDInUse reports whether another connection has a session of the same id. Each connection uses a new one, except for a session in
+// mid-flow whose packets a load balancer in front of the proxies sends to another proxy for a while.
+func (c *Clients) isIDInUse(openLine *line.Open) bool {
+	return c.byID[string(openLine.ID)] != nil && !openLine.MidFlow
+}
+
+// startSession ends the idle state and has the session placed. text is that of the OPEN line.
+func (c *Client) startSession(openLine *line.Open, text []byte, arrival choice.Arrival) {
 	var holder choice.ServerID
 	if openLine.Holder != nil {
 		holder = c.clients.findHolder(openLine.Holder)
@@ -235,7 +263,7 @@
 	c.state, c.id = waiting, string(openLine.ID)
 	c.clients.byID[c.id] = c
 	c.leaveIdle()
-	c.openLine = &openLine // refers to the read buffer; needed for the log if StartSession ends the connection at once
+	c.openLine = openLine // refers to the read buffer; needed for the log if StartSession ends the connection at once
 	c.session = c.clients.table.StartSession(c, arrival, text, holder)
 	c.openLine = c.session.OpenLine()
 }
@@ -370,39 +398,3 @@
 		c.conn.EndAs(how)
 	}
 }
-
-// recordEnd sets the connection's state to ended, takes it off all lists and writes its log line. The caller ends the socket.
-func (c *Client) recordEnd(how socket.End, reason string) {
-	c.state = ended
-	c.leaveIdle()
-	if c.clients.byID[c.id] == c {
-		delete(c.clients.byID, c.id)
-	}
-	if reason == "unused" && c.pingCount > 0 {
-		reason = "ping"
-	}
-	e := c.clients.log.Info().Str("side", "client").Str("reason", reason).Stringer("end", how).
-		Dur("ms", c.clients.now()-c.connectedAt)
-	if err := c.conn.Err(); err != nil {
-		e = e.AnErr("cause", err)
-	}
-	if c.id != "" {
-		e = e.Str("id", c.id)
-	}
-	if o := c.openLine; o != nil { // fields from which a trace of the sessions can be rebuilt
-		e = e.Bytes("listener", o.Listener).Bytes("key", o.Key).Dur("wait_ms", o.Remaining)
-		if o.Tenant != nil {
-			e = e.Bytes("title", o.Tenant)
-		}
-		if o.Group != nil {
-			e = e.Bytes("group", o.Group)
-		}
-		if o.Returned {
-			e = e.Bool("returned", true)
-		}
-		if c.openedAt > 0 {
-			e = e.Dur("up_ms", c.openedAt-c.connectedAt)
-		}
-	}
-	e.Send()
-}
