--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -69,3 +70,53 @@
 		t.Errorf("output %q after a failed write, want none", g.text.String())
 	}
 }
+
+// lineSignal is a destination that signals each write.
+type lineSignal chan struct{}
+
+func (s lineSignal) Write(line []byte) (int, error) {
+	s <- struct{}{}
+	return len(line), nil
+}
+
+// TestEveryLineIsWritten guards against a line that is queued while the queue's reader goes to sleep and then waits there
+// for the next line.
+func TestEveryLineIsWritten(t *testing.T) {
+	const lines = 300_000
+	const lineTimeout = 10 * time.Second
+	const longestSpin = 64 // steps between two lines, so that one is queued at each moment of the reader's way to sleep
+	written := make(lineSignal, 1)
+	w := New(written)
+	defer w.Close(10 * time.Second)
+	timeout := time.NewTimer(lineTimeout)
+	for i := range lines {
+		timeout.Reset(lineTimeout)
+		fmt.Fprintln(w, "line")
+		select {
+		case <-written:
+		case <-timeout.C:
+			t.Fatalf("line %d was not written within %v", i, lineTimeout)
+		}
+		for range i % longestSpin {
+			runtime.Gosched()
+		}
+	}
+}
+
+// TestCloseWritesLastLine guards against a last line that is lost because Close is called while the queue's reader goes to
+// sleep.
+func TestCloseWritesLastLine(t *testing.T) {
+	const writers = 50_000
+	for i := range writers {
+		var text bytes.Buffer
+		w := New(&text)
+		for range i % 3 {
+			runtime.Gosched()
+		}
+		fmt.Fprintln(w, "last line")
+		w.Close(10 * time.Second)
+		if text.String() != "last line\n" {
+			t.Fatalf("after Close of writer %d the output is %q, want the last line", i, text.String())
+		}
+	}
+}
