A server's answer that it is full ends a row of unanswered dials

Callers: a server that answered BUSY between two dials without an answer was avoided for two dial timeouts in place of one, and tried by one dial at a time after it.

Cause: only an accepted session ended the row; the outcome ServerFull was no answer.

Change: server.recordAnswer ends the row where a session opens, where one is accepted and ends at once, and where the server is full. The second of these also sets the count of dials that failed with an error to 0 now, as the first did.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -188,7 +188,7 @@
 	lateAt           time.Duration // when it was last seen late; 0: never
 	loggedAt         time.Duration // when a line about it was last logged; 0: never
 	drainNoticeUntil time.Duration // gets nothing new until then, as it has moved a session away by itself
-	unansweredDials  int           // dials without an answer since it last accepted a session
+	unansweredDials  int           // dials without an answer since it last answered one with other than an error
 	failedDials      int           // dials since then that failed with an error while this proxy held no session there
 	avoidUntil       time.Duration // gets nothing until then, as it did not answer
 	drainListed      bool          // a list showed it draining; only a later start ends that
@@ -1214,7 +1214,7 @@
 		return
 	}
 	s.mayHaveRun = true
-	s.server.unansweredDials, s.server.failedDials, s.server.avoidUntil = 0, 0, 0
+	s.server.recordAnswer()
 	b.recentOpened++
 	b.setState(s, stateOpen, s.server)
 }
@@ -1236,7 +1236,7 @@
 	}
 	if sessionEnded || previous != stateDialing {
 		if previous == stateDialing && outcome == Accepted {
-			srv.unansweredDials, srv.avoidUntil = 0, 0
+			srv.recordAnswer()
 		}
 		b.setState(s, stateEnded, nil)
 		return
@@ -1245,6 +1245,9 @@
 		s.mayHaveRun, s.firstServer, s.firstDialAt = true, srv, s.dialedAt
 	}
 	b.setState(s, statePending, nil)
+	if outcome == ServerFull {
+		srv.recordAnswer()
+	}
 	if outcome == TimedOut || outcome == Failed {
 		b.recentFailed++
 	}
@@ -1262,6 +1265,11 @@
 	b.dialNext(s)
 }
 
+// recordAnswer records that the server has answered a dial with other than an error, so it is neither hung nor no server at all.
+func (srv *server) recordAnswer() {
+	srv.unansweredDials, srv.failedDials, srv.avoidUntil = 0, 0, 0
+}
+
 // HandleDrainNotice records that a server has moved a session away by itself. It is draining, though the list may show that
 // much later if discovery is overloaded. The server gets nothing new for one MaxPollInterval, within which a list must have
 // come.
