Servers in time are counted, as sums of their sizes differ by rounding

Callers: with servers of two learnt speeds a proxy took its fleet to hold a third less than it could, in fleets of some sizes, and sent fewer sessions to cold servers.

Cause: runRound compared two sums of floating-point sizes exactly.

Change: it counts the warm servers in time and compares the count.

Measured: TestDensityWithLearntSpeeds (density 4.6, 4.0 and 3.2 in place of 6.9, 6.0 and 4.7 with 13, 15 and 19 servers) passes 20 of 20.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1385,10 +1385,12 @@
 func (b *Balancer) runRound() {
 	b.recentOpened, b.recentFailed = b.recentOpened/2, b.recentFailed/2
 	timelySessions, timelySize := 0.0, 0.0 // of the warm servers in time
+	timelyCount := 0
 	for _, srv := range b.ready {
 		if b.capacityShare(srv) >= 1 && (srv.lateAt == 0 || b.now-srv.lateAt >= roundInterval) {
 			timelySessions += float64(len(srv.held))
 			timelySize += srv.effectiveSize
+			timelyCount++
 		}
 		if b.now-srv.lateAt > roundInterval {
 			// A limit learnt in a short jam, or before this proxy took the clients of a lost one, must not bind for long.
@@ -1396,7 +1398,7 @@
 		}
 		srv.addLoadSample(b.estimatedLoad(srv, 0))
 	}
-	if timelySize == b.totalSize { // while no server is late, they run at maxAdmissionLoad at most, and could hold more
+	if timelyCount == len(b.ready) { // while no server is late, they run at maxAdmissionLoad at most, and could hold more
 		timelySessions /= maxAdmissionLoad
 	}
 	if timelySize > b.totalSize/2 {
