A repair of the store that was interrupted can be made again

Cause: Repair took a taken name of the kept segment for an error.

Change: keepTorn uses a link to the same file again, and the next free name (.torn.2 and so on) where another file has it.

--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -29,6 +29,9 @@
 	Close() error
 }
 
+// tornSuffix ends the name under which a repair keeps a torn segment, before a number if that name is taken.
+const tornSuffix = ".torn"
+
 // ErrLocked is returned if another process has the folder open for writing.
 var ErrLocked = errors.New("folder is written by another process")
 
@@ -84,8 +87,7 @@
 		return "", nil
 	}
 	name := filepath.Join(f.path, last.Name)
-	kept = last.Name + ".torn"
-	if err := os.Link(name, filepath.Join(f.path, kept)); err != nil {
+	if kept, err = f.keepTorn(last.Name); err != nil {
 		return "", err
 	}
 	if last.Last == 0 { // no whole batch: the name has to be free for the next writer's first segment
@@ -99,6 +101,37 @@
 	return kept, f.SyncFolder()
 }
 
+// keepTorn links a torn segment to a free name beside it and returns that name. A link that an interrupted repair has left
+// serves again.
+func (f *Folder) keepTorn(name string) (kept string, err error) {
+	for number := 1; ; number++ {
+		kept = name + tornSuffix
+		if number > 1 { // an earlier segment of the name was torn too
+			kept += fmt.Sprintf(".%d", number)
+		}
+		err := os.Link(filepath.Join(f.path, name), filepath.Join(f.path, kept))
+		if err == nil {
+			return kept, nil
+		}
+		if !errors.Is(err, fs.ErrExist) {
+			return "", err
+		}
+		if isLinked, err := f.isSameFile(name, kept); isLinked || err != nil {
+			return kept, err
+		}
+	}
+}
+
+// isSameFile reports whether two names of the folder are links to one file.
+func (f *Folder) isSameFile(name, other string) (bool, error) {
+	a, err := fs.Stat(f, name)
+	if err != nil {
+		return false, err
+	}
+	b, err := fs.Stat(f, other)
+	return err == nil && os.SameFile(a, b), err
+}
+
 // copyPrefix writes the first bytes of a file to a new file beside it, whose name ends in .new, and syncs it.
 func (f *Folder) copyPrefix(name string, good int) error {
 	data, err := os.ReadFile(name)
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -277,3 +277,30 @@
 		t.Errorf("after the second repair: %v, %+v", err, after)
 	}
 }
+
+// TestRepairOfReusedName guards against a repair that fails, or replaces what an earlier one kept, as a segment of the same
+// name was torn before.
+func TestRepairOfReusedName(t *testing.T) {
+	path := t.TempDir()
+	disk, err := OpenFolder(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disk.Close()
+	const name = "0000000000000001" + segmentSuffix // no whole batch precedes it, so each writer begins with this one
+	for i, torn := range []string{"first", "second", "third"} {
+		if err := os.WriteFile(path+"/"+name, []byte(torn), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		kept, err := disk.Repair()
+		if err != nil {
+			t.Fatalf("repair %d: %v", i+1, err)
+		}
+		if data, err := os.ReadFile(path + "/" + kept); err != nil || string(data) != torn {
+			t.Errorf("repair %d keeps %q, %v, want %q", i+1, data, err, torn)
+		}
+	}
+	if data, err := os.ReadFile(path + "/" + name + tornSuffix); err != nil || string(data) != "first" {
+		t.Errorf("after three repairs the first torn segment is %q, %v", data, err)
+	}
+}
