A bare number for a span of a TOML file is refused with its line

Users: "length = 5" of a scenario, or of a plan, a size file or a fleet's file, was taken for 5 nanoseconds.

Cause: the TOML library parses a span's text, and stores an integer in it as it is.

Change: strict.Parse looks through the values by the types of their fields, also in arrays, inline tables and maps, and refuses integers for spans. The walk over a file's keys is a function of its own, used for their lines too.

--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // File is a decoded TOML file. It has the position of each of its keys, for error messages.
@@ -43,7 +42,7 @@
 }
 
 // Parse decodes a TOML text into target, a pointer to a struct. name is the file name for errors. Invalid TOML, a key
-// without a field in target and a value that does not fit its field's type are returned as *Error.
+// without a field in target, a value that does not fit its field's type and a Span without a unit are returned as *Error.
 func Parse(name string, text []byte, target any) (*File, error) {
 	decoder := toml.NewDecoder(strings.NewReader(string(text)))
 	decoder.DisallowUnknownFields()
@@ -60,7 +59,11 @@
 		}
 		return nil, &Error{name, 0, strings.TrimPrefix(err.Error(), "toml: ")}
 	}
-	return &File{Name: name, lines: keyLines(text)}, nil
+	file := &File{Name: name, lines: keyLines(text)}
+	if err := file.checkValues(text, target); err != nil {
+		return nil, err
+	}
+	return file, nil
 }
 
 // Errorf returns an *Error for the value at a path such as "fault[2].at", with a message that begins with the path. If
@@ -78,39 +81,10 @@
 	return &Error{f.Name, line, fmt.Sprintf("%s: %s", path, fmt.Sprintf(format, args...))}
 }
 
-// keyLines returns the line, from 1, of each key and table of a valid TOML text by its path. The tables of an array have
-// an index in their path, as in "fault[2]".
+// keyLines returns the line, from 1, of each key and table of a valid TOML text by its path.
 func keyLines(text []byte) map[string]int {
-	lines, tableCounts, table := map[string]int{}, map[string]int{}, "" // table is the path of the current table
-	var parser unstable.Parser
-	parser.Reset(text)
-	for parser.NextExpression() {
-		expression := parser.Expression()
-		var names []string
-		line := 0
-		for it := expression.Key(); it.Next(); {
-			if line == 0 {
-				line = parser.Shape(it.Node().Raw).Start.Line
-			}
-			names = append(names, string(it.Node().Data))
-		}
-		path := strings.Join(names, ".")
-		switch expression.Kind {
-		case unstable.ArrayTable:
-			index := tableCounts[path]
-			tableCounts[path]++
-			table = fmt.Sprintf("%s[%d]", path, index)
-			lines[table] = line
-		case unstable.Table:
-			table = path
-			lines[table] = line
-		case unstable.KeyValue:
-			if table != "" {
-				path = table + "." + path
-			}
-			lines[path] = line
-		}
-	}
+	lines := map[string]int{}
+	eachEntry(text, func(e entry) { lines[e.path] = e.line })
 	return lines
 }
 
--- a/internal/strict/strict_test.go
+++ b/internal/strict/strict_test.go
@@ -53,3 +53,35 @@
 		t.Errorf("error %v, want prefix %q", err, "a.toml:2: ")
 	}
 }
+
+// TestValuesInside guards against bare numbers for spans that are accepted inside arrays, inline tables and maps.
+func TestValuesInside(t *testing.T) {
+	type inner struct {
+		Wait  Span `toml:"longest_wait"`
+		Share float64
+	}
+	type content struct {
+		Waits  []Span
+		Shares []float64
+		Inner  *inner
+		Named  map[string]inner
+		Each   []inner
+	}
+	const needsUnit = "must have a unit"
+	for text, want := range map[string]string{
+		"waits = [\"1s\", 2]":                      "a.toml:1: waits: " + needsUnit,
+		"\n[inner]\nlongest_wait = 1":              "a.toml:3: inner.longest_wait: " + needsUnit,
+		"inner.longest_wait = 1":                   "a.toml:1: inner.longest_wait: " + needsUnit,
+		"inner = {longest_wait = 0}":               "a.toml:1: inner: " + needsUnit,
+		"[named.some]\nlongest_wait = 1":           "a.toml:2: named.some.longest_wait: " + needsUnit,
+		"each = [{share = 1}, {Longest_Wait = 3}]": "a.toml:1: each: " + needsUnit,
+	} {
+		if _, err := Parse("a.toml", []byte(text), new(content)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: error %v, want prefix %q", text, err, want)
+		}
+	}
+	valid := "waits = [\"1s\"]\nshares = [1, 0.5, 1e3]\n[inner]\nlongest_wait = \"1ms\"\nshare = 2\n[named.some]\nshare = 1\n"
+	if _, err := Parse("a.toml", []byte(valid), new(content)); err != nil {
+		t.Errorf("valid values: %v", err)
+	}
+}
