Numbers of TOML files that are not finite are refused with their line

Users: a scenario with "share = nan" passed its check, and arrivals were drawn by it.

Cause: comparisons with NaN are all false, so it passes the limits of a range.

Change: strict.Parse refuses nan and inf in any file; no setting has a use for them. isShare, which values of other origin reach too, is false for NaN.

--- a/internal/rehearse/check.go
+++ b/internal/rehearse/check.go
@@ -126,7 +126,7 @@
 }
 
 // isShare reports whether v lies in 0 to 1.
-func isShare(v float64) bool { return !(v < 0 || v > 1) }
+func isShare(v float64) bool { return v >= 0 && v <= 1 }
 
 // checkListeners fills in the defaults of the listeners and validates them.
 func (s *Scenario) checkListeners(f *strict.File) error {
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -42,7 +42,8 @@
 }
 
 // Parse decodes a TOML text into target, a pointer to a struct. name is the file name for errors. Invalid TOML, a key
-// without a field in target, a value that does not fit its field's type and a Span without a unit are returned as *Error.
+// without a field in target, a value that does not fit its field's type, a Span without a unit and a number that is not finite
+// are returned as *Error.
 func Parse(name string, text []byte, target any) (*File, error) {
 	decoder := toml.NewDecoder(strings.NewReader(string(text)))
 	decoder.DisallowUnknownFields()
--- a/internal/strict/strict_test.go
+++ b/internal/strict/strict_test.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// TestValuesInside guards against bare numbers for spans that are accepted inside arrays, inline tables and maps.
+// TestValuesInside guards against bare numbers for spans, and numbers that are not finite, which are accepted inside arrays, inline
+// tables and maps.
 func TestValuesInside(t *testing.T) {
 	type inner struct {
 		Wait  Span `toml:"longest_wait"`
@@ -70,10 +71,13 @@
 	const needsUnit = "must have a unit"
 	for text, want := range map[string]string{
 		"waits = [\"1s\", 2]":                      "a.toml:1: waits: " + needsUnit,
+		"shares = [0.5, inf]":                      "a.toml:1: shares: inf is not a finite number",
 		"\n[inner]\nlongest_wait = 1":              "a.toml:3: inner.longest_wait: " + needsUnit,
 		"inner.longest_wait = 1":                   "a.toml:1: inner.longest_wait: " + needsUnit,
+		"inner = {share = -inf}":                   "a.toml:1: inner: -inf is not a finite number",
 		"inner = {longest_wait = 0}":               "a.toml:1: inner: " + needsUnit,
 		"[named.some]\nlongest_wait = 1":           "a.toml:2: named.some.longest_wait: " + needsUnit,
+		"[[each]]\n[[each]]\nshare = +nan":         "a.toml:3: each[1].share: NaN is not a finite number",
 		"each = [{share = 1}, {Longest_Wait = 3}]": "a.toml:1: each: " + needsUnit,
 	} {
 		if _, err := Parse("a.toml", []byte(text), new(content)); err == nil || !strings.HasPrefix(err.Error(), want) {
--- a/internal/strict/values.go
+++ b/internal/strict/values.go
@@ -52,7 +52,8 @@
 	}
 }
 
-// checkValues returns an error for the first bare number for a Span, which the TOML library takes for nanoseconds.
+// checkValues returns an error for the first value that the TOML library has accepted and no file should have: a bare number for
+// a Span, which it takes for nanoseconds, and infinities and NaN, which pass comparisons with the limits of a range.
 func (f *File) checkValues(text []byte, target any) (err error) {
 	eachEntry(text, func(e entry) {
 		if err != nil || e.value == nil {
@@ -92,6 +93,13 @@
 		if elementType(fieldType) == reflect.TypeFor[Span]() {
 			return "must have a unit, as in \"1.5s\""
 		}
+	case unstable.Float:
+		switch text := string(value.Data); {
+		case strings.HasSuffix(text, "nan"):
+			return "NaN is not a finite number"
+		case strings.HasSuffix(text, "inf"):
+			return text + " is not a finite number"
+		}
 	}
 	return ""
 }
