Handshakes that have begun complete after a leaving proxy has stopped accepting

Callers: a client that connected just as a leaving proxy stopped accepting saw its connection established and got neither an answer nor a close; one that sent its line got a reset when its kernel sent the line again after the proxy's end.

Cause: the socket filter on the listener dropped all packets, the last one of handshakes in progress among them. At the listener's close the kernel forgets these without a reset.

Change: the filter drops packets with the SYN flag only.

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -116,13 +117,13 @@
 	p.timers.After(p.shutdownTime(1)/shutdownSteps/shutdownSteps, p.endWhenIdle)
 }
 
-// stopAccepting attaches a socket filter that has the kernel drop new connections, while those in its accept queue are
-// still accepted: closing the listener would reset them with their first line unread. It returns false if that failed
-// temporarily and is worth another try.
+// stopAccepting attaches a socket filter that has the kernel drop the first packet (SYN) of new connections, while those in its
+// accept queue are still accepted: closing the listener would reset them with their first line unread. The last packet of a
+// handshake must pass. Its client is connected already, and one that sends nothing would never learn that the proxy is not. It
+// returns false if that failed temporarily and is worth another try.
 func (p *Proxy) stopAccepting() bool {
-	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 	err := unix.SetsockoptSockFprog(p.loop.ListenerFD(), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-		&unix.SockFprog{Len: 1, Filter: &dropAll})
+		&unix.SockFprog{Len: uint16(len(dropSYN)), Filter: &dropSYN[0]})
 	meaning := failure.Classify(failure.Option, err)
 	if meaning != failure.None {
 		p.failures.Record(failure.Option, err, meaning)
@@ -130,6 +131,20 @@
 	return !meaning.IsTemporary()
 }
 
+const (
+	tcpFlagsOffset = 13 // in bytes, of the flags in a TCP header (RFC 9293, section 3.1)
+	tcpFlagSYN     = 0x02
+)
+
+// dropSYN is a classic BPF program (socket(7), SO_ATTACH_FILTER) for a TCP listener, whose packets begin with the TCP header. It
+// drops packets with the SYN flag and passes all others whole.
+var dropSYN = []unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+	{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpFlagSYN, Jt: 0, Jf: 1},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+	{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
+}
+
 // endBeforeKill ends the process before it is killed, whatever is still pending: waiting clients are answered and sessions
 // moved where they may be.
 func (p *Proxy) endBeforeKill() {
