Drain reports are sent again, as any message may be lost

Cause: of a drain only a flag was kept, so Retransmit had no report to send. Receive also refused drains of a member's previous process.

Change: the first drain report on each server is kept and sent again in turn with the others, and drains of previous processes are taken. The error of NewHealthReports names its arguments.

--- a/internal/fleet/health_reports.go
+++ b/internal/fleet/health_reports.go
@@ -55,10 +55,11 @@
 	quorumShare      float64       // of the members with sessions at a server, for full confidence
 	maxReports       int
 	lastSequence     uint64           // of this process's own reports
-	reports          []storedReport   // sorted by server, condition and reporter
+	reports          []storedReport   // all but drains, sorted by server, condition and reporter
+	drains           []storedReport   // the first one on each draining server
 	servers          []serverStart    // the listed servers, sorted by ID
 	senders          []sequenceWindow // by MemberID
-	retransmitCursor int              // index in reports of the latest that Retransmit returned
+	retransmitCursor int              // index of the latest report that Retransmit returned, in reports followed by drains
 }
 
 // sequenceWindow rejects replayed reports of one member: those with a sequence number that is too old to count,
@@ -76,11 +77,10 @@
 	observedAt time.Duration // by this process's clock
 }
 
-// serverStart is the latest start of a listed server, and whether a drain of it was reported.
+// serverStart is the latest start of a listed server.
 type serverStart struct {
-	id       ServerID
-	start    StartTime
-	draining bool
+	id    ServerID
+	start StartTime
 }
 
 // NewHealthReports returns an empty collection for one process. The weight of a report falls linearly to 0 over
@@ -93,7 +93,7 @@
 	case memberCount < 1 || self < 0 || int(self) >= memberCount:
 		return nil, fmt.Errorf("member %d of %d", self, memberCount)
 	case lifetime <= 0 || !(quorumShare > 0 && quorumShare <= 1) || maxReports < 1:
-		return nil, fmt.Errorf("fading %v, a share of %v, %d words", lifetime, quorumShare, maxReports)
+		return nil, fmt.Errorf("lifetime %v, quorum share %v, at most %d reports", lifetime, quorumShare, maxReports)
 	}
 	h := &HealthReports{self: self, memberCount: memberCount, incarnation: incarnation, lifetime: lifetime,
 		quorumShare: quorumShare, maxReports: maxReports, senders: make([]sequenceWindow, memberCount)}
@@ -111,7 +111,7 @@
 	default:
 		return
 	}
-	h.reports = slices.DeleteFunc(h.reports, func(r storedReport) bool { return r.Server == server && r.Start < start })
+	h.removeReports(func(r storedReport) bool { return r.Server == server && r.Start < start })
 }
 
 // RemoveServer discards all state of a server that is no longer in the list.
@@ -119,7 +119,13 @@
 	if index, known := h.findServer(server); known {
 		h.servers = slices.Delete(h.servers, index, index+1)
 	}
-	h.reports = slices.DeleteFunc(h.reports, func(r storedReport) bool { return r.Server == server })
+	h.removeReports(func(r storedReport) bool { return r.Server == server })
+}
+
+// removeReports removes the reports, drains among them, for which isRemoved is true.
+func (h *HealthReports) removeReports(isRemoved func(storedReport) bool) {
+	h.reports = slices.DeleteFunc(h.reports, isRemoved)
+	h.drains = slices.DeleteFunc(h.drains, isRemoved)
 }
 
 // Observe stores what this process itself observed, or withdraws it, and returns the report to send to other members.
@@ -133,6 +139,9 @@
 	h.lastSequence++
 	report = HealthReport{Server: server, Start: h.servers[index].start, Condition: condition, Reporter: h.self,
 		Incarnation: h.incarnation, Sessions: sessions, Sequence: h.lastSequence, Withdrawn: withdrawn && condition != Draining}
+	if condition == Draining {
+		return report, h.storeDrain(now, report)
+	}
 	return report, h.store(now, report)
 }
 
@@ -140,8 +149,8 @@
 // the report was new. A report on a start that the list does not have yet is ignored; it is stored when it arrives again
 // after the list has the start.
 func (h *HealthReports) Receive(now time.Duration, report HealthReport) (isNew bool) {
-	if report.Reporter < 0 || int(report.Reporter) >= h.memberCount || report.Reporter == h.self || report.Age < 0 ||
-		report.Condition < Slow || report.Condition > Draining || report.Incarnation < h.senders[report.Reporter].incarnation {
+	if report.Reporter < 0 || int(report.Reporter) >= h.memberCount || report.Age < 0 ||
+		report.Condition < Slow || report.Condition > Draining {
 		return false
 	}
 	index, known := h.findServer(report.Server)
@@ -149,6 +158,9 @@
 		return false
 	}
 	sender := &h.senders[report.Reporter]
+	if report.Reporter == h.self || report.Incarnation < sender.incarnation { // of a previous process; only a drain still holds
+		return report.Condition == Draining && h.storeDrain(now, report)
+	}
 	if report.Incarnation > sender.incarnation { // the reports of the previous process no longer count, except drains
 		*sender = sequenceWindow{incarnation: report.Incarnation, rotatedAt: now}
 		h.reports = slices.DeleteFunc(h.reports, func(r storedReport) bool {
@@ -159,18 +171,29 @@
 		sender.expired, sender.previous, sender.rotatedAt = sender.previous, sender.highest, now
 	}
 	sender.highest = max(sender.highest, report.Sequence)
-	return (report.Sequence > sender.expired || report.Condition == Draining) && h.store(now, report)
+	if report.Condition == Draining {
+		return h.storeDrain(now, report)
+	}
+	return report.Sequence > sender.expired && h.store(now, report)
+}
+
+// storeDrain adds the first drain report on a listed server. It returns false if there is one already.
+func (h *HealthReports) storeDrain(now time.Duration, report HealthReport) bool {
+	if h.isDraining(report.Server) {
+		return false
+	}
+	h.drains = append(h.drains, storedReport{report, now - report.Age})
+	return true
+}
+
+// isDraining reports whether a drain of the server's latest start was reported.
+func (h *HealthReports) isDraining(server ServerID) bool {
+	return slices.ContainsFunc(h.drains, func(r storedReport) bool { return r.Server == server })
 }
 
 // store adds a report on a listed server, or replaces an older one of the same reporter. It returns false if the
-// report is not new, has expired, or does not fit.
+// report is not new, has expired, or does not fit. Drains are stored by storeDrain.
 func (h *HealthReports) store(now time.Duration, report HealthReport) bool {
-	if report.Condition == Draining {
-		index, _ := h.findServer(report.Server)
-		isNew := !h.servers[index].draining
-		h.servers[index].draining = true
-		return isNew
-	}
 	if report.Age >= h.lifetime {
 		return false
 	}
@@ -197,7 +220,7 @@
 // Assess combines the reports on a condition of a server. holders is how many members have sessions there, as far as
 // is known. This process's own report counts like any other; the caller may weigh its own observations separately.
 func (h *HealthReports) Assess(now time.Duration, server ServerID, condition Condition, holders int) (a Assessment) {
-	if index, known := h.findServer(server); known && condition == Draining && h.servers[index].draining {
+	if condition == Draining && h.isDraining(server) {
 		return Assessment{Confidence: 1}
 	}
 	needed := max(h.quorumShare*float64(holders), 2)
@@ -218,19 +241,28 @@
 }
 
 // Retransmit returns up to count stored reports, own and others', each with its age, for sending again, as any message
-// may be lost. Successive calls go round all stored reports. Drains are not among them: store keeps only that a server is
-// draining, not the report.
+// may be lost. Successive calls go round all stored reports, drains among them.
 func (h *HealthReports) Retransmit(now time.Duration, count int) (reports []HealthReport) {
 	h.removeExpired(now)
-	for range min(count, len(h.reports)) {
-		h.retransmitCursor = (h.retransmitCursor + 1) % len(h.reports)
-		report := h.reports[h.retransmitCursor].HealthReport
-		report.Age = now - h.reports[h.retransmitCursor].observedAt
+	total := len(h.reports) + len(h.drains)
+	for range min(count, total) {
+		h.retransmitCursor = (h.retransmitCursor + 1) % total
+		stored := h.storedAt(h.retransmitCursor)
+		report := stored.HealthReport
+		report.Age = now - stored.observedAt
 		reports = append(reports, report)
 	}
 	return reports
 }
 
+// storedAt returns the report at an index in reports followed by drains.
+func (h *HealthReports) storedAt(index int) storedReport {
+	if index < len(h.reports) {
+		return h.reports[index]
+	}
+	return h.drains[index-len(h.reports)]
+}
+
 // removeExpired removes the reports that no longer count. A withdrawn report is stored as long as others, so that an
 // older one that arrives again is not taken for new.
 func (h *HealthReports) removeExpired(now time.Duration) {
--- a/internal/fleet/health_reports_test.go
+++ b/internal/fleet/health_reports_test.go
@@ -154,3 +154,36 @@
 		t.Errorf("after the reporter sent all its reports again: %+v, want confidence 1", a)
 	}
 }
+
+// TestDrainOfPreviousProcess guards against a drain that is lost to all who missed its report once the reporter has started again.
+func TestDrainOfPreviousProcess(t *testing.T) {
+	all := newReportCollections(t, 3)
+	witness, receiver := all[1], all[2]
+	drain, _ := all[0].Observe(0, 7, Draining, 1, false)
+	witness.Receive(0, drain)
+	restarted, err := NewHealthReports(0, 3, 2, 10*sec, 0.3, 50)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted.SetServerStart(7, 1)
+	slow, _ := restarted.Observe(sec, 7, Slow, 1, false)
+	receiver.Receive(sec, slow)
+	for round := range 4 { // one report a call, so that the cursor passes drains too
+		for _, report := range witness.Retransmit(20*sec+time.Duration(round)*sec, 1) {
+			restarted.Receive(20*sec, report)
+			receiver.Receive(20*sec, report)
+		}
+	}
+	for name, h := range map[string]*HealthReports{"the restarted reporter": restarted, "a member that knows of its restart": receiver} {
+		if a := h.Assess(20*sec, 7, Draining, 3); a.Confidence != 1 {
+			t.Errorf("%s: %+v, want confidence 1", name, a)
+		}
+	}
+	if reports := receiver.Retransmit(25*sec, 10); len(reports) != 1 || reports[0].Condition != Draining || reports[0].Age != 25*sec {
+		t.Errorf("passed on: %+v, want the drain with its age", reports)
+	}
+	receiver.SetServerStart(7, 2)
+	if reports := receiver.Retransmit(26*sec, 10); len(reports) != 0 {
+		t.Errorf("after the server's next start %+v is sent again", reports)
+	}
+}
