A rehearsal's verdict names the first bad client that got neither answer nor close

The verdict of TestSoak, "1 of 606 bad clients got neither an error nor a close", did not tell which one, so nothing in the proxies' logs could be matched with it.

Change: the report has each such client with its address, proxy, time, input and what it got last, and the verdict has the first. The name of a proxy is made in one place.

--- a/internal/rehearse/badclients.go
+++ b/internal/rehearse/badclients.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -17,11 +19,30 @@
 	// minBadClientSpread is the shortest period over which bad clients arrive.
 	minBadClientSpread = time.Second
 	badClientDialTime  = time.Second
+	// maxReportedBytes is how many bytes of what a client sent, and got last, are reported at most.
+	maxReportedBytes = 64
 )
 
 // badClients runs clients that send invalid input or nothing, and counts what the proxies do.
 type badClients struct {
-	sent, answered, closed, unanswered, failed atomic.Int64
+	sent, answered, closed, failed atomic.Int64
+
+	mu         sync.Mutex
+	unanswered []UnansweredClient
+}
+
+// UnansweredClient is a bad client that a proxy neither answered nor closed within badClientTimeout.
+type UnansweredClient struct {
+	Address     string    `json:"address"` // of the client's end
+	Proxy       string    `json:"proxy"`   // name
+	ConnectedAt time.Time `json:"connected_at"`
+	Input       string    `json:"input"`    // its first maxReportedBytes
+	Received    string    `json:"received"` // the last bytes that it got, maxReportedBytes at most
+}
+
+// String describes the client as verdicts do.
+func (c UnansweredClient) String() string {
+	return fmt.Sprintf("%s at %s, connected %s, sent %q, got %q", c.Address, c.Proxy, c.ConnectedAt.UTC().Format(time.RFC3339Nano), c.Input, c.Received)
 }
 
 // invalidInput draws the bytes that a bad client sends: malformed or incomplete lines, or a session that sends at once and
@@ -59,18 +80,18 @@
 		if !r.sleep(ctx, startedAt+offset-r.now()) {
 			return
 		}
-		address := r.processes[i%len(r.processes)].address
+		proxy := r.processes[i%len(r.processes)]
 		var input []byte
 		if f.Kind == faultBadClients {
 			input = invalidInput(rng, r.scenario.Listeners[0].Name)
 		}
-		r.faultsRunning.Go(func() { b.runOne(ctx, address, input) })
+		r.faultsRunning.Go(func() { b.runOne(ctx, proxy, input) })
 	}
 }
 
 // runOne runs one bad client: it sends its input and reads until it gets an error or its connection is closed.
-func (b *badClients) runOne(ctx context.Context, address string, input []byte) {
-	conn, err := net.DialTimeout("tcp", address, badClientDialTime)
+func (b *badClients) runOne(ctx context.Context, proxy *process, input []byte) {
+	conn, err := net.DialTimeout("tcp", proxy.address, badClientDialTime)
 	if err != nil {
 		b.failed.Add(1)
 		return
@@ -79,9 +100,10 @@
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
 	defer stop()
 	b.sent.Add(1)
-	conn.SetDeadline(time.Now().Add(badClientTimeout))
+	connectedAt := time.Now()
+	conn.SetDeadline(connectedAt.Add(badClientTimeout))
 	conn.Write(input) // the proxy may have closed the connection already
-	received := make([]byte, 64)
+	received, last := make([]byte, maxReportedBytes), ""
 	for {
 		n, err := conn.Read(received)
 		switch {
@@ -89,16 +111,24 @@
 			b.answered.Add(1)
 			return
 		case err == nil:
+			last = string(received[:n])
 			continue
 		case !isTimeout(err):
 			b.closed.Add(1)
 		case ctx.Err() == nil:
-			b.unanswered.Add(1)
+			b.addUnanswered(UnansweredClient{Address: conn.LocalAddr().String(), Proxy: proxyName(proxy.id), ConnectedAt: connectedAt,
+				Input: string(input[:min(len(input), maxReportedBytes)]), Received: last})
 		}
 		return
 	}
 }
 
+func (b *badClients) addUnanswered(c UnansweredClient) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unanswered = append(b.unanswered, c)
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/rehearse/build.go
+++ b/internal/rehearse/build.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	name := fmt.Sprintf("n%d", i)
+	name := proxyName(judge.ProxyID(i))
 	p := &process{
 		binary:   o.Proxy,
 		address:  address,
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -38,6 +38,9 @@
 	crashed                     // ended without request, or was killed for its memory usage
 )
 
+// proxyName returns the name of a proxy in reports, logs and its configuration.
+func proxyName(id judge.ProxyID) string { return fmt.Sprintf("n%d", id) }
+
 // process is one proxy under test, over all its starts.
 type process struct {
 	id       judge.ProxyID
--- a/internal/rehearse/proxies.go
+++ b/internal/rehearse/proxies.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -108,7 +107,7 @@
 	for i, p := range r.processes {
 		text, err := os.ReadFile(p.logFile())
 		if err == nil {
-			err = os.WriteFile(filepath.Join(folder, fmt.Sprintf("n%d.log", i)), text, 0o644)
+			err = os.WriteFile(filepath.Join(folder, proxyName(judge.ProxyID(i))+".log"), text, 0o644)
 		}
 		if err != nil && !errors.Is(err, os.ErrNotExist) {
 			errorTexts = append(errorTexts, err.Error())
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -1,9 +1,9 @@
 package rehearse
 
 import (
-	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 
 	"chalkferry/internal/load"
@@ -47,6 +47,8 @@
 	Closed     int64 `json:"closed"`
 	Unanswered int64 `json:"unanswered"` // neither answered nor closed within badClientTimeout
 	Failed     int64 `json:"no_connection"`
+
+	UnansweredClients []UnansweredClient `json:"unanswered_clients,omitempty"`
 }
 
 // Report is the result of a run.
@@ -131,8 +133,8 @@
 	for _, each := range r.nodes {
 		report.DescriptorShortages.Nodes += each.Stats().DescriptorShortages
 	}
-	for i, p := range r.processes {
-		use, samplesAtLimit := p.use(fmt.Sprintf("n%d", i))
+	for _, p := range r.processes {
+		use, samplesAtLimit := p.use()
 		report.Proxies = append(report.Proxies, use)
 		report.DescriptorShortages.Proxies += samplesAtLimit + countDescriptorRefusals(p.logFile())
 	}
@@ -144,11 +146,11 @@
 }
 
 // use returns the resource usage of the process, and the number of samples in which it was at its limit of descriptors.
-func (p *process) use(name string) (use ProxyUse, samplesAtLimit int) {
+func (p *process) use() (use ProxyUse, samplesAtLimit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return ProxyUse{
-		Name:        name,
+		Name:        proxyName(p.id),
 		PeakRSSMB:   float64(p.peakRSS) / bytesPerMB,
 		MemoryMB:    p.memoryMB,
 		Descriptors: p.peakFDs,
@@ -161,12 +163,16 @@
 
 // report returns the counts so far.
 func (b *badClients) report() BadClients {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return BadClients{
 		Sent:       b.sent.Load(),
 		Answered:   b.answered.Load(),
 		Closed:     b.closed.Load(),
-		Unanswered: b.unanswered.Load(),
+		Unanswered: int64(len(b.unanswered)),
 		Failed:     b.failed.Load(),
+
+		UnansweredClients: slices.Clone(b.unanswered),
 	}
 }
 
--- a/internal/rehearse/verdict.go
+++ b/internal/rehearse/verdict.go
@@ -30,7 +30,8 @@
 
 func (r *Report) evaluateClients(s *Scenario) {
 	if r.BadClients.Unanswered > 0 {
-		r.fail("%d of %d bad clients got neither an error nor a close", r.BadClients.Unanswered, r.BadClients.Sent)
+		r.fail("%d of %d bad clients got neither an error nor a close, the first: %v", r.BadClients.Unanswered, r.BadClients.Sent,
+			r.BadClients.UnansweredClients[0])
 	}
 	share := s.Expect.MinAccepted
 	if !r.Interrupted && float64(r.Clients.Served) < share*float64(r.Sessions) {
