A rehearsal sends SIGHUP to a proxy that is starting once it listens

Cause: the rehearsal sent SIGHUP as soon as the process was started, and before it handles signals that ends any process. The proxy's second start logged nothing.

Change: the signal waits until the process accepts connections.

--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -59,6 +59,7 @@
 
 	mu               sync.Mutex
 	state            processState
+	listens          bool // since its latest start
 	cmd              *exec.Cmd
 	exited           chan struct{}
 	config           proxyConfig
@@ -119,7 +120,7 @@
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.exited, p.state = cmd, exited, running
+	p.cmd, p.exited, p.state, p.listens = cmd, exited, running, false
 	p.starts++
 	p.mu.Unlock()
 	go p.wait(cmd, exited)
@@ -193,6 +194,47 @@
 	p.cmd.Process.Signal(sig) // fails if it has just ended
 }
 
+// listenPollInterval is the pause between two attempts to connect to a proxy that is starting.
+const listenPollInterval = 10 * time.Millisecond
+
+// hangUp sends SIGHUP. To a process that is starting it sends it once that listens, as before it handles signals SIGHUP ends it.
+func (p *process) hangUp() {
+	if p.waitUntilListening() {
+		p.signal(syscall.SIGHUP, false)
+	}
+}
+
+// waitUntilListening waits until the process accepts connections, and returns false if it ends first, or not within maxStartTime.
+func (p *process) waitUntilListening() bool {
+	p.mu.Lock()
+	listens, exited := p.listens, p.exited
+	p.mu.Unlock()
+	for deadline := time.Now().Add(maxStartTime); !listens; {
+		conn, err := net.DialTimeout("tcp", p.address, listenPollInterval)
+		if err == nil {
+			conn.Close()
+			break
+		}
+		select {
+		case <-exited:
+			return false
+		case <-time.After(listenPollInterval):
+		}
+		if time.Now().After(deadline) {
+			return false
+		}
+	}
+	p.setListening()
+	return true
+}
+
+// setListening records that the process accepts connections.
+func (p *process) setListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listens = true
+}
+
 // kill kills the process and waits for its end.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL, true)
--- a/internal/rehearse/proxies.go
+++ b/internal/rehearse/proxies.go
@@ -84,7 +84,7 @@
 		r.addRunError("proxy %d's configuration: %v", i, err)
 		return
 	}
-	p.signal(syscall.SIGHUP, false)
+	p.hangUp()
 }
 
 // stopAllProxies sends SIGTERM to all proxies and waits for their end, for maxStartTime at most.
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +39,7 @@
 			}
 		}
 	}
+	signal.Ignore(syscall.SIGHUP) // changes of the configuration are not needed here
 	text, _ := os.ReadFile(file)
 	if json.Unmarshal(text, &config) != nil {
 		os.Exit(3)
@@ -57,6 +60,10 @@
 			os.Exit(5)
 		}
 		nodes := config.Known.Members
+		if len(nodes) == 0 {
+			c.Close()
+			continue
+		}
 		index := n
 		if behavior == "cold" || behavior == "drain" {
 			index = 0
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -127,6 +127,9 @@
 		}
 		total := r.front.Len()
 		if r.front.ReadyCount() == total {
+			for _, p := range r.processes {
+				p.setListening()
+			}
 			return nil
 		}
 		if time.Now().After(limit) {
