Compile the fault tests on arm64: call number and audit architecture by machine

Change: EpollWait and auditArch by kind of machine in machine_amd64.go and machine_arm64.go; on arm64 EpollWait is a number that no call has. On x86-64 both have the values from before, and faults, bounds and tests are the same.

--- a/cmd/chalkferry/faults_test.go
+++ b/cmd/chalkferry/faults_test.go
@@ -115,7 +115,7 @@
 		"wake-up": append(anyOf(unix.SYS_WRITE, faultinject.EventFD, 5, 2, unix.EINTR),
 			anyOf(unix.SYS_READ, faultinject.EventFD, 10, 2, unix.EINTR, unix.EAGAIN)...),
 		"epoll_ctl": anyOf(unix.SYS_EPOLL_CTL, faultinject.NotEventFD, 6, 3, unix.ENOMEM, unix.ENOSPC),
-		"waits": append(anyOf(unix.SYS_EPOLL_WAIT, faultinject.AnyTarget, 4, 2, unix.EINTR),
+		"waits": append(anyOf(faultinject.EpollWait, faultinject.AnyTarget, 4, 2, unix.EINTR),
 			anyOf(unix.SYS_EPOLL_PWAIT, faultinject.AnyTarget, 4, 2, unix.EINTR)...),
 		"connect": append(anyOf(unix.SYS_SOCKET, faultinject.AnyTarget, 6, 3, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM),
 			anyOf(unix.SYS_CONNECT, faultinject.AnyTarget, 6, 3, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN, unix.EINTR)...),
--- a/cmd/chalkferry/soak_test.go
+++ b/cmd/chalkferry/soak_test.go
@@ -183,7 +183,7 @@
 	{Call: unix.SYS_WRITE, Target: faultinject.EventFD, Errno: unix.EINTR, Every: 10},
 	{Call: unix.SYS_EPOLL_CTL, Target: faultinject.NotEventFD, Errno: unix.ENOMEM, Every: 10, From: 200e6},
 	{Call: unix.SYS_EPOLL_CTL, Target: faultinject.NotEventFD, Errno: unix.ENOSPC, Every: 10, From: 200e6},
-	{Call: unix.SYS_EPOLL_WAIT, Errno: unix.EINTR, Every: 5}, {Call: unix.SYS_EPOLL_PWAIT, Errno: unix.EINTR, Every: 5},
+	{Call: faultinject.EpollWait, Errno: unix.EINTR, Every: 5}, {Call: unix.SYS_EPOLL_PWAIT, Errno: unix.EINTR, Every: 5},
 	{Call: unix.SYS_SOCKET, Errno: unix.ENFILE, Every: 5}, {Call: unix.SYS_SOCKET, Errno: unix.ENOBUFS, Every: 5},
 	{Call: unix.SYS_CONNECT, Errno: unix.EADDRNOTAVAIL, Every: 5}, {Call: unix.SYS_CONNECT, Errno: unix.ENETUNREACH, Every: 5},
 	{Call: unix.SYS_CONNECT, Errno: unix.EINTR, Every: 5},
--- a/internal/faultinject/child.go
+++ b/internal/faultinject/child.go
@@ -23,9 +23,6 @@
 	archOffset = 4
 )
 
-// auditArchAMD64 is AUDIT_ARCH_X86_64 of linux/audit.h. Calls of another architecture are not intercepted.
-const auditArchAMD64 = 0xc000003e
-
 // Enabled reports whether this process was started to run under fault injection.
 func Enabled() bool { return os.Getenv(ControllerVariable) != "" }
 
@@ -79,7 +76,7 @@
 	}
 	filter := []unix.SockFilter{
 		load(archOffset),
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 1, K: auditArchAMD64}, // skips the next instruction if equal
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 1, K: auditArch}, // skips the next instruction if equal
 		end(unix.SECCOMP_RET_ALLOW),
 		load(callOffset),
 	}
--- a/internal/faultinject/plan.go
+++ b/internal/faultinject/plan.go
@@ -54,7 +54,7 @@
 // callNames are the names of the system calls that plans of this project use.
 var callNames = map[uintptr]string{
 	unix.SYS_ACCEPT4: "accept4", unix.SYS_READ: "read", unix.SYS_WRITE: "write", unix.SYS_EPOLL_CTL: "epoll_ctl",
-	unix.SYS_EPOLL_PWAIT: "epoll_pwait", unix.SYS_EPOLL_WAIT: "epoll_wait", unix.SYS_SOCKET: "socket",
+	unix.SYS_EPOLL_PWAIT: "epoll_pwait", EpollWait: "epoll_wait", unix.SYS_SOCKET: "socket",
 	unix.SYS_CONNECT: "connect", unix.SYS_FCNTL: "fcntl", unix.SYS_GETPEERNAME: "getpeername",
 	unix.SYS_SETSOCKOPT: "setsockopt", unix.SYS_SHUTDOWN: "shutdown", unix.SYS_RECVFROM: "recvfrom",
 	unix.SYS_OPENAT: "openat", unix.SYS_BIND: "bind", unix.SYS_LISTEN: "listen", unix.SYS_EVENTFD2: "eventfd2",
