--- /dev/null
+++ b/review/standin2/discovery.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// member is one entry of the list.
+type member struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Flavor    string  `json:"flavor"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMs int64   `json:"up_since_ms"`
+	revision  uint64
+}
+
+// list is one message of discovery.
+type list struct {
+	Revision uint64   `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+// discovery is the service with the list of servers.
+type discovery struct {
+	play    *play
+	address string
+	// callTimeout is how long a call waits for its turn; then it is answered 503.
+	callTimeout time.Duration
+
+	mu           sync.Mutex
+	revision     uint64
+	members      []member
+	down         bool          // calls are answered 503 at once, and watches end
+	crowdedUntil time.Duration // calls wait for their turn until then
+	changed      chan struct{} // closed and replaced at each change
+}
+
+// newDiscovery starts the service at a free loopback address. All members have revision 10.
+func (p *play) newDiscovery(callTimeout time.Duration, members []member) (*discovery, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &discovery{play: p, address: listener.Addr().String(), callTimeout: callTimeout, revision: 10,
+		changed: make(chan struct{})}
+	for _, m := range members {
+		m.revision = d.revision
+		d.members = append(d.members, m)
+	}
+	go http.Serve(listener, d)
+	return d, nil
+}
+
+// since returns the changes after a revision, or the whole list.
+func (d *discovery) since(after uint64) list {
+	l := list{Revision: d.revision, Complete: after == 0 || after > d.revision, Members: []member{}}
+	for _, m := range d.members {
+		if l.Complete && m.Phase != "gone" || !l.Complete && m.revision > after {
+			l.Members = append(l.Members, m)
+		}
+	}
+	return l
+}
+
+// known returns the whole list as a proxy has it now.
+func (d *discovery) known() list {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.since(0)
+}
+
+// set changes a member's phase.
+func (d *discovery) set(id, phase string) {
+	d.change(func() {
+		d.revision++
+		for i := range d.members {
+			if d.members[i].ID == id {
+				d.members[i].Phase, d.members[i].revision = phase, d.revision
+			}
+		}
+		d.play.logf("discovery: revision %d, %s is %s", d.revision, id, phase)
+	})
+}
+
+// setDown has the service go down, or come back.
+func (d *discovery) setDown(down bool) {
+	d.change(func() {
+		d.down = down
+		d.play.logf("discovery: down %v", down)
+	})
+}
+
+// crowd has calls wait for their turn until a time since the play began.
+func (d *discovery) crowd(until time.Duration) {
+	d.change(func() {
+		d.crowdedUntil = until
+		d.play.logf("discovery: too many callers until %.3f", until.Seconds())
+	})
+}
+
+func (d *discovery) change(apply func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	apply()
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// heartbeat is the interval of empty lines on a watch without changes.
+const heartbeat = 2 * time.Second
+
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	who := r.RemoteAddr
+	calledAt := d.play.now()
+	d.play.logf("discovery: call %s of %s", r.URL.RequestURI(), who)
+	fail := func() {
+		d.play.logf("discovery: 503 to %s after %.3f s", who, (d.play.now() - calledAt).Seconds())
+		http.Error(w, "not now", http.StatusServiceUnavailable)
+	}
+	for { // calls are worked through in turn
+		d.mu.Lock()
+		down, crowdedUntil, changed := d.down, d.crowdedUntil, d.changed
+		d.mu.Unlock()
+		now := d.play.now()
+		if down || now < crowdedUntil && now >= calledAt+d.callTimeout {
+			fail()
+			return
+		}
+		if now >= crowdedUntil {
+			break
+		}
+		select {
+		case <-time.After(min(crowdedUntil, calledAt+d.callTimeout) - now):
+		case <-changed:
+		case <-r.Context().Done():
+			d.play.logf("discovery: %s has given its call up", who)
+			return
+		}
+	}
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	isWatch := r.URL.Query().Get("watch") == "1"
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for first := true; ; first = false {
+		d.mu.Lock()
+		l, down, changed := d.since(after), d.down, d.changed
+		d.mu.Unlock()
+		if down {
+			return
+		}
+		if first || len(l.Members) > 0 {
+			text, _ := json.Marshal(l) // plain values: it can't fail
+			if _, err := fmt.Fprintf(w, "%s\n", text); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			d.play.logf("discovery: revision %d is written to %s", l.Revision, who)
+			after = l.Revision
+		}
+		if !isWatch {
+			return
+		}
+		select {
+		case <-changed:
+		case <-beat.C:
+			fmt.Fprintln(w)
+			w.(http.Flusher).Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// callPromptly shows when a caller has the list that calls from now on, and a moment after each failure again.
+func (d *discovery) callPromptly() {
+	for {
+		answer, err := http.Get("http://" + d.address + "/api/targets")
+		if err != nil {
+			return
+		}
+		answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			d.play.logf("discovery: a caller that calls again 0.1 s after each failure has the list now")
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/review/standin2/server.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// arrival is a first line that reached a server.
+type arrival struct {
+	at   time.Duration
+	id   string // of the session
+	line string
+}
+
+// server is a push server: it answers OPEN with UP after a moment and each later line with a line.
+type server struct {
+	play    *play
+	name    string
+	address string
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	arrivals []arrival
+	receipts int
+	// answer, if set, decides in place of UP what a first line is answered; "" resets the connection.
+	answer func(s *server, line string) string
+}
+
+// newServer starts a server at a free loopback address.
+func (p *play) newServer(name string) (*server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &server{play: p, name: name, address: listener.Addr().String(), listener: listener, conns: map[net.Conn]bool{}}
+	go s.accept()
+	return s, nil
+}
+
+func (s *server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[conn] = true
+		s.mu.Unlock()
+		go s.serve(conn)
+	}
+}
+
+// handshakeTime is how long a server takes to answer a first line.
+const handshakeTime = 3 * time.Millisecond
+
+func (s *server) serve(conn net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+		conn.Close()
+	}()
+	reader := bufio.NewReader(conn)
+	if _, err := reader.Peek(1); err != nil { // for drains a send counts from its first byte
+		return
+	}
+	firstByteAt := s.play.now()
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return
+	}
+	line = strings.TrimSuffix(line, "\r\n")
+	fields := strings.Fields(line)
+	if len(fields) < 2 || fields[0] != "OPEN" {
+		fmt.Fprint(conn, "SYNTAX\r\n")
+		return
+	}
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, arrival{firstByteAt, fields[1], line})
+	s.receipts++
+	answer := fmt.Sprintf("UP %s-%d", s.name, s.receipts)
+	if s.answer != nil {
+		answer = s.answer(s, line)
+	}
+	s.mu.Unlock()
+	time.Sleep(handshakeTime)
+	if answer == "" {
+		s.play.logf("%s: resets %s", s.name, line)
+		conn.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	s.play.logf("%s: gets %q, answers %q", s.name, line, answer)
+	fmt.Fprint(conn, answer+"\r\n")
+	if !strings.HasPrefix(answer, "UP ") {
+		return
+	}
+	for n := 1; ; n++ {
+		if _, err := reader.ReadString('\n'); err != nil {
+			return
+		}
+		fmt.Fprintf(conn, "OK %d\r\n", n)
+	}
+}
+
+// stop ends the server's process: its connections are reset, and new ones refused.
+func (s *server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.play.logf("%s: its process ends, %d connections open", s.name, len(s.conns))
+	s.listener.Close()
+	for conn := range s.conns {
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
+// arrivalsSince returns the first lines that arrived at a time or later.
+func (s *server) arrivalsSince(t time.Duration) (later []arrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
+		if a.at >= t {
+			later = append(later, a)
+		}
+	}
+	return later
+}
