--- a/review/standin2/play.go
+++ b/review/standin2/play.go
@@ -137,16 +137,6 @@
 	x.command.Process.Signal(s)
 }
 
-// isRunning reports whether the process has not ended.
-func (x *proxy) isRunning() bool {
-	select {
-	case <-x.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // stop ends the process as at a planned restart: SIGTERM, and SIGKILL after the given time.
 func (x *proxy) stop(killAfter time.Duration) {
 	x.signal(syscall.SIGTERM)
