Review case 9: a proxy gives up its call after a silent watch just before its turn

Cause: the call in place of a silent watch is given up after 2.5 s and made again, though calls may wait 3 s for their turn.

--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -42,6 +42,8 @@
 	members      []member
 	down         bool          // calls are answered 503 at once, and watches end
 	crowdedUntil time.Duration // calls wait for their turn until then
+	turn         time.Duration // that each call waits for its turn besides
+	silences     int           // how often all open watches fell silent
 	changed      chan struct{} // closed and replaced at each change
 }
 
@@ -100,6 +102,22 @@
 	})
 }
 
+// silence has all open watches fall silent, after a last empty line.
+func (d *discovery) silence() {
+	d.change(func() {
+		d.silences++
+		d.play.logf("discovery: the open watches fall silent")
+	})
+}
+
+// setTurn sets how long each later call waits for its turn.
+func (d *discovery) setTurn(turn time.Duration) {
+	d.change(func() {
+		d.turn = turn
+		d.play.logf("discovery: each call waits %.3f s for its turn", turn.Seconds())
+	})
+}
+
 // crowd has calls wait for their turn until a time since the play began.
 func (d *discovery) crowd(until time.Duration) {
 	d.change(func() {
@@ -129,7 +147,7 @@
 	}
 	for { // calls are worked through in turn
 		d.mu.Lock()
-		down, crowdedUntil, changed := d.down, d.crowdedUntil, d.changed
+		down, crowdedUntil, changed := d.down, max(d.crowdedUntil, calledAt+d.turn), d.changed
 		d.mu.Unlock()
 		now := d.play.now()
 		if down || now < crowdedUntil && now >= calledAt+d.callTimeout {
@@ -148,13 +166,23 @@
 		}
 	}
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	d.mu.Lock()
+	silences := d.silences
+	d.mu.Unlock()
 	isWatch := r.URL.Query().Get("watch") == "1"
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	for first := true; ; first = false {
 		d.mu.Lock()
-		l, down, changed := d.since(after), d.down, d.changed
+		l, down, changed, isSilent := d.since(after), d.down, d.changed, d.silences > silences
 		d.mu.Unlock()
+		if isSilent {
+			fmt.Fprintln(w)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			d.play.logf("discovery: %s has given its silent watch up", who)
+			return
+		}
 		if down {
 			return
 		}
--- a/review/standin2/drains.go
+++ b/review/standin2/drains.go
@@ -9,6 +9,7 @@
 func init() {
 	cases["restart"] = restart
 	cases["outage"] = outage
+	cases["silence"] = silence
 }
 
 // platform is what most cases have: servers s1 to s4, discovery and clients.
@@ -151,7 +152,7 @@
 		f.discovery.crowd(backAt + crowded)
 		f.discovery.setDown(false)
 	}
-	go f.discovery.callPromptly()
+	go f.discovery.callPromptly() // a sound caller, for comparison
 	listeners := []string{"balance-live", "signal-status", "outage-feed", "agent-topup"}
 	for i := range 480 { // from 5 s after discovery's return on, each proxy takes twelve sessions a second
 		p.at(backAt + 5*time.Second + time.Duration(i)*time.Second/12/outageProxies)
@@ -169,3 +170,62 @@
 	}
 	return breaches, nil
 }
+
+// silence: all open watches fall silent, a server begins to drain right after, and calls wait long for their turn.
+func silence(p *play) ([]string, error) {
+	const (
+		grace    = 250*time.Millisecond + graceSlack
+		toldIn   = 6 * time.Second
+		silentAt = 4 * time.Second
+		drainAt  = silentAt + 500*time.Millisecond
+		turn     = 2800 * time.Millisecond
+		proxyNum = 3
+	)
+	f, err := p.newPlatform(3 * time.Second)
+	if err != nil {
+		return nil, err
+	}
+	known := f.discovery.known()
+	var proxies []*proxy
+	for i := range proxyNum {
+		x, err := p.newProxy(fmt.Sprintf("n%d", i), config(f.discovery, kigali(i, proxyNum), known))
+		if err != nil {
+			return nil, err
+		}
+		proxies = append(proxies, x)
+		if err := x.start(); err != nil {
+			return nil, err
+		}
+	}
+	for _, x := range proxies {
+		if _, err := x.awaitPong(30 * time.Second); err != nil {
+			return nil, err
+		}
+	}
+	drained := f.servers[3]
+	p.at(silentAt)
+	if p.trouble {
+		f.discovery.setTurn(turn)
+		f.discovery.silence()
+	}
+	p.at(drainAt)
+	f.discovery.set(drained.name, "draining")
+	p.at(silentAt + 3*time.Second) // a heartbeat and a half later
+	go f.discovery.callPromptly()
+	listeners := []string{"balance-live", "signal-status", "outage-feed", "agent-topup"}
+	for i := range 200 {
+		p.at(silentAt + 4*time.Second + time.Duration(i)*25*time.Millisecond)
+		f.clients.open(proxies[i%proxyNum], fmt.Sprintf("c=%s,t=imirongo", listeners[i%4]), 1200*time.Millisecond, 8*time.Second)
+	}
+	drained.stop()
+	f.clients.running.Wait()
+	var breaches []string
+	for _, x := range proxies {
+		for _, a := range f.sentTo(drained, x, silentAt+toldIn+grace) {
+			c := f.clients.find(a.id)
+			breaches = append(breaches, fmt.Sprintf("drain: session %s was sent to %s by %s %.3f s after the watches fell silent; answer %q, end %q",
+				a.id, drained.name, x.name, (a.at-silentAt).Seconds(), c.answer, c.end))
+		}
+	}
+	return breaches, nil
+}
