--- a/review/standin2/drains.go
+++ b/review/standin2/drains.go
@@ -112,7 +112,7 @@
 		drainAt = backAt - 2*time.Second
 		crowded = 5700 * time.Millisecond
 		// outageProxies is the number of proxies.
-		outageProxies = 8
+		outageProxies = 12
 	)
 	f, err := p.newPlatform(time.Second)
 	if err != nil {
@@ -154,7 +154,7 @@
 	}
 	go f.discovery.callPromptly() // a sound caller, for comparison
 	listeners := []string{"page-feed", "widget-feed", "studio-feed"}
-	for i := range 384 { // from 6 s after discovery's return on, each proxy takes twelve sessions a second
+	for i := range 576 { // from 6 s after discovery's return on, each proxy takes twelve sessions a second
 		p.at(backAt + 6*time.Second + time.Duration(i)*time.Second/12/outageProxies)
 		f.clients.open(proxies[i%outageProxies], fmt.Sprintf("c=%s,t=noordstem", listeners[i%3]), 1200*time.Millisecond, 5*time.Second)
 	}
