--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -104,6 +104,9 @@
 // Watcher keeps at most one watch open and reports its lists and its failure on the event loop. Its methods must be called
 // on that loop, except IsDrained.
 type Watcher struct {
+	// OnConfirmed, if not nil, is called on the event loop for each list, before it is reported, and for each heartbeat: discovery
+	// had sent all that it had when they arrived. It must be set before the first watch.
+	OnConfirmed  func(Reception)
 	address      string // host and port of discovery
 	client       *http.Client
 	execute      func(func()) // schedules a call on the event loop
@@ -138,14 +141,16 @@
 	return func(ctx context.Context, network, address string) (conn net.Conn, err error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
+		var attemptedAt time.Time
 		err = failure.Retry(ctx, failure.Connect, nil, func() (err error) {
+			attemptedAt = time.Now()
 			conn, err = new(net.Dialer).DialContext(ctx, network, address)
 			return err
 		})
 		if err != nil {
-			return nil, err
+			return nil, connectFailure(err, attemptedAt)
 		}
-		return &watchConn{Conn: conn}, nil
+		return &watchConn{Conn: conn, connectedAt: time.Now()}, nil
 	}
 }
 
@@ -232,11 +237,11 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return err
+		return callFailure(err, conn)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("discovery answers %s", response.Status)
+		return callFailure(fmt.Errorf("discovery answers %s", response.Status), conn)
 	}
 	if !deadline.needsBody {
 		startTimer.Stop()
@@ -250,43 +255,35 @@
 		}
 	})
 	defer silenceTimer.Stop()
+	confirm := func(received Reception) {
+		if w.OnConfirmed != nil {
+			w.OnConfirmed(received)
+		}
+	}
 	body := &listReader{source: response.Body, onData: func() {
 		startTimer.Stop()
 		silenceTimer.Reset(heartbeatTimeout)
+	}, onHeartbeat: func() {
+		received := conn.lastReception()
+		executeIfCurrent(func() { confirm(received) })
 	}}
 	decoder := json.NewDecoder(body) // accepts a list on one line or on several, in pieces of any size
 	for {
 		var text json.RawMessage
 		if err := decoder.Decode(&text); errors.Is(err, io.EOF) {
-			return errors.New("the watch ended")
+			return ErrWatchEnded
 		} else if err != nil {
-			return fmt.Errorf("reading the watch: %w", err)
+			return fmt.Errorf("%w: %w", ErrWatchEnded, err)
 		}
-		body.bytesSinceList = 0
+		body.beginList(decoder.Buffered())
 		list, err := Parse(text)
 		if err != nil {
-			return err
+			return fmt.Errorf("%w: %w", ErrWatchEnded, err)
 		}
-		executeIfCurrent(func() { w.onList(list) })
-	}
-}
-
-// listReader reads the body of a watch. It calls onData for each read that returns data, and fails once more than
-// maxListBytes have come since the last complete list.
-type listReader struct {
-	source         io.Reader
-	onData         func()
-	bytesSinceList int
-}
-
-func (r *listReader) Read(buffer []byte) (int, error) {
-	if r.bytesSinceList > maxListBytes {
-		return 0, fmt.Errorf("list exceeds %d bytes", maxListBytes)
-	}
-	n, err := r.source.Read(buffer)
-	if n > 0 {
-		r.bytesSinceList += n
-		r.onData()
+		received := conn.lastReception()
+		executeIfCurrent(func() {
+			confirm(received)
+			w.onList(list)
+		})
 	}
-	return n, err
 }
--- a/internal/discovery/unread.go
+++ b/internal/discovery/unread.go
@@ -4,22 +4,47 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
 	"chalkferry/internal/failure"
 )
 
-// watchConn is the connection of a watch. It reports whether data was received on it that has not been read yet.
+// Reception is when the latest data of a watch arrived: between the beginning and the end of the read that returned it. The two
+// differ by the time that this process stood still, if it did, besides the wait for the data.
+type Reception struct{ Began, Ended time.Time }
+
+// watchConn is the connection of a watch. It reports whether data was received on it that has not been read yet, and when it
+// last received some.
 type watchConn struct {
 	net.Conn
-	isReading atomic.Bool // a Read is in progress: the reader has handed on all data of earlier reads
+	connectedAt time.Time                 // when it was established, before any request is sent
+	isReading   atomic.Bool               // a Read is in progress: the reader has handed on all data of earlier reads
+	last        atomic.Pointer[Reception] // of the latest Read that returned data; nil before
 }
 
 func (c *watchConn) Read(buffer []byte) (int, error) {
 	c.isReading.Store(true)
 	defer c.isReading.Store(false)
-	return c.Conn.Read(buffer)
+	began := time.Now()
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.last.Store(&Reception{Began: began, Ended: time.Now()})
+	}
+	return n, err
+}
+
+// lastReception returns when the latest data arrived. The data that the reader of an HTTP body was given last is part of it, as
+// the connection is read again only once everything before was handed on.
+func (c *watchConn) lastReception() Reception {
+	if c != nil {
+		if last := c.last.Load(); last != nil {
+			return *last
+		}
+	}
+	now := time.Now()
+	return Reception{Began: now, Ended: now}
 }
 
 // isDrained reports whether all received data was read and handed on. If the kernel can't be asked for unread data, the
--- a/internal/exchange/rig_test.go
+++ b/internal/exchange/rig_test.go
@@ -177,11 +177,17 @@
 	f.rig.timers = append(f.rig.timers, testTimer{f.rig.now + after, func() { f.rig.balancer.HandleTimer(f.rig.now, token) }})
 }
 
+// awaitNothing is an AwaitList whose list is always current.
+func awaitNothing(callback func()) (cancel func()) {
+	callback()
+	return func() {}
+}
+
 func newRig(servers int) *rig {
 	r := &rig{}
 	r.Table = NewTable(r, func() time.Duration { return r.now }, func(call func()) { r.deferred = append(r.deferred, call) },
 		func(after time.Duration, call func()) { r.timers = append(r.timers, testTimer{r.now + after, call}) },
-		50*ms, silenceLimit, NewDelayTracker(33*ms, sec, true, true))
+		awaitNothing, 50*ms, silenceLimit, NewDelayTracker(33*ms, sec, true, true))
 	r.balancer = choice.New(testFront{r.Table, r}, rand.New(rand.NewSource(1)),
 		[]choice.Listener{{HandshakeTarget: 300 * ms, DialTimeout: 1200 * ms, MessageTarget: 100 * ms, Utility: 1}},
 		choice.DialLimits{MaxDials: 3}, choice.RetryBudget{}, choice.ListSettings{NeedsSubscription: true, MaxPollInterval: 10 * sec},
--- a/internal/exchange/session.go
+++ b/internal/exchange/session.go
@@ -44,6 +44,8 @@
 	unanswered    int             // client's lines without an answer
 	waitingSince  time.Duration   // when the client last began to wait: its first unanswered line or the last partial answer
 	loadReports   loadReports     // LOAD lines on this connection
+	isHeld        bool            // placing, and the Balancer does not know of it yet: the list of servers may be out of date
+	cancelHold    func()          // ends the wait for the list while isHeld
 	isMoving      bool            // open, with a call of continueMove under way
 	openIndex     int             // position in Table.openSessions
 	awaitingIndex int             // position in Table.awaiting
@@ -92,6 +94,7 @@
 		t.openSessions = append(t.openSessions, s)
 		t.openPerServer[s.serverID]++
 	case ended:
+		s.endHold()
 		delete(t.sessions, s.arrival.ID)
 	}
 }
--- a/internal/exchange/slopes_test.go
+++ b/internal/exchange/slopes_test.go
@@ -39,7 +39,7 @@
 // slopeTable returns a table with a number of open sessions and no sockets.
 func slopeTable(b *testing.B, sessions int) *Table {
 	dialer := &idleDialer{}
-	t := NewTable(dialer, func() time.Duration { return 0 }, func(func()) {}, func(time.Duration, func()) {}, sec, sec,
+	t := NewTable(dialer, func() time.Duration { return 0 }, func(func()) {}, func(time.Duration, func()) {}, awaitNothing, sec, sec,
 		NewDelayTracker(sec, sec, false, false))
 	listeners := []choice.Listener{{Name: "push", HandshakeTarget: sec, DialTimeout: 3 * sec, Utility: 1}}
 	balancer := choice.New(slopeFront{t}, rand.New(rand.NewSource(1)), listeners, choice.DialLimits{MaxDials: 3}, choice.RetryBudget{},
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -16,6 +16,7 @@
 	now            func() time.Duration              // time since the start
 	runAfterEvent  func(func())                      // calls back once the current event is handled
 	startTimer     func(time.Duration, func())       // calls back on the event loop
+	awaitList      AwaitList                         // for sessions to be placed
 	resumeInterval time.Duration                     // between two dials of a session that is resumed
 	delays         *DelayTracker                     // of messages
 	silenceLimit   time.Duration                     // a server that answers nobody for this long loses its sessions
@@ -30,11 +31,11 @@
 }
 
 // NewTable makes an empty table. SetBalancer must be called before any other method. runAfterEvent calls back once the current
-// event is handled, startTimer after a time; resumeInterval is the pause between two dials of a session that is resumed, and
+// event is handled, startTimer after a time, awaitList once the list of servers is current; resumeInterval is the pause between two dials of a session that is resumed, and
 // silenceLimit the time after which a server that answers nobody loses its sessions.
 func NewTable(dialer Dialer, now func() time.Duration, runAfterEvent func(func()), startTimer func(time.Duration, func()),
-	resumeInterval, silenceLimit time.Duration, delays *DelayTracker) *Table {
-	return &Table{dialer: dialer, now: now, runAfterEvent: runAfterEvent, startTimer: startTimer, resumeInterval: resumeInterval, silenceLimit: silenceLimit,
+	awaitList AwaitList, resumeInterval, silenceLimit time.Duration, delays *DelayTracker) *Table {
+	return &Table{dialer: dialer, now: now, runAfterEvent: runAfterEvent, startTimer: startTimer, awaitList: awaitList, resumeInterval: resumeInterval, silenceLimit: silenceLimit,
 		openPerServer: map[choice.ServerID]int{}, lastAnswerAt: map[choice.ServerID]time.Duration{}, suspectedAt: map[choice.ServerID]time.Duration{},
 		sweep: sweepState{servers: map[choice.ServerID]serverSilence{}}, delays: delays, sessions: map[choice.SessionID]*Session{}}
 }
@@ -74,9 +75,10 @@
 		session.dialHolder()
 		return session
 	}
-	if err := t.balancer.PlaceSession(t.now(), arrival); err != nil { // only a bug in this program makes it fail
-		session.enter(ended)
-		client.Finish([]byte("ERR\r\n"), "module")
+	if session.NeedsCurrentList() {
+		session.placeWhenListCurrent()
+	} else {
+		session.place()
 	}
 	return session
 }
--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -677,8 +677,7 @@
 	d.sendAndExpect(openLine(), "UP 1\r\n")
 }
 
-// TestPushed checks that with pushed lists a proxy that starts answers PING only once it has a list from discovery or the watch
-// has failed.
+// TestPushed checks that with pushed lists a proxy that starts answers PING only once it has a list from discovery.
 func TestPushed(t *testing.T) {
 	r := startTestProxy(t, `"discovery":"ask"`, `"discovery":"push"`, `"mustAskIn":4000`, `"stopSendingWithin":300`)
 	d := connect(t, r.address)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -61,8 +61,12 @@
 	connector         *servers.Connector
 	watcher           *discovery.Watcher
 	directory         *directory
-	revision          uint64 // of the current list of servers
-	failedWatches     int    // watches of the list that failed in a row
+	revision          uint64          // of the current list of servers
+	failedWatches     int             // watches of the list that failed in a row
+	watchErr          error           // of the last one of them
+	lease             discovery.Lease // of the current list of servers
+	listGate          listGate        // sessions and dials that wait for the list
+	staleListReport   staleListReport
 	peers             *peers.Conn
 	publishFacts      func([]sharing.SessionCount) // nil if the tally of sessions is not published
 	phase             phase
@@ -152,14 +156,15 @@
 	p.directory = newDirectory(settings.zones, startClock{processStart: p.startedAt, sinceStart: p.now, wallClock: time.Now},
 		settings.list.OnlyDrainsExclude, settings.learnModels)
 	p.connector = servers.NewConnector(p.execute, p.connectionLimit, p.take, settings.connectTimeout, p.failures)
-	dialer := servers.New(p.connector, p.directory, p.timers, p.connectionLimit, p.now, p.whenListCurrent, p.log)
+	dialer := servers.New(p.connector, p.directory, p.timers, p.connectionLimit, p.now, p.awaitList, p.log)
 	after := func(delay time.Duration, callback func()) { p.timers.After(delay, callback) }
 	delays := exchange.NewDelayTracker(settings.slowMessageThreshold, reportInterval, settings.serversReportLoad, settings.serversReportDelay)
-	p.table = exchange.NewTable(dialer, p.now, p.afterEvent, after, settings.connectTimeout, settings.serverSilenceLimit, delays)
+	p.table = exchange.NewTable(dialer, p.now, p.afterEvent, after, p.awaitCurrentList, settings.connectTimeout, settings.serverSilenceLimit, delays)
 	p.clients = clients.New(p.table, p.timers, p.connectionLimit, p.now, settings.helloTimeout, p.directory.listedID,
 		settings.listenerIDs, settings.tenantIDs, settings.hasGroups, p.log)
 	p.watcher = discovery.New(p.addresses.Discovery, settings.discoveryConnectTimeout, settings.watchAnswerTimeout, p.execute,
 		p.applyList, p.handleWatchFailure)
+	p.watcher.OnConfirmed = p.handleListConfirmed
 }
 
 // openListeners sets the memory limit and opens the socket for peer messages and the event loop with the listener for
@@ -186,10 +191,11 @@
 	p.balancer = choice.New(balancerFront{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
 		t.list, t.cold, t.peerReports)
 	p.table.SetBalancer(p.balancer)
+	p.lease = discovery.NewLease(t.leaseTerms, p.now())
 	if t.listPushed {
 		p.clients.HoldPings()
 		// A discovery service that stays silent must not keep the proxy out of rotation.
-		p.timers.After(discovery.StalenessLimit/2, p.clients.AnswerPings)
+		p.timers.After(maxPongDelay, p.clients.AnswerPings)
 	}
 	p.balancer.ApplyList(p.now(), choice.ListCached, p.directory.entriesOf(known))
 	p.sweepSessions()
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -56,6 +56,7 @@
 			// Subscribe at once: the current watch may take long to end, and so may the pause after a failed one.
 			p.addresses.Discovery, p.failedWatches = next.addresses.Discovery, 0
 			p.watcher.SetAddress(next.addresses.Discovery)
+			p.lease.Moved(p.now())
 			p.balancer.ResubscribeList(p.now())
 		}
 		p.log.Info().Str("discovery", p.addresses.Discovery).Bool("settings", settingsChanged).Strs("at_next_start", changedNames).
@@ -74,6 +75,7 @@
 		settings.serversReportLoad, settings.serversReportDelay)
 	p.clients.Reconfigure(settings.helloTimeout, settings.listenerIDs, settings.tenantIDs, settings.hasGroups)
 	p.directory.applySettings(settings.zones, settings.list.OnlyDrainsExclude, settings.learnModels)
+	p.lease.SetTerms(settings.leaseTerms)
 	p.watcher.SetTimeouts(settings.discoveryConnectTimeout, settings.watchAnswerTimeout)
 	if !settings.peerReports.Enabled && p.peers != nil {
 		p.peers.Close()
--- a/internal/proxy/slopes_test.go
+++ b/internal/proxy/slopes_test.go
@@ -142,7 +142,11 @@
 	dialer := &instantDialer{}
 	clock := func() time.Duration { return 0 }
 	p.timers = timers.New(clock, func(time.Duration) {})
-	p.table = exchange.NewTable(dialer, clock, func(func()) {}, func(time.Duration, func()) {}, time.Second, time.Second,
+	awaitNothing := func(callback func()) func() {
+		callback()
+		return func() {}
+	}
+	p.table = exchange.NewTable(dialer, clock, func(func()) {}, func(time.Duration, func()) {}, awaitNothing, time.Second, time.Second,
 		exchange.NewDelayTracker(time.Second, reportInterval, false, false))
 	p.balancer = choice.New(slopeFront{balancerFront{p.table, p}}, rand.New(rand.NewSource(1)), p.settings.listeners, p.settings.dials, p.settings.budget,
 		p.settings.list, p.settings.cold, p.settings.peerReports)
--- a/internal/proxy/standstill.go
+++ b/internal/proxy/standstill.go
@@ -23,8 +23,7 @@
 type standstill struct {
 	began, ended time.Duration
 
-	listMayBeStale bool // what discovery sent meanwhile may not have been applied yet
-	deferredCalls  []func()
+	hasUnreadList bool // what discovery sent meanwhile may not have been applied yet
 }
 
 // detectStandstill is called at the start of each event and detects a standstill that ended with it.
@@ -38,43 +37,29 @@
 	s := &p.standstill
 	s.began, s.ended = previous, now
 	p.log.Warn().Dur("ms", now-previous).Msg("the event loop stood still")
-	if !s.listMayBeStale {
-		s.listMayBeStale = true
+	if !s.hasUnreadList {
+		s.hasUnreadList = true
 		p.awaitListRead(now + watchReadTimeout)
 	}
 }
 
-// awaitListRead checks until the deadline whether all that discovery sent has been read, then releases the deferred calls.
+// awaitListRead checks until the deadline whether all that discovery sent has been read, then lets sessions go on.
 func (p *Proxy) awaitListRead(deadline time.Duration) {
 	if p.watcher.IsDrained() || p.now() >= deadline {
-		p.loop.Execute(p.resumeAfterList) // queued behind the lists that were already handed to the loop
+		p.execute(p.resumeAfterList) // queued behind the lists that were already handed to the loop
 		return
 	}
 	p.timers.After(watchCheckInterval, func() { p.awaitListRead(deadline) })
 }
 
-// resumeAfterList runs the calls that waited for the list.
+// resumeAfterList lets the sessions go on that waited for the list to be read.
 func (p *Proxy) resumeAfterList() {
-	p.beginEvent()
-	defer p.endEvent()
-	s := &p.standstill
-	s.listMayBeStale = false
-	calls := s.deferredCalls
-	s.deferredCalls = nil
-	for _, call := range calls {
-		call()
-	}
+	p.standstill.hasUnreadList = false
+	p.listGate.release(p.isListRead, p.isListCurrent)
 }
 
-// whenListCurrent calls back once all that discovery sent during a standstill has been applied, or at once if there was
-// no standstill.
-func (p *Proxy) whenListCurrent(callback func()) {
-	if p.standstill.listMayBeStale {
-		p.standstill.deferredCalls = append(p.standstill.deferredCalls, callback)
-		return
-	}
-	callback()
-}
+// isListRead reports whether all that discovery sent during a standstill has been applied.
+func (p *Proxy) isListRead() bool { return !p.standstill.hasUnreadList }
 
 // recentStandstill is the time since the beginning of a standstill that ended at most sweepInterval ago, else 0. A signal
 // that is handled now may have been sent when the standstill began.
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -12,12 +12,11 @@
 func (p *Proxy) applyList(list discovery.List) {
 	if list.Revision < p.revision {
 		p.watcher.Stop()
-		p.handleWatchFailure(fmt.Errorf("revision %d after %d", list.Revision, p.revision))
+		p.handleWatchFailure(fmt.Errorf("%w: revision %d after %d", discovery.ErrWatchEnded, list.Revision, p.revision))
 		return
 	}
 	p.revision = list.Revision
-	p.failedWatches = 0
-	defer p.clients.AnswerPings()
+	p.failedWatches, p.watchErr = 0, nil
 	kind := choice.ListDelta
 	if list.Complete {
 		kind = choice.ListFull
@@ -34,6 +33,8 @@
 // discovery.StalenessLimit, without regard to any pause between calls.
 func (p *Proxy) handleWatchFailure(err error) {
 	p.failedWatches++
+	p.watchErr = err
+	p.renewAfterFailure(err)
 	p.log.Warn().Err(err).Int("failures", p.failedWatches).Msg("the watch of the list failed")
 	switch {
 	case errors.Is(err, discovery.ErrHeartbeatTimeout):
@@ -45,5 +46,4 @@
 	default:
 		p.balancer.ApplyList(p.now(), choice.ListFailed, nil)
 	}
-	p.clients.AnswerPings() // there is nothing more to wait for
 }
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -140,6 +140,7 @@
 	conn      *socket.Conn
 	announced choice.Outcome // how the session ends according to the server's last line; 0 if that was neither BYE nor MOVE
 
+	cancelWait func()    // ends the wait for a current list; nil while the dial does not wait for one
 	connectErr error     // why no connection was established
 	lastRead   *lastRead // of the last RelayAvailable; nil if there was none
 }
@@ -166,16 +167,19 @@
 	timers          *timers.Timers
 	connectionLimit *socket.ConnectionLimit
 	now             func() time.Duration
-	whenListIsKnown func(call func())
+	awaitList       AwaitList
 	log             zerolog.Logger
 }
 
-// New makes the server side of a proxy. whenListIsKnown calls back once the directory is up to date: at once, or, after the event
-// loop was held up, when it has read what discovery has sent meanwhile.
+// AwaitList calls back once the directory has all that discovery has sent, at once if it has, unless cancel was called before. For a
+// session that is new to the servers it also waits until the list is current: discovery may have more that counts as known.
+type AwaitList func(isNew bool, callback func()) (cancel func())
+
+// New makes the server side of a proxy.
 func New(connector *Connector, directory Directory, t *timers.Timers, connectionLimit *socket.ConnectionLimit, now func() time.Duration,
-	whenListIsKnown func(call func()), log zerolog.Logger) *Servers {
+	awaitList AwaitList, log zerolog.Logger) *Servers {
 	return &Servers{connector: connector, directory: directory, timers: t, connectionLimit: connectionLimit, now: now,
-		whenListIsKnown: whenListIsKnown, log: log}
+		awaitList: awaitList, log: log}
 }
 
 // Dial implements exchange.Dialer. The timeout covers the connect and the server's answer.
@@ -204,7 +208,14 @@
 		d.conn.Reset()
 		return
 	}
-	d.servers.whenListIsKnown(d.sendFirstLine)
+	isWaiting := true
+	cancel := d.servers.awaitList(d.session.NeedsCurrentList(), func() {
+		isWaiting, d.cancelWait = false, nil
+		d.sendFirstLine()
+	})
+	if isWaiting {
+		d.cancelWait = cancel
+	}
 }
 
 // sendFirstLine sends the first line unless something has changed while the connection was established: the server may no longer
@@ -236,6 +247,8 @@
 // handleTimeout ends a dial that was not answered in time.
 func (d *Dial) handleTimeout() {
 	switch {
+	case d.cancelWait != nil: // this proxy's list was out of date for too long
+		d.fail(choice.NotSent, socket.Reset, "stale-list")
 	case d.state == connecting, d.state == awaitingAnswer && d.conn.Unsent() > 0: // the server has not got the whole line, and won't
 		d.fail(choice.Unreachable, socket.Reset, "unreachable")
 	case d.state == awaitingAnswer:
@@ -279,6 +292,10 @@
 	}
 	d.state = ended
 	d.cancel()
+	if d.cancelWait != nil {
+		d.cancelWait()
+		d.cancelWait = nil
+	}
 	d.servers.timers.Stop(d.timer)
 	switch {
 	case d.conn == nil:
--- a/internal/start/proxy.go
+++ b/internal/start/proxy.go
@@ -149,6 +149,22 @@
 	return nil
 }
 
+// ParseDrainGrace reads how long after the notice of a drain new sessions may still be sent to the server. It is 0 if the settings
+// do not state it.
+func ParseDrainGrace(settings []byte, grace *time.Duration) error {
+	var raw struct {
+		Invariants struct {
+			StopSending float64 `json:"stopSendingWithin"`
+		} `json:"invariants"`
+	}
+	if err := json.Unmarshal(settings, &raw); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	var err error
+	*grace, err = parseMillis("invariants.stopSendingWithin", raw.Invariants.StopSending)
+	return err
+}
+
 // ParseServerReports reads what servers report on open sessions, a session's load and the delay of its messages, and whether
 // the speeds of server models are learnt from that.
 func ParseServerReports(settings []byte, reportLoad, reportDelay, learnModels *bool) error {
