--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -4,6 +4,7 @@
 package clients
 
 import (
+	"bytes"
 	"container/list"
 	"time"
 
@@ -23,8 +24,13 @@
 	// answerTimeShare is the part of a client's waiting time, one in so many, that is set aside for the way of the OPEN line and
 	// of the answer.
 	answerTimeShare = 64
+	// maxHeldPongs is how many PINGs of one connection may wait for AnswerPings.
+	maxHeldPongs = 256
 )
 
+// pong is the answer to PING.
+var pong = []byte("PONG\r\n")
+
 // Clients is the state shared by all client connections of a proxy. It is used on the event loop only.
 type Clients struct {
 	table           *exchange.Table
@@ -39,7 +45,7 @@
 	byID            map[string]*Client                // by the session's id; waiting and relaying connections
 	idleClients     map[*Client]bool                  // connections that have not asked for a session
 	holdsPings      bool                              // a PING waits for AnswerPings
-	heldPings       []*Client                         // the connection of each PING that waits
+	heldPongs       list.List                         // of *Client: the connections with PINGs that wait
 	log             zerolog.Logger
 }
 
@@ -66,11 +72,12 @@
 // AnswerPings answers all PINGs that wait, and has later ones answered at once.
 func (c *Clients) AnswerPings() {
 	c.holdsPings = false
-	for _, client := range c.heldPings {
+	for entry := c.heldPongs.Front(); entry != nil; entry = c.heldPongs.Front() {
+		client := entry.Value.(*Client)
+		client.releasePongs()
 		client.restartIdleTimer()
-		client.sendPong()
+		client.sendPongs()
 	}
-	c.heldPings = nil
 }
 
 // IdleCount returns the number of connections that have not asked for a session.
@@ -105,6 +112,8 @@
 	idleTimer   *timers.Timer
 	spareEntry  *list.Element // in the connection limit, while idle
 	pingCount   int           // PINGs received
+	pongsDue    int           // PINGs that have not been answered
+	heldEntry   *list.Element // in heldPongs, while PINGs wait there
 }
 
 // New makes the client side of a connection that was just accepted. SetConn must be called next.
@@ -152,18 +161,23 @@
 // SetConn sets the connection that this is the client side of.
 func (c *Client) SetConn(conn *socket.Conn) { c.conn = conn }
 
-// Read implements socket.Owner: it handles the whole lines in the buffer.
+// Read implements socket.Owner: it handles the whole lines in the buffer. All PINGs in a row are answered by one write.
 func (c *Client) Read(buf []byte) int {
 	used := 0
 	for c.state == idle {
 		text, size, err := line.Next(buf[used:])
+		used += size
+		if string(text) == "PING" {
+			c.countPing()
+			continue
+		}
+		c.sendPongs()
 		if err != nil {
 			c.reject(err)
 		}
 		if size == 0 {
 			break
 		}
-		used += size
 		c.handleFirstLine(text, len(buf) > used)
 	}
 	switch c.state {
@@ -189,10 +203,6 @@
 
 // handleFirstLine handles a line of an idle connection. hasMore is set if more bytes follow it in the buffer.
 func (c *Client) handleFirstLine(text []byte, hasMore bool) {
-	if string(text) == "PING" {
-		c.handlePing()
-		return
-	}
 	openLine, err := line.ParseOpen(text)
 	if err == nil && hasMore { // a client must not send anything before its answer
 		err = line.ErrMalformed
@@ -214,16 +224,36 @@
 	}
 }
 
-// handlePing answers a PING, or holds the answer back until AnswerPings. The number of PINGs needs no limit: the idle timer ends the
-// connection. It stops while this proxy keeps the client waiting.
-func (c *Client) handlePing() {
+// countPing counts a PING that has to be answered, and ends a connection that sends far more of them than a load balancer does
+// while their answers are held back.
+func (c *Client) countPing() {
 	c.pingCount++
-	if !c.clients.holdsPings {
-		c.sendPong()
-		return
+	if c.pongsDue++; c.clients.holdsPings && c.pongsDue > maxHeldPongs {
+		c.releasePongs()
+		c.Finish(line.FormatBusy(0), "too-many-pings")
+	}
+}
+
+// sendPongs answers the PINGs that have not been answered, by one write, or holds the answers back until AnswerPings. The number of
+// PINGs needs no limit otherwise: the idle timer ends the connection. It stops while this proxy keeps the client waiting.
+func (c *Client) sendPongs() {
+	switch {
+	case c.state != idle || c.pongsDue == 0:
+	case !c.clients.holdsPings:
+		c.conn.Write(bytes.Repeat(pong, c.pongsDue))
+		c.pongsDue = 0
+	case c.heldEntry == nil:
+		c.clients.timers.Stop(c.idleTimer)
+		c.heldEntry = c.clients.heldPongs.PushBack(c)
+	}
+}
+
+// releasePongs takes the connection off the list of those with PINGs that wait.
+func (c *Client) releasePongs() {
+	if c.heldEntry != nil {
+		c.clients.heldPongs.Remove(c.heldEntry)
+		c.heldEntry = nil
 	}
-	c.clients.timers.Stop(c.idleTimer)
-	c.clients.heldPings = append(c.clients.heldPings, c)
 }
 
 // arrivalOf returns the session that an OPEN line asks for. isKnown is false if the settings don't have its listener or tenant.
@@ -268,16 +298,10 @@
 	c.openLine = c.session.OpenLine()
 }
 
-// sendPong answers a PING if the connection is still idle.
-func (c *Client) sendPong() {
-	if c.state == idle {
-		c.conn.Write([]byte("PONG\r\n"))
-	}
-}
-
 // leaveIdle ends the idle state: it stops the idle timer and takes the connection off the lists of idle and spare ones.
 func (c *Client) leaveIdle() {
 	c.clients.timers.Stop(c.idleTimer)
+	c.releasePongs()
 	c.clients.connectionLimit.RemoveSpare(c.spareEntry)
 	c.spareEntry = nil
 	delete(c.clients.idleClients, c)
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -152,14 +152,14 @@
 	ReadEnded                   // the connection has ended
 )
 
-// maxAvailableReads is how many reads one call of ReadAvailable makes at most. With the limit of readBufferBytes it keeps a peer
+// maxAvailableReads is how many reads one call of ReadAvailable makes at most. With the limit of availableBufferBytes it keeps a peer
 // that sends without end from holding the loop up.
 const maxAvailableReads = 4
 
 // ReadAvailable reads the bytes that have been received but not been reported by the poller yet, and handles them as those of an
 // event. It returns their number. It must not be called while the handler uses Pending of this connection.
 func (c *Conn) ReadAvailable() (size int, result ReadResult) {
-	for reads := 0; reads < maxAvailableReads && size < readBufferBytes && !c.isClosed; reads++ {
+	for reads := 0; reads < maxAvailableReads && size < availableBufferBytes && !c.isClosed; reads++ {
 		data, err := c.readSocket(c.loop.availableBuffer)
 		meaning := failure.Classify(failure.Read, err)
 		if meaning == failure.NotReady {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -21,8 +21,13 @@
 	"chalkferry/internal/failure"
 )
 
-// readBufferBytes is the size of the loop's read buffer, and so the most that one read takes from a connection.
-const readBufferBytes = 64 << 10
+const (
+	// maxReadBytes is the most that one event takes from a connection: what remains is reported again, behind the events of other
+	// connections. It bounds what a peer that sends without end costs the others in one round, and holds two lines of the protocol.
+	maxReadBytes = 8 << 10
+	// availableBufferBytes is the most that one read of Conn.ReadAvailable takes.
+	availableBufferBytes = 64 << 10
+)
 
 // Handler receives the events of connections. All methods are called on the event loop.
 type Handler interface {
@@ -47,8 +52,8 @@
 	listener listener
 	wakeFD   int           // an eventfd; a write to it wakes the loop to run tasks
 	conns    map[int]*Conn // by descriptor
-	buffer   []byte        // shared by all reads of poller events, readBufferBytes long
-	// availableBuffer is shared by all calls of Conn.ReadAvailable, readBufferBytes long. Such a call may come while an event's
+	buffer   []byte        // shared by all reads of poller events, maxReadBytes long
+	// availableBuffer is shared by all calls of Conn.ReadAvailable, availableBufferBytes long. Such a call may come while an event's
 	// bytes in buffer are still in use.
 	availableBuffer []byte
 	done            chan struct{} // closed once Run has ended
@@ -65,8 +70,8 @@
 // Open creates a loop with a listener at an IPv4 TCP address. No connection is accepted before Run. The loop records failed
 // system calls in failures, which may be nil.
 func Open(address string, handler Handler, failures *failure.Log) (*Loop, error) {
-	l := &Loop{handler: handler, failures: failures, wakeFD: -1, conns: map[int]*Conn{}, buffer: make([]byte, readBufferBytes),
-		availableBuffer: make([]byte, readBufferBytes), done: make(chan struct{})}
+	l := &Loop{handler: handler, failures: failures, wakeFD: -1, conns: map[int]*Conn{}, buffer: make([]byte, maxReadBytes),
+		availableBuffer: make([]byte, availableBufferBytes), done: make(chan struct{})}
 	if err := l.open(address); err != nil {
 		l.release()
 		return nil, err
--- /dev/null
+++ b/internal/proxy/greedy_clients_test.go
@@ -0,0 +1,118 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// floodLength is how long the tests of this file have clients send at full speed.
+const floodLength = 2 * time.Second
+
+// flood sends a text on a connection again and again until the connection ends or floodLength is over, and reads what is answered.
+func flood(conn net.Conn, text string) {
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(floodLength))
+	go io.Copy(io.Discard, conn)
+	chunk := bytes.Repeat([]byte(text), 64<<10/len(text))
+	for {
+		if _, err := conn.Write(chunk); err != nil {
+			return
+		}
+	}
+}
+
+// startFlood has clients send a text at full speed for floodLength, on a new connection when one has ended. first is called with
+// each connection before.
+func startFlood(r *testProxy, clients int, text string, first func(conn net.Conn)) {
+	until := time.Now().Add(floodLength)
+	for range clients {
+		go func() {
+			for time.Now().Before(until) {
+				conn, err := net.Dial("tcp", r.address)
+				if err != nil {
+					return // the proxy has ended
+				}
+				first(conn)
+				flood(conn, text)
+			}
+		}()
+	}
+}
+
+// manyCores gives the test's program, which plays the clients and servers too, more threads than a proxy gets.
+var manyCores = []string{`"cores":1`, `"cores":7`}
+
+// handshakeTarget is the target of the configuration's listener.
+const handshakeTarget = 200 * time.Millisecond
+
+// expectServed opens sessions for floodLength and checks that the clients get UP in time, half of them within handshakeTarget.
+func expectServed(r *testProxy) {
+	r.Helper()
+	var took []time.Duration
+	for until := time.Now().Add(floodLength); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		began := time.Now()
+		d := connect(r.T, r.address)
+		d.sendAndExpect(openLine(), "UP 1\r\n")
+		took = append(took, time.Since(began))
+		d.Close()
+	}
+	slices.Sort(took)
+	if median := took[len(took)/2]; median > handshakeTarget {
+		r.Errorf("of %d sessions beside the flood half take over %v", len(took), median)
+	}
+}
+
+// TestFloodOfPings guards against clients that send PING at full speed and hold up all others: the answers of one read were written
+// one by one.
+func TestFloodOfPings(t *testing.T) {
+	r := startTestProxy(t, manyCores...)
+	r.applyList(1, serverEntry("s-1", startEchoServer(t), "ready"))
+	startFlood(r, 8, "PING\r\n", func(net.Conn) {})
+	expectServed(r)
+}
+
+// heapSize returns the size of all reachable objects.
+func heapSize() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// TestFloodOfHeldPings guards against memory that grows with the number of PINGs whose answers are held back until a list comes,
+// and against a loop that is held up as they are all answered.
+func TestFloodOfHeldPings(t *testing.T) {
+	discoveryAddress, calls := startManualDiscovery(t)
+	r := startTestProxyWithDiscovery(t, discoveryAddress, pushedWithGrace...)
+	call := <-calls
+	waiting := connect(t, r.address)
+	fmt.Fprint(waiting.Conn, strings.Repeat("PING\r\n", 3))
+	before := heapSize()
+	startFlood(r, 2, "PING\r\n", func(net.Conn) {})
+	time.Sleep(floodLength)
+	if grown := int64(heapSize()) - int64(before); grown > 8<<20 {
+		t.Errorf("the heap has grown by %d bytes", grown)
+	}
+	call.sendFirstList(listWithOneServer(1, startEchoServer(t), "ready"))
+	for range 3 {
+		waiting.expectLine("PONG\r\n")
+	}
+	waiting.sendAndExpect("PING\r\nPING\r\n"+openLine(), "PONG\r\n")
+	waiting.expectLine("PONG\r\n")
+	waiting.expectLine("UP 1\r\n")
+	r.expectIdleAfter(waiting)
+}
+
+// expectIdleAfter closes a client's connection and waits until nothing is left.
+func (r *testProxy) expectIdleAfter(client clientConn) {
+	r.Helper()
+	client.Close()
+	r.expectIdle()
+}
