--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -356,6 +356,12 @@
 	c.endSession(how)
 }
 
+// HandleOverflow implements socket.Owner: the client reads too slowly. It would not read a last line either.
+func (c *Client) HandleOverflow() {
+	c.End(socket.Reset, "overflow")
+	c.endSession(socket.Reset)
+}
+
 // handleBroken ends a connection that the network has broken, with the last line that fits its state.
 func (c *Client) handleBroken() {
 	switch c.state {
--- a/internal/exchange/server_events.go
+++ b/internal/exchange/server_events.go
@@ -112,6 +112,10 @@
 	s.table.balancer.RecordSessionLoad(s.table.now(), s.arrival.ID, choice.DialNumber(s.dialCount-1), level/1e6)
 }
 
+// HandleServerOverflow moves an open session whose client sends faster than its server reads. Lines that this proxy can't hold are
+// lost, so the session can't go on.
+func (s *Session) HandleServerOverflow() { s.startMove("overflow") }
+
 // HandleServerEnd ends an open session, and the client's connection, after the server has ended it or its connection broke.
 func (s *Session) HandleServerEnd(outcome choice.Outcome, how socket.End, reason string) {
 	if s.state != open {
--- a/internal/proxy/greedy_clients_test.go
+++ b/internal/proxy/greedy_clients_test.go
@@ -78,6 +78,18 @@
 	expectServed(r)
 }
 
+// TestFloodOfShortLines guards against open sessions whose clients send short lines at full speed and hold up all others: one read
+// took twenty thousand lines.
+func TestFloodOfShortLines(t *testing.T) {
+	r := startTestProxy(t, append(manyCores, `"messageAim":[100]`, `"messageAim":[10000]`)...)
+	r.applyList(1, serverEntry("s-1", startEchoServer(t), "ready"))
+	startFlood(r, 8, "x\r\n", func(conn net.Conn) {
+		fmt.Fprint(conn, openLine())
+		conn.Read(make([]byte, len("UP 1\r\n")))
+	})
+	expectServed(r)
+}
+
 // heapSize returns the size of all reachable objects.
 func heapSize() uint64 {
 	runtime.GC()
@@ -116,3 +128,35 @@
 	client.Close()
 	r.expectIdle()
 }
+
+// TestServerReadsNothing guards against blame for a server whose session's client sends faster than it reads: the session is moved,
+// and the server goes on getting others.
+func TestServerReadsNothing(t *testing.T) {
+	r := startTestProxy(t, `"messageAim":[100]`, `"messageAim":[10000]`)
+	l := listenWithSmallBuffer(t)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conn.Read(make([]byte, 100)) // the first line
+			fmt.Fprint(conn, "UP 1\r\n")
+			t.Cleanup(func() { conn.Close() }) // it stays open, unread
+		}
+	}()
+	r.applyList(1, serverEntry("s-1", l.Addr().String(), "ready"))
+	for range 3 {
+		d := connect(t, r.address)
+		d.sendAndExpect(openLine(), "UP 1\r\n")
+		go func() {
+			for {
+				if _, err := fmt.Fprint(d.Conn, strings.Repeat("x", 4000)+"\r\n"); err != nil {
+					return
+				}
+			}
+		}()
+		d.expectLine("MOVE\r\n")
+	}
+	connect(t, r.address).sendAndExpect(openLine(), "UP 1\r\n")
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -438,6 +438,16 @@
 	}
 }
 
+// HandleOverflow implements socket.Owner: the server reads more slowly than the session's client sends. That says little about the
+// server, which is not blamed.
+func (d *Dial) HandleOverflow() {
+	if d.state == open {
+		d.session.HandleServerOverflow()
+		return
+	}
+	d.HandleEnd(socket.Reset)
+}
+
 // afterLastLine returns how the client's connection ends after the server's last line was passed on. If the server's connection
 // broke only after that line, the client's ends gracefully all the same, as it has got everything.
 func afterLastLine(how socket.End) socket.End {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -38,6 +38,9 @@
 	// still takes a last line, which arrives if the failure has passed, and the owner must end it. HandleEnd is not called for a
 	// connection that the owner has ended.
 	HandleEnd(how End)
+	// HandleOverflow is called when more bytes would wait to be sent than may, as the other end reads too slowly. What is written
+	// from then on is dropped, so the owner must end the connection.
+	HandleOverflow()
 }
 
 type state int
@@ -60,6 +63,7 @@
 	state         state
 	lingerTimer   *timers.Timer // while finishing
 	spareEntry    *list.Element // in the limit, while finishing
+	hasOverflowed bool          // HandleOverflow was called, or is about to be; nothing more is written
 	discarded     int           // bytes received while finishing
 	unsent        int           // once closed: bytes written that the kernel never took
 	err           error         // with which the connection ended; nil if it ended gracefully or was ended by the owner
@@ -116,20 +120,28 @@
 // PendingSize returns how many bytes have been read that the owner has left in the buffer.
 func (c *Conn) PendingSize() int { return len(c.conn.Pending()) }
 
-// Write sends whole lines. A connection whose other end reads too slowly is reset, so that the send buffer stays bounded; the owner
-// is notified once the current event is handled.
+// Write sends whole lines. If the other end reads too slowly, so that more than maxBuffered bytes would wait, it drops them, and has
+// the owner end the connection once the current event is handled.
 func (c *Conn) Write(lines []byte) {
-	if c.state != open {
+	if c.state != open || c.hasOverflowed {
 		return
 	}
 	if c.conn.Unsent()+len(lines) > c.maxBuffered {
-		c.Reset()
-		c.runAfterEvent(func() { c.owner.HandleEnd(Reset) })
+		c.hasOverflowed = true
+		c.runAfterEvent(c.overflow)
 		return
 	}
 	c.conn.Write(lines)
 }
 
+// overflow has the owner end the connection.
+func (c *Conn) overflow() {
+	if c.state == open {
+		c.hasOverflowed = true
+		c.owner.HandleOverflow()
+	}
+}
+
 // Unsent returns how many of the bytes written the kernel has not taken yet, so that the other end can't have received them. Once
 // the connection is closed, it returns how many the kernel never took.
 func (c *Conn) Unsent() int {
