--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -356,8 +356,13 @@
 	c.endSession(how)
 }
 
-// HandleOverflow implements socket.Owner: the client reads too slowly. It would not read a last line either.
+// HandleOverflow implements socket.Owner: the client reads too slowly, so that it would not read a last line either; or this proxy is
+// short of memory, and the client has sent a large part of its first line and not the rest.
 func (c *Client) HandleOverflow() {
+	if c.state == idle && c.conn.Unsent() == 0 {
+		c.drop("overflow")
+		return
+	}
 	c.End(socket.Reset, "overflow")
 	c.endSession(socket.Reset)
 }
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -25,6 +25,8 @@
 	pending     []byte          // received bytes that the handler has not discarded
 	isBorrowed  bool            // pending points into the loop's read buffer, which the next read overwrites
 	unsent      []byte          // bytes accepted by Write that the kernel has not taken yet
+	unsentAtEnd int             // once closed: how many they were
+	held        int             // bytes counted in the loop's heldBytes
 	writeError  error           // with which a write has found the connection ended; it is about to be closed
 	backOff     failure.BackOff // of failed writes and of failed registrations with the poller
 	readBackOff readBackOff
@@ -48,18 +50,27 @@
 func (c *Conn) Pending() []byte { return c.pending }
 
 // Discard drops the first n bytes of Pending.
-func (c *Conn) Discard(n int) { c.pending = c.pending[n:] }
+func (c *Conn) Discard(n int) {
+	c.pending = c.pending[n:]
+	c.countHeld()
+}
 
 // Unsent returns how many bytes given to Write are still buffered in this process. It stays valid after the connection has
 // ended.
-func (c *Conn) Unsent() int { return len(c.unsent) }
+func (c *Conn) Unsent() int {
+	if c.isClosed {
+		return c.unsentAtEnd
+	}
+	return len(c.unsent)
+}
 
 // Close closes the connection at once and drops unsent bytes. It does not call the handler.
 func (c *Conn) Close() {
 	if c.isClosed {
 		return
 	}
-	c.isClosed = true
+	c.isClosed, c.unsentAtEnd, c.unsent = true, len(c.unsent), nil
+	c.countHeld()
 	delete(c.loop.conns, c.fd)
 	if c.isRegistered {
 		c.loop.poller.Delete(c.fd) // unix.Close alone would not remove it if the descriptor was duplicated
@@ -110,7 +121,8 @@
 // read makes one read and handles its result. The poller is level-triggered and reports again while more data waits. isError
 // says that the event reports an error or a hang-up.
 func (c *Conn) read(isError bool) {
-	data, err := c.readSocket(c.loop.buffer)
+	kept := c.moveKept()
+	data, err := c.readSocket(c.loop.buffer[kept : kept+maxReadBytes])
 	if failure.Classify(failure.Read, err) == failure.NotReady {
 		if isError {
 			c.failOnSocketError()
@@ -188,12 +200,25 @@
 	return buffer[:max(n, 0)], err
 }
 
-// deliver passes received bytes to the handler. Bytes that the handler does not discard are copied out of the loop's buffer and
-// kept.
+// moveKept copies the bytes that the handler has left before into the loop's buffer, if they fit, so that a read can append to
+// them. It returns their number.
+func (c *Conn) moveKept() int {
+	if len(c.pending) > maxKeptBytes {
+		return 0
+	}
+	return copy(c.loop.buffer, c.pending)
+}
+
+// deliver passes received bytes to the handler, behind those that it has left before. Bytes that the handler does not discard are
+// copied out of the loop's buffer and kept.
 func (c *Conn) deliver(data []byte) {
-	if len(c.pending) == 0 {
+	kept := c.pending
+	switch {
+	case len(kept) == 0:
 		c.pending, c.isBorrowed = data, true
-	} else {
+	case c.isBehindKept(data):
+		c.pending, c.isBorrowed = c.loop.buffer[:len(kept)+len(data)], true
+	default:
 		c.pending = append(c.pending, data...)
 	}
 	c.loop.handler.OnTraffic(c)
@@ -201,9 +226,16 @@
 	case len(c.pending) == 0:
 		c.pending = nil
 	case c.isBorrowed:
-		c.pending = append([]byte(nil), c.pending...)
+		c.pending = append(kept[:0], c.pending...)
 	}
 	c.isBorrowed = false
+	c.countHeld()
+}
+
+// isBehindKept reports whether data was read into the loop's buffer behind a copy of the bytes that were kept.
+func (c *Conn) isBehindKept(data []byte) bool {
+	kept := len(c.pending)
+	return kept > 0 && kept <= maxKeptBytes && len(data) > 0 && &data[0] == &c.loop.buffer[kept]
 }
 
 // failOnSocketError closes the connection if its socket has a pending error (SO_ERROR) that a read did not return.
@@ -220,6 +252,7 @@
 	if c.isClosed {
 		return
 	}
+	defer c.countHeld()
 	if len(c.unsent) > 0 {
 		c.unsent = append(c.unsent, data...)
 		return
@@ -234,6 +267,7 @@
 	if c.isClosed || len(c.unsent) == 0 || c.writeError != nil {
 		return
 	}
+	defer c.countHeld()
 	n, err := c.writeSocket(c.unsent)
 	if c.unsent = c.unsent[n:]; len(c.unsent) == 0 {
 		c.unsent = nil
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -25,6 +25,8 @@
 	// maxReadBytes is the most that one event takes from a connection: what remains is reported again, behind the events of other
 	// connections. It bounds what a peer that sends without end costs the others in one round, and holds two lines of the protocol.
 	maxReadBytes = 8 << 10
+	// maxKeptBytes is up to how many bytes that a handler leaves are joined with the next read in the loop's buffer: a line.
+	maxKeptBytes = 4 << 10
 	// availableBufferBytes is the most that one read of Conn.ReadAvailable takes.
 	availableBufferBytes = 64 << 10
 )
@@ -42,6 +44,10 @@
 	// OnClose is called when the peer has closed the connection, with io.EOF, or with the error of a failed call. It may be
 	// called during Conn.Write and Conn.ReadAvailable. It is not called for a connection that Conn.Close closes.
 	OnClose(c *Conn, err error)
+	// OnOverflow is called when all connections together hold more bytes than the loop's limit, for the one that holds most. The
+	// handler should have it hold less, or close it. It is called again while the limit is exceeded, and must close a connection for
+	// which it is called twice.
+	OnOverflow(c *Conn)
 }
 
 // Loop is an event loop with one listener.
@@ -52,14 +58,16 @@
 	listener listener
 	wakeFD   int           // an eventfd; a write to it wakes the loop to run tasks
 	conns    map[int]*Conn // by descriptor
-	buffer   []byte        // shared by all reads of poller events, maxReadBytes long
+	buffer   []byte        // shared by all reads of poller events, maxKeptBytes + maxReadBytes long
 	// availableBuffer is shared by all calls of Conn.ReadAvailable, availableBufferBytes long. Such a call may come while an event's
 	// bytes in buffer are still in use.
 	availableBuffer []byte
 	done            chan struct{} // closed once Run has ended
 
-	isStopping               bool // read and written on the loop only
-	consecutiveUnknownEvents int  // events of unknown descriptors since the last event of a connection
+	held heldBytes // read and written on the loop only, as are the next two
+
+	isStopping               bool
+	consecutiveUnknownEvents int // events of unknown descriptors since the last event of a connection
 
 	mu            sync.Mutex // guards the fields below and the descriptor in wakeFD
 	tasks         []func()
@@ -70,7 +78,7 @@
 // Open creates a loop with a listener at an IPv4 TCP address. No connection is accepted before Run. The loop records failed
 // system calls in failures, which may be nil.
 func Open(address string, handler Handler, failures *failure.Log) (*Loop, error) {
-	l := &Loop{handler: handler, failures: failures, wakeFD: -1, conns: map[int]*Conn{}, buffer: make([]byte, maxReadBytes),
+	l := &Loop{handler: handler, failures: failures, wakeFD: -1, conns: map[int]*Conn{}, buffer: make([]byte, maxKeptBytes+maxReadBytes),
 		availableBuffer: make([]byte, availableBufferBytes), done: make(chan struct{})}
 	if err := l.open(address); err != nil {
 		l.release()
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -38,6 +38,8 @@
 
 func (e *echoHandler) OnBroken(*Conn, error) {}
 
+func (e *echoHandler) OnOverflow(c *Conn) { c.Close() }
+
 func (e *echoHandler) OnClose(_ *Conn, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/proxy/connections.go
+++ b/internal/proxy/connections.go
@@ -55,3 +55,12 @@
 		c.HandleClose(err)
 	}
 }
+
+// OnOverflow ends a connection that holds most of the buffered bytes, as there are too many.
+func (p *Proxy) OnOverflow(conn *eventloop.Conn) {
+	p.beginEvent()
+	defer p.endEvent()
+	if c, ok := conn.Context().(*socket.Conn); ok {
+		c.Evict()
+	}
+}
--- a/internal/proxy/greedy_clients_test.go
+++ b/internal/proxy/greedy_clients_test.go
@@ -129,6 +129,71 @@
 	r.expectIdle()
 }
 
+// TestFloodOfUnreadLines guards against memory over the limit: clients of open sessions send long lines at full speed and read
+// nothing, so that up to 512 KB waited in this process for each of them.
+func TestFloodOfUnreadLines(t *testing.T) {
+	const clients = 90
+	r := startTestProxy(t, append(manyCores, `"messageAim":[100]`, `"messageAim":[10000]`)...)
+	r.applyList(1, serverEntry("s-1", startEchoServer(t), "ready"))
+	quiet := connect(t, r.address)
+	quiet.sendAndExpect(openLine(), "UP 1\r\n")
+	before := heapSize()
+	chunk := bytes.Repeat([]byte(strings.Repeat("x", 4000)+"\r\n"), 16)
+	until := time.Now().Add(floodLength)
+	for range clients {
+		go func() {
+			for time.Now().Before(until) {
+				conn, err := net.Dial("tcp", r.address)
+				if err != nil {
+					return // the proxy has ended
+				}
+				conn.SetDeadline(until)
+				fmt.Fprint(conn, openLine())
+				conn.Read(make([]byte, len("UP 1\r\n")))
+				for err == nil {
+					_, err = conn.Write(chunk)
+				}
+				conn.Close()
+			}
+		}()
+	}
+	for ; time.Now().Before(until); time.Sleep(floodLength / 64) {
+		if grown := int64(heapSize()) - int64(before); grown > 8<<20 {
+			t.Errorf("the heap has grown by %d bytes", grown)
+		}
+		quiet.sendAndExpect("M 1\r\n", "M 1\r\n")
+	}
+}
+
+// TestHalfLines checks that clients that stop in the middle of their first lines hold no more than the limit: those that hold most
+// are answered BUSY, and others are served.
+func TestHalfLines(t *testing.T) {
+	const (
+		maxHeld  = 64 << 10
+		lineSize = 3 << 10
+		clients  = 40
+	)
+	r := startTestProxy(t)
+	r.applyList(1, serverEntry("s-1", startEchoServer(t), "ready"))
+	r.onLoop(func() { r.p.loop.SetMaxHeldBytes(maxHeld) })
+	answers := make(chan string, clients)
+	for range clients {
+		d := connect(t, r.address)
+		fmt.Fprint(d.Conn, "OPEN "+strings.Repeat("x", lineSize))
+		go func() {
+			answer, _ := d.ReadString('\n')
+			answers <- answer
+		}()
+	}
+	for range clients - maxHeld/lineSize {
+		if answer := <-answers; answer != "BUSY\r\n" {
+			t.Errorf("a client gets %q", answer)
+		}
+	}
+	r.waitFor("the limit is met", func() bool { return r.p.loop.HeldBytes() <= maxHeld })
+	connect(t, r.address).sendAndExpect(openLine(), "UP 1\r\n")
+}
+
 // TestServerReadsNothing guards against blame for a server whose session's client sends faster than it reads: the session is moved,
 // and the server goes on getting others.
 func TestServerReadsNothing(t *testing.T) {
@@ -160,3 +225,39 @@
 	}
 	connect(t, r.address).sendAndExpect(openLine(), "UP 1\r\n")
 }
+
+// TestOpenBehindPingsOfLeftClient checks that no OPEN line is sent on that waited unread behind PINGs as its client left.
+func TestOpenBehindPingsOfLeftClient(t *testing.T) {
+	for name, leave := range waysToLeave {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, s := startTestProxy(t), startTestServer(t, nil)
+			r.applyList(1, serverEntry("s-1", s.address, "ready"))
+			for _, stall := range []bool{false, true} {
+				release := func() {}
+				if stall {
+					release = r.stallLoop()
+				}
+				var clients []clientConn
+				for range 20 {
+					d := connect(t, r.address)
+					fmt.Fprint(d.Conn, strings.Repeat("PING\r\n", 5000)+openLine())
+					clients = append(clients, d)
+				}
+				for _, d := range clients {
+					leave(d)
+				}
+				left := time.Now()
+				if !stall {
+					time.Sleep(100 * time.Millisecond) // by which a client that has left must be noticed
+				}
+				_, noticed, _ := s.summary()
+				release()
+				time.Sleep(time.Until(left.Add(time.Second)))
+				if _, firstLines, _ := s.summary(); firstLines != noticed {
+					t.Errorf("%d first lines of clients that have left", firstLines-noticed)
+				}
+			}
+		})
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 
 const (
 	memoryLimitShare = 0.75        // fraction of the memory limit that the Go runtime may use; the rest is for what it does not count
+	heldBytesDivisor = 32          // of the memory limit, the part that buffers of connections may take
 	reservedSockets  = 32          // file descriptors kept back for discovery, the event loop and the Go runtime
 	maxUnsentBytes   = 1 << 18     // bytes buffered for one connection whose peer reads slowly
 	reportInterval   = time.Second // between publications of the session tally; also between reports of one server's slow messages
@@ -179,11 +180,17 @@
 		return err
 	}
 	return failure.RetryFor(startRetryLimit, failure.Listen, p.failures, func() (err error) {
-		p.loop, err = eventloop.Open(p.addresses.Listen, p, p.failures)
+		if p.loop, err = eventloop.Open(p.addresses.Listen, p, p.failures); err == nil {
+			p.loop.SetMaxHeldBytes(maxHeldBytes(p.limits))
+		}
 		return err
 	})
 }
 
+// maxHeldBytes is how many bytes the connections may hold in buffers. Buffers that grow and shrink cost several times their size
+// until the next garbage collection.
+func maxHeldBytes(limits start.Limits) int { return limits.MemoryMB << 20 / heldBytesDivisor }
+
 // startBalancer makes the balancer, gives it the cached list of servers and starts the periodic work. It runs on the event
 // loop.
 func (p *Proxy) startBalancer(seed int64, known discovery.List) {
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -37,6 +37,7 @@
 		changedNames := changedStartFields(p.configText, configText)
 		p.configText = configText
 		p.limitMemory(next.limits)
+		p.loop.SetMaxHeldBytes(maxHeldBytes(next.limits))
 		p.connectionLimit.Acquire(p.limits.Sockets - next.limits.Sockets)
 		p.limits = next.limits
 		if endpoint != nil {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -142,6 +142,20 @@
 	}
 }
 
+// Evict frees the memory that the connection holds, or has the owner end it, as all connections together hold too much and this one
+// most. Called again, it closes the connection.
+func (c *Conn) Evict() {
+	switch {
+	case c.state == open && !c.hasOverflowed:
+		c.overflow()
+	case c.state == open:
+		c.Reset()
+		c.runAfterEvent(func() { c.owner.HandleEnd(Reset) })
+	default:
+		c.Reset()
+	}
+}
+
 // Unsent returns how many of the bytes written the kernel has not taken yet, so that the other end can't have received them. Once
 // the connection is closed, it returns how many the kernel never took.
 func (c *Conn) Unsent() int {
