--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -71,6 +71,8 @@
 }
 
 const (
+	// openFields is the number of fields of an OPEN line, which are separated by spaces.
+	openFields = 4
 	// maxPairs is the maximum number of name=value pairs in an OPEN line.
 	maxPairs = 32
 	// maxRemainingMs is the exclusive upper bound of the time that a client may wait, in milliseconds.
@@ -81,8 +83,8 @@
 // the other value. All its errors are ErrMalformed.
 func ParseOpen(text []byte) (Open, error) {
 	var open Open
-	fields := bytes.Split(text, []byte(" "))
-	if len(fields) != 4 || string(fields[0]) != "OPEN" || len(fields[1]) == 0 || len(fields[2]) == 0 {
+	fields := bytes.SplitN(text, []byte(" "), openFields+1)
+	if len(fields) != openFields || string(fields[0]) != "OPEN" || len(fields[1]) == 0 || len(fields[2]) == 0 {
 		return open, ErrMalformed
 	}
 	offset := len(text) - len(fields[3])
@@ -91,7 +93,8 @@
 	}
 	open.ID, open.Key = fields[1], fields[2]
 	var names [maxPairs][]byte
-	for i, pair := range bytes.Split(fields[3], []byte(",")) {
+	i := 0
+	for pair := range bytes.SplitSeq(fields[3], []byte(",")) {
 		name, value, ok := bytes.Cut(pair, []byte("="))
 		if !ok || i == maxPairs || slices.ContainsFunc(names[:i], func(n []byte) bool { return bytes.Equal(n, name) }) {
 			return open, ErrMalformed
@@ -101,6 +104,7 @@
 			return open, ErrMalformed
 		}
 		offset += len(pair) + 1
+		i++
 	}
 	if open.remainingEnd == 0 || open.Listener == nil {
 		return open, ErrMalformed
