--- a/internal/clients/pings.go
+++ b/internal/clients/pings.go
@@ -33,7 +33,6 @@
 func (c *Client) countPing() {
 	c.pingCount++
 	if c.pongsDue++; c.clients.holdsPings && c.pongsDue > maxHeldPongs {
-		c.releasePongs()
 		c.Finish(line.FormatBusy(0), "too-many-pings")
 	}
 }
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -31,8 +31,8 @@
 }
 
 // NewTable makes an empty table. SetBalancer must be called before any other method. runAfterEvent calls back once the current
-// event is handled, startTimer after a time, awaitList once the list of servers is current; resumeInterval is the pause between two dials of a session that is resumed, and
-// silenceLimit the time after which a server that answers nobody loses its sessions.
+// event is handled, startTimer after a time, awaitList once the list of servers is current; resumeInterval is the pause between two
+// dials of a session that is resumed, and silenceLimit the time after which a server that answers nobody loses its sessions.
 func NewTable(dialer Dialer, now func() time.Duration, runAfterEvent func(func()), startTimer func(time.Duration, func()),
 	awaitList AwaitList, resumeInterval, silenceLimit time.Duration, delays *DelayTracker) *Table {
 	return &Table{dialer: dialer, now: now, runAfterEvent: runAfterEvent, startTimer: startTimer, awaitList: awaitList, resumeInterval: resumeInterval, silenceLimit: silenceLimit,
--- a/internal/proxy/greedy_clients_test.go
+++ b/internal/proxy/greedy_clients_test.go
@@ -15,23 +15,11 @@
 // floodLength is how long the tests of this file have clients send at full speed.
 const floodLength = 2 * time.Second
 
-// flood sends a text on a connection again and again until the connection ends or floodLength is over, and reads what is answered.
-func flood(conn net.Conn, text string) {
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(floodLength))
-	go io.Copy(io.Discard, conn)
-	chunk := bytes.Repeat([]byte(text), 64<<10/len(text))
-	for {
-		if _, err := conn.Write(chunk); err != nil {
-			return
-		}
-	}
-}
-
 // startFlood has clients send a text at full speed for floodLength, on a new connection when one has ended. first is called with
 // each connection before.
 func startFlood(r *testProxy, clients int, text string, first func(conn net.Conn)) {
 	until := time.Now().Add(floodLength)
+	chunk := bytes.Repeat([]byte(text), 64<<10/len(text))
 	for range clients {
 		go func() {
 			for time.Now().Before(until) {
@@ -39,13 +27,26 @@
 				if err != nil {
 					return // the proxy has ended
 				}
+				conn.SetDeadline(until)
 				first(conn)
-				flood(conn, text)
+				for err == nil {
+					_, err = conn.Write(chunk)
+				}
+				conn.Close()
 			}
 		}()
 	}
 }
 
+// readAll reads what the proxy answers on a connection.
+func readAll(conn net.Conn) { go io.Copy(io.Discard, conn) }
+
+// openSession opens a session on a connection.
+func openSession(conn net.Conn) {
+	fmt.Fprint(conn, openLine())
+	conn.Read(make([]byte, len("UP 1\r\n")))
+}
+
 // manyCores gives the test's program, which plays the clients and servers too, more threads than a proxy gets. Connects, which run
 // beside the loop, may be slow there.
 var manyCores = []string{`"cores":1`, `"cores":7`, `"connectTimeout":100`, `"connectTimeout":700`}
@@ -75,7 +76,7 @@
 func TestFloodOfPings(t *testing.T) {
 	r := startTestProxy(t, manyCores...)
 	r.applyList(1, serverEntry("s-1", startEchoServer(t), "ready"))
-	startFlood(r, 8, "PING\r\n", func(net.Conn) {})
+	startFlood(r, 8, "PING\r\n", readAll)
 	expectServed(r)
 }
 
@@ -85,8 +86,8 @@
 	r := startTestProxy(t, append(manyCores, `"messageAim":[100]`, `"messageAim":[10000]`)...)
 	r.applyList(1, serverEntry("s-1", startEchoServer(t), "ready"))
 	startFlood(r, 8, "x\r\n", func(conn net.Conn) {
-		fmt.Fprint(conn, openLine())
-		conn.Read(make([]byte, len("UP 1\r\n")))
+		openSession(conn)
+		readAll(conn)
 	})
 	expectServed(r)
 }
@@ -108,7 +109,7 @@
 	waiting := connect(t, r.address)
 	fmt.Fprint(waiting.Conn, strings.Repeat("PING\r\n", 3))
 	before := heapSize()
-	startFlood(r, 2, "PING\r\n", func(net.Conn) {})
+	startFlood(r, 2, "PING\r\n", readAll)
 	time.Sleep(floodLength)
 	if grown := int64(heapSize()) - int64(before); grown > 8<<20 {
 		t.Errorf("the heap has grown by %d bytes", grown)
@@ -139,25 +140,8 @@
 	quiet := connect(t, r.address)
 	quiet.sendAndExpect(openLine(), "UP 1\r\n")
 	before := heapSize()
-	chunk := bytes.Repeat([]byte(strings.Repeat("x", 4000)+"\r\n"), 16)
 	until := time.Now().Add(floodLength)
-	for range clients {
-		go func() {
-			for time.Now().Before(until) {
-				conn, err := net.Dial("tcp", r.address)
-				if err != nil {
-					return // the proxy has ended
-				}
-				conn.SetDeadline(until)
-				fmt.Fprint(conn, openLine())
-				conn.Read(make([]byte, len("UP 1\r\n")))
-				for err == nil {
-					_, err = conn.Write(chunk)
-				}
-				conn.Close()
-			}
-		}()
-	}
+	startFlood(r, clients, strings.Repeat("x", 4000)+"\r\n", openSession)
 	for ; time.Now().Before(until); time.Sleep(floodLength / 64) {
 		if grown := int64(heapSize()) - int64(before); grown > 8<<20 {
 			t.Errorf("the heap has grown by %d bytes", grown)
--- a/internal/proxy/list_lease_test.go
+++ b/internal/proxy/list_lease_test.go
@@ -203,9 +203,8 @@
 	probe.expect(t, "UP", listSentAt.Add(answerSlack), time.Now())
 }
 
-// TestSendsWhileDiscoveryIsDown checks that sessions are served while discovery fails each call at once, for longer than
-// discovery.StalenessLimit. It guards against sends by an old list once calls wait for their turn instead: discovery is back
-// (review/7).
+// TestSendsWhileDiscoveryIsDown guards against refusals while discovery fails each call at once, and against sends by the old list
+// once calls wait for their turn instead (review/7).
 func TestSendsWhileDiscoveryIsDown(t *testing.T) {
 	t.Parallel()
 	for name, fail := range map[string]func(c discoveryCall){"resets": failedCalls[0], "answers 503": failedCalls[1]} {
--- a/internal/proxy/standstill.go
+++ b/internal/proxy/standstill.go
@@ -56,6 +56,9 @@
 func (p *Proxy) resumeAfterList() {
 	p.standstill.hasUnreadList = false
 	p.listGate.release(p.isListRead, p.isListCurrent)
+	if p.isListCurrent() {
+		p.logCurrentList("read")
+	}
 }
 
 // isListRead reports whether all that discovery sent during a standstill has been applied.
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -438,14 +438,17 @@
 	}
 }
 
-// HandleOverflow implements socket.Owner: the server reads more slowly than the session's client sends. That says little about the
-// server, which is not blamed.
+// HandleOverflow implements socket.Owner: the server reads more slowly than the session's client sends, or this proxy is short of
+// memory. Neither is the server's fault.
 func (d *Dial) HandleOverflow() {
-	if d.state == open {
+	switch {
+	case d.state == open:
 		d.session.HandleServerOverflow()
-		return
+	case d.state == awaitingAnswer && d.conn.Unsent() > 0: // the first line was not sent completely
+		d.fail(choice.NotSent, socket.Reset, "overflow")
+	default:
+		d.HandleEnd(socket.Reset)
 	}
-	d.HandleEnd(socket.Reset)
 }
 
 // afterLastLine returns how the client's connection ends after the server's last line was passed on. If the server's connection
