One AwaitList for sessions and dials that wait for the list

Cause: packages exchange and servers each had a type of that name, with different parameters. Change: exchange.AwaitList says whether the session is new; no behaviour changes.

--- a/internal/exchange/hold.go
+++ b/internal/exchange/hold.go
@@ -15,13 +15,14 @@
 // staleListReason is the reason in the log for sessions that are refused because the list of servers may be out of date.
 const staleListReason = "stale-list"
 
-// AwaitList calls back once the list of servers is current, at once if it is, unless cancel was called before.
-type AwaitList func(callback func()) (cancel func())
+// AwaitList calls back once everything that discovery has sent is applied to the list of servers, and for a session that is new to
+// the servers once the list is current besides; at once if that is so. cancel drops the call.
+type AwaitList func(isNew bool, callback func()) (cancel func())
 
 // placeWhenListCurrent has the session placed once the list is current, and refused if that takes too long.
 func (s *Session) placeWhenListCurrent() {
 	s.isHeld = true
-	cancel := s.table.awaitList(func() {
+	cancel := s.table.awaitList(true, func() {
 		if s.isHeld {
 			s.isHeld = false
 			s.place()
--- a/internal/exchange/rig_test.go
+++ b/internal/exchange/rig_test.go
@@ -178,7 +178,7 @@
 }
 
 // awaitNothing is an AwaitList whose list is always current.
-func awaitNothing(callback func()) (cancel func()) {
+func awaitNothing(_ bool, callback func()) (cancel func()) {
 	callback()
 	return func() {}
 }
--- a/internal/proxy/list_lease.go
+++ b/internal/proxy/list_lease.go
@@ -27,7 +27,7 @@
 }
 
 // awaitList calls back once the list has been read, and for a session that is new to the servers once it is current; at once if it
-// is. It implements servers.AwaitList.
+// is. It implements exchange.AwaitList.
 func (p *Proxy) awaitList(isNew bool, callback func()) (cancel func()) {
 	if p.isListRead() && (!isNew || p.isListCurrent()) {
 		callback()
@@ -37,9 +37,6 @@
 	return p.listGate.add(gatedCall{isNew: isNew, callback: callback})
 }
 
-// awaitCurrentList implements exchange.AwaitList.
-func (p *Proxy) awaitCurrentList(callback func()) (cancel func()) { return p.awaitList(true, callback) }
-
 // handleListConfirmed renews the lease after a list or a heartbeat on the watch.
 func (p *Proxy) handleListConfirmed(received discovery.Reception) {
 	p.lease.Received(p.arrivalTime(received))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -160,7 +160,7 @@
 	dialer := servers.New(p.connector, p.directory, p.timers, p.connectionLimit, p.now, p.awaitList, p.log)
 	after := func(delay time.Duration, callback func()) { p.timers.After(delay, callback) }
 	delays := exchange.NewDelayTracker(settings.slowMessageThreshold, reportInterval, settings.serversReportLoad, settings.serversReportDelay)
-	p.table = exchange.NewTable(dialer, p.now, p.afterEvent, after, p.awaitCurrentList, settings.connectTimeout, settings.serverSilenceLimit, delays)
+	p.table = exchange.NewTable(dialer, p.now, p.afterEvent, after, p.awaitList, settings.connectTimeout, settings.serverSilenceLimit, delays)
 	p.clients = clients.New(p.table, p.timers, p.connectionLimit, p.now, settings.helloTimeout, p.directory.listedID,
 		settings.listenerIDs, settings.tenantIDs, settings.hasGroups, p.log)
 	p.watcher = discovery.New(p.addresses.Discovery, settings.discoveryConnectTimeout, settings.watchAnswerTimeout, p.execute,
--- a/internal/proxy/slopes_test.go
+++ b/internal/proxy/slopes_test.go
@@ -142,7 +142,7 @@
 	dialer := &instantDialer{}
 	clock := func() time.Duration { return 0 }
 	p.timers = timers.New(clock, func(time.Duration) {})
-	awaitNothing := func(callback func()) func() {
+	awaitNothing := func(_ bool, callback func()) func() {
 		callback()
 		return func() {}
 	}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -167,17 +167,13 @@
 	timers          *timers.Timers
 	connectionLimit *socket.ConnectionLimit
 	now             func() time.Duration
-	awaitList       AwaitList
+	awaitList       exchange.AwaitList
 	log             zerolog.Logger
 }
 
-// AwaitList calls back once the directory has all that discovery has sent, at once if it has, unless cancel was called before. For a
-// session that is new to the servers it also waits until the list is current: discovery may have more that counts as known.
-type AwaitList func(isNew bool, callback func()) (cancel func())
-
 // New makes the server side of a proxy.
 func New(connector *Connector, directory Directory, t *timers.Timers, connectionLimit *socket.ConnectionLimit, now func() time.Duration,
-	awaitList AwaitList, log zerolog.Logger) *Servers {
+	awaitList exchange.AwaitList, log zerolog.Logger) *Servers {
 	return &Servers{connector: connector, directory: directory, timers: t, connectionLimit: connectionLimit, now: now,
 		awaitList: awaitList, log: log}
 }
