Say buffered for bytes in buffers, and pushed for the one term of a lease

Cause: held stood for sessions that wait for a list, answers to PING and bytes in buffers; LeaseTerms was a type for one flag. Change: buffered bytes in internal/eventloop, Lease has the flag itself; no behaviour changes.

--- a/internal/discovery/lease_test.go
+++ b/internal/discovery/lease_test.go
@@ -11,10 +11,10 @@
 		sec = time.Second
 		now = 100 * sec
 	)
-	asked, pushed := LeaseTerms{}, LeaseTerms{Pushed: true}
-	started := func(terms LeaseTerms) Lease { return NewLease(terms, sec) }
-	received := func(terms LeaseTerms) Lease {
-		l := started(terms)
+	const asked, pushed = false, true
+	started := func(pushed bool) Lease { return NewLease(pushed, sec) }
+	received := func(pushed bool) Lease {
+		l := started(pushed)
 		l.Received(now)
 		return l
 	}
--- a/internal/eventloop/held_bytes_test.go
+++ b/internal/eventloop/buffered_bytes_test.go
@@ -7,12 +7,12 @@
 	"time"
 )
 
-// TestMaxHeldBytes checks that connections whose peers don't read hold no more than the limit, that those that hold most are closed,
+// TestMaxBufferedBytes checks that connections whose peers don't read hold no more than the limit, that those that hold most are closed,
 // and that one that holds little goes on.
-func TestMaxHeldBytes(t *testing.T) {
+func TestMaxBufferedBytes(t *testing.T) {
 	const (
-		maxHeld = 256 << 10
-		greedy  = 8
+		maxBuffered = 256 << 10
+		greedy      = 8
 	)
 	l, address := startLoop(t, &echoHandler{})
 	onLoop := func(call func()) {
@@ -23,7 +23,7 @@
 		})
 		<-done
 	}
-	onLoop(func() { l.SetMaxHeldBytes(maxHeld) })
+	onLoop(func() { l.SetMaxBufferedBytes(maxBuffered) })
 	dial := func() net.Conn {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
@@ -52,7 +52,7 @@
 	for range greedy {
 		onLoop(func() {
 			// What is over the limit is given back in a task of its own, and each connection may have read once before.
-			if held := l.HeldBytes(); held > maxHeld+greedy*maxReadBytes {
+			if held := l.BufferedBytes(); held > maxBuffered+greedy*maxReadBytes {
 				t.Errorf("%d bytes are held", held)
 			}
 		})
@@ -66,7 +66,7 @@
 	modest.Close()
 	for range 100 {
 		held := 0
-		onLoop(func() { held = l.HeldBytes() })
+		onLoop(func() { held = l.BufferedBytes() })
 		if held == 0 {
 			return
 		}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -26,7 +26,7 @@
 	isBorrowed  bool            // pending points into the loop's read buffer, which the next read overwrites
 	unsent      []byte          // bytes accepted by Write that the kernel has not taken yet
 	unsentAtEnd int             // once closed: how many they were
-	held        int             // bytes counted in the loop's heldBytes
+	buffered    int             // bytes counted in the loop's bufferedBytes
 	writeError  error           // with which a write has found the connection ended; it is about to be closed
 	backOff     failure.BackOff // of failed writes and of failed registrations with the poller
 	readBackOff readBackOff
@@ -52,7 +52,7 @@
 // Discard drops the first n bytes of Pending.
 func (c *Conn) Discard(n int) {
 	c.pending = c.pending[n:]
-	c.countHeld()
+	c.countBuffered()
 }
 
 // Unsent returns how many bytes given to Write are still buffered in this process. It stays valid after the connection has
@@ -70,7 +70,7 @@
 		return
 	}
 	c.isClosed, c.unsentAtEnd, c.unsent = true, len(c.unsent), nil
-	c.countHeld()
+	c.countBuffered()
 	delete(c.loop.conns, c.fd)
 	if c.isRegistered {
 		c.loop.poller.Delete(c.fd) // unix.Close alone would not remove it if the descriptor was duplicated
@@ -229,7 +229,7 @@
 		c.pending = append(kept[:0], c.pending...)
 	}
 	c.isBorrowed = false
-	c.countHeld()
+	c.countBuffered()
 }
 
 // isBehindKept reports whether data was read into the loop's buffer behind a copy of the bytes that were kept.
@@ -252,7 +252,7 @@
 	if c.isClosed {
 		return
 	}
-	defer c.countHeld()
+	defer c.countBuffered()
 	if len(c.unsent) > 0 {
 		c.unsent = append(c.unsent, data...)
 		return
@@ -267,7 +267,7 @@
 	if c.isClosed || len(c.unsent) == 0 || c.writeError != nil {
 		return
 	}
-	defer c.countHeld()
+	defer c.countBuffered()
 	n, err := c.writeSocket(c.unsent)
 	if c.unsent = c.unsent[n:]; len(c.unsent) == 0 {
 		c.unsent = nil
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -64,7 +64,7 @@
 	availableBuffer []byte
 	done            chan struct{} // closed once Run has ended
 
-	held heldBytes // read and written on the loop only, as are the next two
+	buffered bufferedBytes // read and written on the loop only, as are the next two
 
 	isStopping               bool
 	consecutiveUnknownEvents int // events of unknown descriptors since the last event of a connection
--- a/internal/proxy/greedy_clients_test.go
+++ b/internal/proxy/greedy_clients_test.go
@@ -154,13 +154,13 @@
 // are answered BUSY, and others are served.
 func TestHalfLines(t *testing.T) {
 	const (
-		maxHeld  = 64 << 10
-		lineSize = 3 << 10
-		clients  = 40
+		maxBuffered = 64 << 10
+		lineSize    = 3 << 10
+		clients     = 40
 	)
 	r := startTestProxy(t)
 	r.applyList(1, serverEntry("s-1", startEchoServer(t), "ready"))
-	r.onLoop(func() { r.p.loop.SetMaxHeldBytes(maxHeld) })
+	r.onLoop(func() { r.p.loop.SetMaxBufferedBytes(maxBuffered) })
 	answers := make(chan string, clients)
 	for range clients {
 		d := connect(t, r.address)
@@ -170,12 +170,12 @@
 			answers <- answer
 		}()
 	}
-	for range clients - maxHeld/lineSize {
+	for range clients - maxBuffered/lineSize {
 		if answer := <-answers; answer != "BUSY\r\n" {
 			t.Errorf("a client gets %q", answer)
 		}
 	}
-	r.waitFor("the limit is met", func() bool { return r.p.loop.HeldBytes() <= maxHeld })
+	r.waitFor("the limit is met", func() bool { return r.p.loop.BufferedBytes() <= maxBuffered })
 	connect(t, r.address).sendAndExpect(openLine(), "UP 1\r\n")
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,12 +29,12 @@
 )
 
 const (
-	memoryLimitShare = 0.75        // fraction of the memory limit that the Go runtime may use; the rest is for what it does not count
-	heldBytesDivisor = 32          // of the memory limit, the part that buffers of connections may take
-	reservedSockets  = 32          // file descriptors kept back for discovery, the event loop and the Go runtime
-	maxUnsentBytes   = 1 << 18     // bytes buffered for one connection whose peer reads slowly
-	reportInterval   = time.Second // between publications of the session tally; also between reports of one server's slow messages
-	sweepsPerReport  = 10          // session sweeps per reportInterval
+	memoryLimitShare     = 0.75        // fraction of the memory limit that the Go runtime may use; the rest is for what it does not count
+	bufferedBytesDivisor = 32          // of the memory limit, the part that buffers of connections may take
+	reservedSockets      = 32          // file descriptors kept back for discovery, the event loop and the Go runtime
+	maxUnsentBytes       = 1 << 18     // bytes buffered for one connection whose peer reads slowly
+	reportInterval       = time.Second // between publications of the session tally; also between reports of one server's slow messages
+	sweepsPerReport      = 10          // session sweeps per reportInterval
 )
 
 // startRetryLimit is how long temporary failures to open a socket are retried at the start.
@@ -181,15 +181,15 @@
 	}
 	return failure.RetryFor(startRetryLimit, failure.Listen, p.failures, func() (err error) {
 		if p.loop, err = eventloop.Open(p.addresses.Listen, p, p.failures); err == nil {
-			p.loop.SetMaxHeldBytes(maxHeldBytes(p.limits))
+			p.loop.SetMaxBufferedBytes(maxBufferedBytes(p.limits))
 		}
 		return err
 	})
 }
 
-// maxHeldBytes is how many bytes the connections may hold in buffers. Buffers that grow and shrink cost several times their size
+// maxBufferedBytes is how many bytes the connections may hold in buffers. Buffers that grow and shrink cost several times their size
 // until the next garbage collection.
-func maxHeldBytes(limits start.Limits) int { return limits.MemoryMB << 20 / heldBytesDivisor }
+func maxBufferedBytes(limits start.Limits) int { return limits.MemoryMB << 20 / bufferedBytesDivisor }
 
 // startBalancer makes the balancer, gives it the cached list of servers and starts the periodic work. It runs on the event
 // loop.
@@ -198,7 +198,7 @@
 	p.balancer = choice.New(balancerFront{p.table, p}, rand.New(rand.NewSource(seed)), t.listeners, t.dials, t.budget,
 		t.list, t.cold, t.peerReports)
 	p.table.SetBalancer(p.balancer)
-	p.lease = discovery.NewLease(t.leaseTerms, p.now())
+	p.lease = discovery.NewLease(t.leasePushed, p.now())
 	if t.listPushed {
 		p.clients.HoldPings()
 		// A discovery service that stays silent must not keep the proxy out of rotation.
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -37,7 +37,7 @@
 		changedNames := changedStartFields(p.configText, configText)
 		p.configText = configText
 		p.limitMemory(next.limits)
-		p.loop.SetMaxHeldBytes(maxHeldBytes(next.limits))
+		p.loop.SetMaxBufferedBytes(maxBufferedBytes(next.limits))
 		p.connectionLimit.Acquire(p.limits.Sockets - next.limits.Sockets)
 		p.limits = next.limits
 		if endpoint != nil {
@@ -76,7 +76,7 @@
 		settings.serversReportLoad, settings.serversReportDelay)
 	p.clients.Reconfigure(settings.helloTimeout, settings.listenerIDs, settings.tenantIDs, settings.hasGroups)
 	p.directory.applySettings(settings.zones, settings.list.OnlyDrainsExclude, settings.learnModels)
-	p.lease.SetTerms(settings.leaseTerms)
+	p.lease.SetPushed(settings.leasePushed)
 	p.watcher.SetTimeouts(settings.discoveryConnectTimeout, settings.watchAnswerTimeout)
 	if !settings.peerReports.Enabled && p.peers != nil {
 		p.peers.Close()
--- a/internal/proxy/terms.go
+++ b/internal/proxy/terms.go
@@ -36,9 +36,9 @@
 	serversReportDelay     bool          // servers send the delay of their messages
 	learnModels            bool          // servers of the same model share what is learnt of their speed
 	// listPushed: discovery pushes lists (setting "push"), so a change counts as known whether or not a watch is open.
-	listPushed bool
-	leaseTerms discovery.LeaseTerms
-	drainGrace time.Duration // from when a drain counts as known until nothing new may be sent to the server; 0 if not stated
+	listPushed  bool
+	leasePushed bool          // as listPushed, where the settings state drainGrace
+	drainGrace  time.Duration // from when a drain counts as known until nothing new may be sent to the server; 0 if not stated
 
 	discoveryConnectTimeout time.Duration // for a connection to discovery to be established
 	watchAnswerTimeout      time.Duration // for a watch of the list to be answered
@@ -86,7 +86,7 @@
 	// A real list must always be watched, also with setting "push", under which the benchmark delivers lists itself.
 	settings.listPushed, settings.list.NeedsSubscription = !settings.list.NeedsSubscription, true
 	// Without a stated grace there is no time by which a pushed change binds.
-	settings.leaseTerms.Pushed = settings.listPushed && settings.drainGrace > 0
+	settings.leasePushed = settings.listPushed && settings.drainGrace > 0
 	if settings.list.MaxPollInterval == 0 { // the settings ask for no polling; calls may still have to wait for their turn
 		settings.list.MaxPollInterval = max(4*settings.longestDialTimeout, 2*maxWatchAnswerWait)
 	}
