--- a/internal/eventloop/buffered_bytes.go
+++ b/internal/eventloop/buffered_bytes.go
@@ -12,7 +12,7 @@
 // connection that holds most, until it is met. It must be called on the loop, or before Run.
 func (l *Loop) SetMaxBufferedBytes(bytes int) { l.buffered.max = bytes }
 
-// HeldBytes returns how many bytes all connections hold in this process.
+// BufferedBytes returns how many bytes all connections hold in this process.
 func (l *Loop) BufferedBytes() int { return l.buffered.total }
 
 // countBuffered updates the loop's count after the connection's buffers have changed.
