End an evicted session's move at once, and leave the program's pages out of Go's limit

Cause: Evict reported its own reset as the other end's; Go's limit does not count 14 MB of the program. Change: HandleServerOverflow ends a move that is under way; Go's limit is at most memory_mb less 16 MB, at least a quarter of it. Tests: TestOverflowDuringMove failed before (no last line).

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -45,8 +45,7 @@
 	// called during Conn.Write and Conn.ReadAvailable. It is not called for a connection that Conn.Close closes.
 	OnClose(c *Conn, err error)
 	// OnOverflow is called when all connections together hold more bytes than the loop's limit, for the one that holds most. The
-	// handler should have it hold less, or close it. It is called again while the limit is exceeded, and must close a connection for
-	// which it is called twice.
+	// handler must bring it closer to its close with each call, as it is called again while the limit is exceeded.
 	OnOverflow(c *Conn)
 }
 
--- a/internal/exchange/move_test.go
+++ b/internal/exchange/move_test.go
@@ -94,3 +94,22 @@
 		t.Errorf("the client's last line is %q", c.lastLine)
 	}
 }
+
+// TestOverflowDuringMove guards against a server that is blamed for the end of a session that this proxy has no memory for.
+func TestOverflowDuringMove(t *testing.T) {
+	r := newRig(1)
+	c, d := r.newOpenSession()
+	for range 1000 {
+		d.sendUnread("M 1\r\n")
+	}
+	r.runEvent(c.session.HandleServerOverflow)
+	if c.ended {
+		t.Fatal("the session is moved though more lines have come")
+	}
+	for range 2 { // the second call finds the session ended
+		r.runEvent(c.session.HandleServerOverflow)
+	}
+	if c.lastLine != "MOVE\r\n" || c.reason != "overflow" || r.OpenCount() != 0 || r.fault != "" {
+		t.Errorf("the client's last line is %q with reason %s; %s", c.lastLine, c.reason, r.fault)
+	}
+}
--- a/internal/exchange/server_events.go
+++ b/internal/exchange/server_events.go
@@ -113,8 +113,14 @@
 }
 
 // HandleServerOverflow moves an open session whose client sends faster than its server reads. Lines that this proxy can't hold are
-// lost, so the session can't go on.
-func (s *Session) HandleServerOverflow() { s.startMove("overflow") }
+// lost, so the session can't go on. Called while the session is being moved, it ends the wait for the server's lines.
+func (s *Session) HandleServerOverflow() {
+	if s.state == open && s.isMoving {
+		s.finishMove("overflow")
+		return
+	}
+	s.startMove("overflow")
+}
 
 // HandleServerEnd ends an open session, and the client's connection, after the server has ended it or its connection broke.
 func (s *Session) HandleServerEnd(outcome choice.Outcome, how socket.End, reason string) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,8 @@
 
 const (
 	memoryLimitShare     = 0.75        // fraction of the memory limit that the Go runtime may use; the rest is for what it does not count
+	programBytes         = 16 << 20    // of the program and its libraries in memory, which the Go runtime does not count
+	minRuntimeDivisor    = 4           // of the memory limit, the part that the Go runtime gets in any case
 	bufferedBytesDivisor = 32          // of the memory limit, the part that buffers of connections may take
 	reservedSockets      = 32          // file descriptors kept back for discovery, the event loop and the Go runtime
 	maxUnsentBytes       = 1 << 18     // bytes buffered for one connection whose peer reads slowly
@@ -226,11 +228,18 @@
 
 // limitMemory sets the Go runtime's memory limit and GOMAXPROCS for the whole process.
 func (p *Proxy) limitMemory(limits start.Limits) {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(limits.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(runtimeMemoryLimit(limits))
 	// One more than the cores: while the event loop blocks in the kernel, connects and discovery continue.
 	runtime.GOMAXPROCS(max(int(limits.Cores), 1) + 1)
 }
 
+// runtimeMemoryLimit is how many bytes the Go runtime may use: a share of the limit, or less where the program itself takes more of
+// it than the rest.
+func runtimeMemoryLimit(limits start.Limits) int64 {
+	limit := int64(limits.MemoryMB) << 20
+	return min(int64(memoryLimitShare*float64(limit)), max(limit-programBytes, limit/minRuntimeDivisor))
+}
+
 // Run opens the sockets and serves until Leave was called and nothing is left to do. It returns an error if a socket
 // can't be opened or the event loop fails.
 func (p *Proxy) Run() error {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -38,8 +38,9 @@
 	// still takes a last line, which arrives if the failure has passed, and the owner must end it. HandleEnd is not called for a
 	// connection that the owner has ended.
 	HandleEnd(how End)
-	// HandleOverflow is called when more bytes would wait to be sent than may, as the other end reads too slowly. What is written
-	// from then on is dropped, so the owner must end the connection.
+	// HandleOverflow is called when more bytes would wait to be sent than may, as the other end reads too slowly, or when this
+	// connection holds most of the bytes of all, and they are too many. What is written from then on is dropped, so the owner must
+	// end the connection. If it does not do so at once, it may be called again, and must then.
 	HandleOverflow()
 }
 
@@ -142,18 +143,14 @@
 	}
 }
 
-// Evict frees the memory that the connection holds, or has the owner end it, as all connections together hold too much and this one
-// most. Called again, it closes the connection.
+// Evict brings the connection closer to its end, as all connections together hold too many bytes and this one most: an open one is
+// ended by its owner, any other is closed.
 func (c *Conn) Evict() {
-	switch {
-	case c.state == open && !c.hasOverflowed:
+	if c.state == open {
 		c.overflow()
-	case c.state == open:
-		c.Reset()
-		c.runAfterEvent(func() { c.owner.HandleEnd(Reset) })
-	default:
-		c.Reset()
+		return
 	}
+	c.Reset()
 }
 
 // Unsent returns how many of the bytes written the kernel has not taken yet, so that the other end can't have received them. Once
